--- /dev/null
+++ b/cmd/savoryfoldctl/quickstart.go
@@ -0,0 +1,25 @@
+package main
+
+import (
+	"context"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/savoryfold/savoryfold/internal/quickstart"
+)
+
+const quickstartTimeout = 15 * time.Second
+
+func quickstartCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "quickstart",
+		Short: "Serve one four-stage request on stand-ins and three instances in this process",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			ctx, cancel := context.WithTimeout(cmd.Context(), quickstartTimeout)
+			defer cancel()
+			return quickstart.Run(ctx, cmd.OutOrStdout())
+		},
+	}
+}
--- /dev/null
+++ b/cmd/savoryfoldd/main.go
@@ -0,0 +1,125 @@
+// Command savoryfoldd is the entry instance of savoryfold.
+//
+// Exit codes: 0 after a graceful stop, 1 if the instance failed, 2 if the
+// settings or the arguments are not right.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/savoryfold/savoryfold/config"
+	"github.com/savoryfold/savoryfold/internal/version"
+	"github.com/savoryfold/savoryfold/kernel"
+	_ "github.com/savoryfold/savoryfold/plugins/standard"
+)
+
+const (
+	exitFailed   = 1
+	exitSettings = 2
+)
+
+// settingsError is a fault of the settings or the arguments.
+type settingsError struct{ error }
+
+func main() {
+	err := command().Execute()
+	if err == nil {
+		return
+	}
+	fmt.Fprintln(os.Stderr, err)
+	var bad settingsError
+	if errors.As(err, &bad) {
+		os.Exit(exitSettings)
+	}
+	os.Exit(exitFailed)
+}
+
+func command() *cobra.Command {
+	var path string
+	var check, list bool
+	cmd := &cobra.Command{
+		Use:           "savoryfoldd --settings FILE",
+		Short:         "Entry instance of savoryfold",
+		Long:          "savoryfoldd serves requests of callers on the routes and pools of savoryfold.\n\nSIGTERM and SIGINT stop it gracefully; SIGUSR1 writes a dump of its state to standard error.",
+		Example:       "  savoryfoldd --settings hobart-1.ini\n  savoryfoldd --settings hobart-1.ini --check\n  savoryfoldd --list-settings",
+		Version:       version.Version,
+		Args:          cobra.NoArgs,
+		SilenceErrors: true,
+		SilenceUsage:  true,
+		RunE: func(*cobra.Command, []string) error {
+			if list {
+				printSchema()
+				return nil
+			}
+			return run(path, check)
+		},
+	}
+	cmd.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return settingsError{err} })
+	cmd.Flags().StringVar(&path, "settings", "", "settings file (INI)")
+	cmd.Flags().BoolVar(&check, "check", false, "check the settings and exit")
+	cmd.Flags().BoolVar(&list, "list-settings", false, "list every setting with its default and exit")
+	return cmd
+}
+
+func printSchema() {
+	for _, k := range kernel.Schema().Keys() {
+		def := k.Default
+		if k.Required {
+			def = "(required)"
+		}
+		fmt.Printf("[%s] %s = %s\n    %s; %s\n", k.Section, k.Name, def, k.Kind, k.Doc)
+	}
+}
+
+func run(path string, check bool) error {
+	if path == "" {
+		return settingsError{errors.New("want --settings FILE")}
+	}
+	settings, err := kernel.Schema().LoadFile(path)
+	if err != nil {
+		return settingsError{err}
+	}
+	logger, level := kernel.NewLogger(settings, os.Stderr)
+	in, err := kernel.NewInstance(settings, logger, level)
+	if err != nil {
+		return settingsError{err}
+	}
+	if check {
+		fmt.Println("settings are right")
+		return nil
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	go dumpOnSignal(ctx, in)
+	err = in.Run(ctx)
+	var faults config.Faults
+	if errors.As(err, &faults) {
+		return settingsError{err}
+	}
+	return err
+}
+
+// dumpOnSignal writes a dump to standard error at every SIGUSR1.
+func dumpOnSignal(ctx context.Context, in *kernel.Instance) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGUSR1)
+	defer signal.Stop(signals)
+	for {
+		select {
+		case <-signals:
+			enc := json.NewEncoder(os.Stderr)
+			enc.SetIndent("", "  ")
+			_ = enc.Encode(in.Dump())
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- /dev/null
+++ b/config/doc.go
@@ -0,0 +1,9 @@
+// Package config holds the two kinds of configuration.
+//
+// Process settings are read once from an INI file and checked against a
+// Schema, to which each plug-in adds its keys.
+//
+// Tables describe routes, pools, availability zones and client accounts. They
+// are edited section by section while the system runs. A Tables value is
+// immutable: a new revision is a new value, which the kernel swaps in whole.
+package config
--- /dev/null
+++ b/config/edit.go
@@ -0,0 +1,65 @@
+package config
+
+import "maps"
+
+// Edit is an operator's change of one section, as it stands on the log.
+type Edit struct {
+	// ID makes the edit idempotent: the same ID is the same edit.
+	ID       string `cbor:"1,keyasint" json:"id"`
+	Operator string `cbor:"2,keyasint" json:"operator"`
+	Section  string `cbor:"3,keyasint" json:"section"`
+	// Body is the section's new text. It is ignored when Delete is set.
+	Body   string `cbor:"4,keyasint" json:"body"`
+	Delete bool   `cbor:"5,keyasint" json:"delete"`
+	// Base is the section's revision that the edit was based on; 0 means that
+	// the section did not exist.
+	Base uint64 `cbor:"6,keyasint" json:"base"`
+}
+
+// EditStatus says what became of an edit.
+type EditStatus string
+
+// The statuses of an edit.
+const (
+	EditAccepted   EditStatus = "accepted"
+	EditSuperseded EditStatus = "superseded" // another edit came first
+	EditInvalid    EditStatus = "invalid"
+)
+
+// EditResult is the verdict on one edit.
+type EditResult struct {
+	Status EditStatus `json:"status"`
+	// Revision is the section's revision after the edit, or the one that
+	// superseded it.
+	Revision uint64 `json:"revision"`
+	// By is the operator whose edit superseded this one.
+	By      string `json:"by,omitempty"`
+	Problem string `json:"problem,omitempty"`
+}
+
+// Empty returns tables without any section.
+func Empty() *Tables {
+	t, _ := Compile(map[string]Section{}, 0)
+	return t
+}
+
+// Apply decides on an edit that stands at the offset. It is a pure function:
+// instances that read the same log accept the same edits. The returned tables
+// are the argument itself unless the edit is accepted.
+func Apply(t *Tables, e Edit, offset uint64) (*Tables, EditResult) {
+	current := t.Sections[e.Section]
+	if current.Revision != e.Base {
+		return t, EditResult{Status: EditSuperseded, Revision: current.Revision}
+	}
+	sections := maps.Clone(t.Sections)
+	if e.Delete {
+		delete(sections, e.Section)
+	} else {
+		sections[e.Section] = Section{Name: e.Section, Body: e.Body, Revision: offset}
+	}
+	next, err := Compile(sections, offset)
+	if err != nil {
+		return t, EditResult{Status: EditInvalid, Revision: current.Revision, Problem: err.Error()}
+	}
+	return next, EditResult{Status: EditAccepted, Revision: offset}
+}
--- /dev/null
+++ b/config/settings.go
@@ -0,0 +1,344 @@
+package config
+
+import (
+	"net"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Kind is the type of a setting's value.
+type Kind int
+
+// The kinds of settings.
+const (
+	String Kind = iota
+	Int
+	Float
+	Bool
+	Duration // Go duration, such as 250ms
+	Size     // bytes, with an optional suffix KiB, MiB or GiB
+	Address  // host:port with an IP number or localhost; empty means off
+	Enum     // one of Key.Accepted
+	List     // comma-separated words
+)
+
+var kindNames = [...]string{"string", "integer", "number", "boolean", "duration", "size", "address", "enum", "list"}
+
+// String returns the kind's name as shown to operators.
+func (k Kind) String() string { return kindNames[k] }
+
+// Key declares one setting. A Section that ends in " *" stands for any number
+// of sections with that prefix, such as "operator *".
+type Key struct {
+	Section  string
+	Name     string
+	Kind     Kind
+	Default  string
+	Accepted []string
+	Required bool
+	// Secret keeps the value out of dumps.
+	Secret bool
+	Doc    string
+}
+
+// accepts describes the accepted values.
+func (k Key) accepts() string {
+	if k.Kind == Enum {
+		return "one of " + strings.Join(k.Accepted, ", ")
+	}
+	return "a " + k.Kind.String()
+}
+
+// Schema is the set of keys that a process knows.
+type Schema struct {
+	keys []Key
+}
+
+// Add declares keys.
+func (s *Schema) Add(keys ...Key) { s.keys = append(s.keys, keys...) }
+
+// Keys returns the declared keys in order of declaration.
+func (s *Schema) Keys() []Key { return slices.Clone(s.keys) }
+
+// patternOf returns the schema section that covers a file's section.
+func patternOf(section string) string {
+	if prefix, _, ok := strings.Cut(section, " "); ok {
+		return prefix + " *"
+	}
+	return section
+}
+
+func (s *Schema) find(section, name string) (Key, bool) {
+	pattern := patternOf(section)
+	for _, k := range s.keys {
+		if k.Section == pattern && k.Name == name {
+			return k, true
+		}
+	}
+	return Key{}, false
+}
+
+func (s *Schema) hasSection(section string) bool {
+	pattern := patternOf(section)
+	return slices.ContainsFunc(s.keys, func(k Key) bool { return k.Section == pattern })
+}
+
+// Settings holds the checked settings of one process. It is immutable.
+type Settings struct {
+	schema *Schema
+	values map[lineKey]string
+	// sections lists the repeated sections that stand in the file, in order.
+	sections []string
+}
+
+// LoadFile reads and checks a settings file. The error is Faults if the file
+// was read and is not right.
+func (s *Schema) LoadFile(path string) (*Settings, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "settings")
+	}
+	return s.Load(path, text)
+}
+
+// Load checks the text of a settings file and returns its values, with
+// defaults filled in. All problems are reported at once as Faults.
+func (s *Schema) Load(name string, text []byte) (*Settings, error) {
+	src, err := parseSource(name, text)
+	if err != nil {
+		return nil, err
+	}
+	set := &Settings{schema: s, values: make(map[lineKey]string)}
+	faults := src.repeatedFaults()
+	for _, section := range src.file.Sections() {
+		if section.Name() == "DEFAULT" && len(section.Keys()) == 0 {
+			continue
+		}
+		if !s.hasSection(section.Name()) {
+			faults = append(faults, src.fault(section.Name(), "", "unknown section"))
+			continue
+		}
+		set.sections = append(set.sections, section.Name())
+		for _, k := range section.Keys() {
+			faults = append(faults, set.take(src, section.Name(), k.Name(), k.Value())...)
+		}
+	}
+	faults = append(faults, set.missing(src)...)
+	return set, faults.Err()
+}
+
+// take checks one value of the file and keeps it.
+func (s *Settings) take(src *source, section, name, value string) Faults {
+	key, ok := s.schema.find(section, name)
+	if !ok {
+		return Faults{src.fault(section, name, "unknown key")}
+	}
+	if err := checkValue(key, value); err != nil {
+		shown := strconv.Quote(value)
+		if key.Secret {
+			shown = "the value"
+		}
+		return Faults{src.fault(section, name, shown+" is not accepted, want "+key.accepts())}
+	}
+	s.values[lineKey{section, name}] = value
+	return nil
+}
+
+// missing reports required keys that the file lacks.
+func (s *Settings) missing(src *source) Faults {
+	var faults Faults
+	for _, k := range s.schema.keys {
+		if !k.Required {
+			continue
+		}
+		for _, section := range s.matching(k.Section) {
+			if s.values[lineKey{section, k.Name}] == "" {
+				faults = append(faults, src.fault(section, k.Name, "is required, want "+k.accepts()))
+			}
+		}
+	}
+	return faults
+}
+
+// matching returns the sections that a schema section stands for.
+func (s *Settings) matching(pattern string) []string {
+	if !strings.HasSuffix(pattern, " *") {
+		return []string{pattern}
+	}
+	prefix := strings.TrimSuffix(pattern, "*")
+	var out []string
+	for _, section := range s.sections {
+		if strings.HasPrefix(section, prefix) {
+			out = append(out, section)
+		}
+	}
+	return out
+}
+
+// Names returns the names of the repeated sections with the prefix: for
+// sections "operator alice" and "operator bob", Names("operator") returns
+// alice and bob.
+func (s *Settings) Names(prefix string) []string {
+	var out []string
+	for _, section := range s.matching(prefix + " *") {
+		out = append(out, strings.TrimPrefix(section, prefix+" "))
+	}
+	return out
+}
+
+// Lookup returns the text of a setting, or its default. It panics for a key
+// that the schema lacks, which is a fault of the program.
+func (s *Settings) Lookup(section, name string) string {
+	key, ok := s.schema.find(section, name)
+	if !ok {
+		panic("config: undeclared setting [" + section + "] " + name)
+	}
+	if v, ok := s.values[lineKey{section, name}]; ok {
+		return v
+	}
+	return key.Default
+}
+
+// String returns a setting as text.
+func (s *Settings) String(section, name string) string { return s.Lookup(section, name) }
+
+// Int returns a whole number.
+func (s *Settings) Int(section, name string) int {
+	n, _ := strconv.Atoi(s.Lookup(section, name))
+	return n
+}
+
+// Float returns a number.
+func (s *Settings) Float(section, name string) float64 {
+	f, _ := strconv.ParseFloat(s.Lookup(section, name), 64)
+	return f
+}
+
+// Bool returns a truth value.
+func (s *Settings) Bool(section, name string) bool {
+	b, _ := strconv.ParseBool(s.Lookup(section, name))
+	return b
+}
+
+// Duration returns a duration.
+func (s *Settings) Duration(section, name string) time.Duration {
+	d, _ := time.ParseDuration(s.Lookup(section, name))
+	return d
+}
+
+// Bytes returns a size in bytes.
+func (s *Settings) Bytes(section, name string) int64 {
+	n, _ := ParseSize(s.Lookup(section, name))
+	return n
+}
+
+// Words returns a list's words.
+func (s *Settings) Words(section, name string) []string { return splitList(s.Lookup(section, name)) }
+
+// Value is one setting as shown in dumps, with secrets left out.
+type Value struct {
+	Section string `json:"section"`
+	Key     string `json:"key"`
+	Value   string `json:"value"`
+}
+
+// Dump lists all settings in force.
+func (s *Settings) Dump() []Value {
+	var out []Value
+	for _, k := range s.schema.keys {
+		for _, section := range s.matching(k.Section) {
+			v := s.Lookup(section, k.Name)
+			if k.Secret && v != "" {
+				v = "(secret)"
+			}
+			out = append(out, Value{Section: section, Key: k.Name, Value: v})
+		}
+	}
+	return out
+}
+
+func splitList(text string) []string {
+	var out []string
+	for _, w := range strings.Split(text, ",") {
+		if w = strings.TrimSpace(w); w != "" {
+			out = append(out, w)
+		}
+	}
+	return out
+}
+
+// checkValue reports whether a text is a value of the key's kind. An empty
+// text is accepted unless the key is required.
+func checkValue(k Key, v string) error {
+	if v == "" {
+		return nil
+	}
+	var err error
+	switch k.Kind {
+	case Int:
+		_, err = strconv.Atoi(v)
+	case Float:
+		_, err = strconv.ParseFloat(v, 64)
+	case Bool:
+		_, err = strconv.ParseBool(v)
+	case Duration:
+		var d time.Duration
+		if d, err = time.ParseDuration(v); err == nil && d < 0 {
+			err = errors.New("negative duration")
+		}
+	case Size:
+		_, err = ParseSize(v)
+	case Address:
+		err = checkAddress(v)
+	case Enum:
+		if !slices.Contains(k.Accepted, v) {
+			err = errors.New("not one of the accepted values")
+		}
+	}
+	return err
+}
+
+func checkAddress(v string) error {
+	host, port, err := net.SplitHostPort(v)
+	if err != nil {
+		return err
+	}
+	if host != "localhost" && net.ParseIP(host) == nil {
+		return errors.Errorf("%q is no IP number", host)
+	}
+	n, err := strconv.ParseUint(port, 10, 16)
+	if err != nil {
+		return errors.Errorf("%q is no port", port)
+	}
+	_ = n
+	return nil
+}
+
+// Size units in bytes.
+const (
+	kib = 1 << 10
+	mib = 1 << 20
+	gib = 1 << 30
+)
+
+// ParseSize reads a size in bytes such as 512, 64KiB or 1MiB.
+func ParseSize(text string) (int64, error) {
+	unit := int64(1)
+	for suffix, factor := range map[string]int64{"KiB": kib, "MiB": mib, "GiB": gib} {
+		if strings.HasSuffix(text, suffix) {
+			text = strings.TrimSpace(strings.TrimSuffix(text, suffix))
+			unit = factor
+			break
+		}
+	}
+	n, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || n < 0 || n > (1<<62)/unit {
+		return 0, errors.Errorf("%q is no size", text)
+	}
+	return n * unit, nil
+}
--- /dev/null
+++ b/internal/version/version.go
@@ -0,0 +1,5 @@
+// Package version holds the version of the programs.
+package version
+
+// Version is the version that the programs print.
+const Version = "0.1.0-dev"
--- /dev/null
+++ b/kernel/host.go
@@ -0,0 +1,101 @@
+package kernel
+
+import (
+	"log/slog"
+	"sync/atomic"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/savoryfold/savoryfold/config"
+	"github.com/savoryfold/savoryfold/policy"
+)
+
+// The sample of a histogram: its size, and the weight of recent values.
+const (
+	reservoirSize  = 1028
+	reservoirDecay = 0.015
+)
+
+// Decisions are the policies that the settings selected.
+type Decisions struct {
+	Admission policy.Admission
+	Placement policy.Placement
+	Limits    policy.Limits
+	Retry     policy.Retry
+	Queues    policy.Queues
+	Rollout   policy.Rollout
+}
+
+// Host is what modules get: settings, logs, counters, and one another by the
+// interfaces of this package. A field is nil if no module fills it; all are set
+// before the first module is provisioned and do not change.
+type Host struct {
+	Settings *config.Settings
+	Logger   *slog.Logger
+	LogLevel *slog.LevelVar
+	Metrics  metrics.Registry
+	Instance *Instance
+
+	Decisions  Decisions
+	Transport  Transport
+	Log        Log
+	Config     ConfigSource
+	Membership Membership
+	Peers      Peers
+	Digests    Digests
+	Claims     Claims
+	Versions   Versions
+	CrashGuard CrashGuard
+
+	snapshot atomic.Pointer[Snapshot]
+	onTables []func(*config.Tables)
+	fleet    fleet
+}
+
+// ID returns the instance's name.
+func (h *Host) ID() string { return h.Settings.String("instance", "id") }
+
+// Zone returns the instance's availability zone.
+func (h *Host) Zone() string { return h.Settings.String("instance", "zone") }
+
+// Counter returns the counter with the name. Labels stand in the name in
+// Prometheus form, such as `calls{pool="encode"}`.
+func (h *Host) Counter(name string) metrics.Counter {
+	return metrics.GetOrRegisterCounter(name, h.Metrics)
+}
+
+// Gauge returns the gauge with the name.
+func (h *Host) Gauge(name string) metrics.Gauge {
+	return metrics.GetOrRegisterGauge(name, h.Metrics)
+}
+
+// Histogram returns the histogram of durations with the name. Its values are
+// nanoseconds; the metrics show seconds.
+func (h *Host) Histogram(name string) metrics.Histogram {
+	return metrics.GetOrRegisterHistogram(name, h.Metrics, metrics.NewExpDecaySample(reservoirSize, reservoirDecay))
+}
+
+// adopt stores a module in every field whose interface it implements.
+func (h *Host) adopt(m Module) {
+	set(&h.Decisions.Admission, m)
+	set(&h.Decisions.Placement, m)
+	set(&h.Decisions.Limits, m)
+	set(&h.Decisions.Retry, m)
+	set(&h.Decisions.Queues, m)
+	set(&h.Decisions.Rollout, m)
+	set(&h.Transport, m)
+	set(&h.Log, m)
+	set(&h.Config, m)
+	set(&h.Membership, m)
+	set(&h.Peers, m)
+	set(&h.Digests, m)
+	set(&h.Claims, m)
+	set(&h.Versions, m)
+	set(&h.CrashGuard, m)
+}
+
+func set[T any](field *T, m Module) {
+	if v, ok := m.(T); ok {
+		*field = v
+	}
+}
--- /dev/null
+++ b/kernel/instance.go
@@ -0,0 +1,186 @@
+package kernel
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/savoryfold/savoryfold/config"
+)
+
+// refreshInterval is the time between two looks at the limits of all servers.
+const refreshInterval = 200 * time.Millisecond
+
+// State is an instance's own state.
+type State int32
+
+// The states of an instance, in order.
+const (
+	StateStarting State = iota
+	StateReady
+	StateLeaving
+	StateStopped
+)
+
+var stateNames = [...]string{"starting", "ready", "leaving", "stopped"}
+
+// String returns the state's name.
+func (s State) String() string { return stateNames[s] }
+
+// Instance is one entry instance: its modules and their life cycle.
+type Instance struct {
+	Host    *Host
+	modules []loaded
+	state   atomic.Int32
+	stop    chan struct{}
+	once    sync.Once
+}
+
+type loaded struct {
+	info   ModuleInfo
+	module Module
+}
+
+// NewInstance provisions and validates the modules that the settings select.
+// Nothing is started.
+func NewInstance(s *config.Settings, logger *slog.Logger, level *slog.LevelVar) (*Instance, error) {
+	in := &Instance{stop: make(chan struct{})}
+	in.Host = &Host{
+		Settings: s,
+		Logger:   logger.With("instance", s.String("instance", "id")),
+		LogLevel: level,
+		Metrics:  metrics.NewRegistry(),
+		Instance: in,
+	}
+	for _, info := range Modules() {
+		if !selected(s, info) {
+			continue
+		}
+		m := info.New()
+		in.Host.adopt(m)
+		in.modules = append(in.modules, loaded{info, m})
+	}
+	if err := in.provision(); err != nil {
+		return nil, err
+	}
+	return in, nil
+}
+
+func (in *Instance) provision() error {
+	for _, l := range in.modules {
+		if p, ok := l.module.(Provisioner); ok {
+			if err := p.Provision(in.Host); err != nil {
+				return errors.Wrapf(err, "provision %s", l.info.ID)
+			}
+		}
+	}
+	for _, l := range in.modules {
+		if v, ok := l.module.(Validator); ok {
+			if err := v.Validate(); err != nil {
+				return errors.Wrapf(err, "validate %s", l.info.ID)
+			}
+		}
+	}
+	return nil
+}
+
+// State returns the instance's state.
+func (in *Instance) State() State { return State(in.state.Load()) }
+
+// Ready reports whether the instance takes requests: it is started, has tables
+// and is not leaving.
+func (in *Instance) Ready() bool {
+	return in.State() == StateReady && in.Host.Snapshot() != nil
+}
+
+// Shutdown asks for a graceful stop.
+func (in *Instance) Shutdown() { in.once.Do(func() { close(in.stop) }) }
+
+// Run starts the modules, serves until the context ends or Shutdown is called,
+// then stops gracefully: new requests are refused, those in progress finish.
+func (in *Instance) Run(ctx context.Context) error {
+	life, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	started, err := in.start(life)
+	if err == nil {
+		in.setState(StateReady, MemberReady)
+		in.serve(ctx)
+	}
+	in.setState(StateLeaving, MemberLeaving)
+	stopErr := in.stopModules(started)
+	in.state.Store(int32(StateStopped))
+	in.Host.Logger.Info("instance stopped")
+	if err != nil {
+		return err
+	}
+	return stopErr
+}
+
+// start starts modules in order and returns how many were started.
+func (in *Instance) start(ctx context.Context) (int, error) {
+	for i, l := range in.modules {
+		if s, ok := l.module.(Starter); ok {
+			if err := s.Start(ctx); err != nil {
+				return i, errors.Wrapf(err, "start %s", l.info.ID)
+			}
+		}
+	}
+	return len(in.modules), nil
+}
+
+// serve keeps the limits fresh until the instance is to stop.
+func (in *Instance) serve(ctx context.Context) {
+	ticker := time.NewTicker(refreshInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case now := <-ticker.C:
+			if snap := in.Host.Snapshot(); snap != nil {
+				refresh(in.Host, snap, now)
+			}
+		case <-in.stop:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// stopModules stops the first n modules in reverse order.
+func (in *Instance) stopModules(n int) error {
+	ctx, cancel := context.WithTimeout(context.Background(), in.Host.Settings.Duration("instance", "stop_timeout"))
+	defer cancel()
+	var first error
+	for i := n - 1; i >= 0; i-- {
+		l := in.modules[i]
+		s, ok := l.module.(Stopper)
+		if !ok {
+			continue
+		}
+		if err := s.Stop(ctx); err != nil && first == nil {
+			first = errors.Wrapf(err, "stop %s", l.info.ID)
+		}
+	}
+	return first
+}
+
+func (in *Instance) setState(s State, m MemberState) {
+	in.state.Store(int32(s))
+	in.Host.Logger.Info("instance state", "state", s.String())
+	if in.Host.Membership != nil {
+		in.Host.Membership.SetState(m)
+	}
+}
+
+// Refresh works out the share of every server's limit anew, after members or
+// servers changed.
+func (in *Instance) Refresh() {
+	if snap := in.Host.Snapshot(); snap != nil {
+		refresh(in.Host, snap, time.Now())
+	}
+}
--- /dev/null
+++ b/kernel/interfaces.go
@@ -0,0 +1,259 @@
+package kernel
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/savoryfold/savoryfold/config"
+	"github.com/savoryfold/savoryfold/policy"
+)
+
+// CallResult says how one stage call ended.
+type CallResult int
+
+// The results of stage calls.
+const (
+	// CallOK: the whole answer to this call arrived.
+	CallOK CallResult = iota
+	// CallNotSent: no byte of the call left the instance.
+	CallNotSent
+	// CallRefused: the server answered that it did not run the call.
+	CallRefused
+	// CallRejected: the server answered that the request itself is at fault and
+	// that it did not run.
+	CallRejected
+	// CallFailed: the server answered with an error, or with a wrong answer.
+	CallFailed
+	// CallSilent: a progress deadline passed without a byte.
+	CallSilent
+	// CallBroken: the connection broke before the end of the answer.
+	CallBroken
+	// CallDeadline: the request's deadline passed.
+	CallDeadline
+	// CallCancelled: the caller went away.
+	CallCancelled
+)
+
+var callResultNames = [...]string{"ok", "not-sent", "refused", "rejected", "failed", "silent", "broken", "deadline", "cancelled"}
+
+// String returns the result's name, for counters.
+func (r CallResult) String() string { return callResultNames[r] }
+
+// Sent reports whether the call may have run on the server.
+func (r CallResult) Sent() bool {
+	return r != CallNotSent && r != CallRefused && r != CallRejected
+}
+
+// StageCall is one call of a stage on one backend server.
+type StageCall struct {
+	// ID is unique; the server echoes it.
+	ID     string
+	Server config.Server
+	Pool   *config.Pool
+	Stage  config.Stage
+	// Key is passed on as the idempotency key of non-idempotent stages.
+	Key         string
+	ContentType string
+	Body        []byte
+	Deadline    time.Time
+	Priority    int
+	// Events receives the events of a streamed answer; nil asks for a whole one.
+	Events EventSink
+	// ResumeAfter is the ID of the last event received from an earlier call of
+	// the same stage, and Received the text of those events.
+	ResumeAfter string
+	Received    string
+}
+
+// StageAnswer is the result of one stage call.
+type StageAnswer struct {
+	Result CallResult
+	Answer Answer
+	// EngineMS and Tokens are the server's account of the work.
+	EngineMS float64
+	Tokens   int
+	// Err explains a result other than CallOK.
+	Err error
+	// Load is the report that came with the answer, or nil.
+	Load *policy.LoadReport
+	// RetryAfter is the server's wish after a refusal.
+	RetryAfter time.Duration
+}
+
+// Transport calls backend servers.
+type Transport interface {
+	Call(ctx context.Context, c *StageCall) StageAnswer
+	// Forget drops the connections to a server whose silence was seen.
+	Forget(s config.Server)
+}
+
+// Log is the platform's append-only log service.
+type Log interface {
+	// Append adds one record to a stream and returns its offset. The error is
+	// ErrLogUnavailable if the record was surely not added, and
+	// ErrAppendUnknown if that is not known.
+	Append(ctx context.Context, stream string, record []byte) (uint64, error)
+	// Read returns records from an offset on, waiting up to wait for the first.
+	Read(ctx context.Context, stream string, from uint64, wait time.Duration) (LogBatch, error)
+}
+
+// LogRecord is one record of a stream.
+type LogRecord struct {
+	Offset uint64
+	// Time is the log service's time of the append. It never decreases within
+	// a stream.
+	Time time.Time
+	Data []byte
+}
+
+// LogBatch is the result of a read.
+type LogBatch struct {
+	Records []LogRecord
+	// First is the oldest offset that the log keeps: a reader that asked for an
+	// older one has missed records.
+	First uint64
+	// FirstTime is the time of the record at First, zero if there is none.
+	FirstTime time.Time
+	// Next is the offset that the stream's next record will get.
+	Next uint64
+}
+
+// Errors of the log service.
+var (
+	ErrLogUnavailable = errors.New("log service unavailable")
+	ErrAppendUnknown  = errors.New("append was sent, its result is not known")
+)
+
+// ConfigSource puts tables in force by Host.SetTables.
+type ConfigSource interface {
+	// Edit submits an edit and waits for the verdict.
+	Edit(ctx context.Context, e config.Edit) (config.EditResult, error)
+}
+
+// MemberState is the state of an instance in the eyes of another.
+type MemberState string
+
+// The states of a member.
+const (
+	MemberStarting MemberState = "starting"
+	MemberReady    MemberState = "ready"
+	MemberLeaving  MemberState = "leaving"
+	MemberSuspect  MemberState = "suspect"
+	MemberGone     MemberState = "gone"
+)
+
+// Member is one instance.
+type Member struct {
+	ID string `json:"id"`
+	// Boot changes with every start of the process.
+	Boot        string      `json:"boot"`
+	Zone        string      `json:"zone"`
+	State       MemberState `json:"state"`
+	Incarnation uint64      `json:"incarnation"`
+	// GossipAddress takes heartbeats (UDP), PeerAddress requests (QUIC).
+	GossipAddress string `json:"gossip_address"`
+	PeerAddress   string `json:"peer_address"`
+	// ConfigRevision is the revision of the tables in force there.
+	ConfigRevision uint64    `json:"config_revision"`
+	LastSeen       time.Time `json:"last_seen"`
+}
+
+// MemberView is an immutable view of all members, sorted by ID. It holds at
+// least the instance itself.
+type MemberView struct {
+	Self    Member
+	Members []Member
+}
+
+// Live returns the members that may carry requests: ready or suspect.
+func (v *MemberView) Live() []Member {
+	var out []Member
+	for _, m := range v.Members {
+		if m.State == MemberReady || m.State == MemberSuspect {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// Membership knows the other instances.
+type Membership interface {
+	View() *MemberView
+	// Subscribe calls f after every change of the view.
+	Subscribe(f func(*MemberView))
+	// SetState announces the instance's own state.
+	SetState(s MemberState)
+}
+
+// PeerHandler answers a request of another instance.
+type PeerHandler func(ctx context.Context, from string, body []byte) ([]byte, error)
+
+// Peers carries requests between instances over authenticated streams.
+type Peers interface {
+	Handle(method string, h PeerHandler)
+	Call(ctx context.Context, member Member, method string, body []byte) ([]byte, error)
+}
+
+// Digests spreads small facts between instances with the heartbeats. A digest
+// is the whole state of one kind at one instance; the newest one counts.
+type Digests interface {
+	// Source registers what this instance says. It is called for every round.
+	Source(kind string, f func() []byte)
+	// Sink registers who hears what other instances say.
+	Sink(kind string, f func(from Member, payload []byte))
+}
+
+// ClaimRequest asks for the right to run a request that may run at most once.
+type ClaimRequest struct {
+	Account, Route, Key string
+	// BodyHash tells a repeat from another request with the same key.
+	BodyHash [32]byte
+	Deadline time.Time
+}
+
+// ClaimGrant is the answer to a ClaimRequest: a Claim, or else the Result that
+// the caller gets.
+type ClaimGrant struct {
+	Claim  Claim
+	Result Result
+}
+
+// Claim is the right to run one request once. Exactly one of Release, Complete
+// and Doubt ends it.
+type Claim interface {
+	// MayDispatch reports whether a non-idempotent call may be sent now. After
+	// it returned true, Release is no longer allowed.
+	MayDispatch(now time.Time) bool
+	// Release gives the claim back: nothing was sent and nothing will be.
+	Release()
+	// Complete keeps the answer for repeats. It returns once the answer is on
+	// the log or the context ends.
+	Complete(ctx context.Context, a Answer)
+	// Doubt records that the request may have run.
+	Doubt()
+}
+
+// Claims decides which instance may run a request that may run at most once.
+type Claims interface {
+	Claim(ctx context.Context, r ClaimRequest) ClaimGrant
+}
+
+// Versions chooses the version that a request's stages use.
+type Versions interface {
+	// Pick returns the version for a request, or "" for any. The number is
+	// drawn at random once for the request.
+	Pick(now time.Time, route *config.Route, random uint64) string
+	// Observe takes the result of a stage call on a versioned pool. Load is the
+	// part of the server's limit in use when the call was sent.
+	Observe(now time.Time, route, version string, ok bool, latency time.Duration, load float64)
+}
+
+// CrashGuard recognises requests that crash the servers that run them.
+type CrashGuard interface {
+	// Refuse reports whether a request with the fingerprint is refused.
+	Refuse(now time.Time, fingerprint uint64) bool
+	// Charge notes that a server died while it ran the request.
+	Charge(now time.Time, fingerprint uint64, server string)
+}
--- /dev/null
+++ b/kernel/outcome.go
@@ -0,0 +1,122 @@
+package kernel
+
+import "time"
+
+// OutcomeKind is how a request ended.
+type OutcomeKind string
+
+// The kinds of outcomes. Each request ends in exactly one.
+const (
+	// Served: the caller gets the whole answer.
+	Served OutcomeKind = "served"
+	// NotRun: no byte of any stage call left the instance and none will.
+	NotRun OutcomeKind = "not-run"
+	// Incomplete: some idempotent stages ran, no other stage did or will. The
+	// request may be sent again.
+	Incomplete OutcomeKind = "incomplete"
+	// Unknown: a stage that may not be repeated ran or may have run, and its
+	// answer is not at hand.
+	Unknown OutcomeKind = "unknown"
+	// Rejected: the request itself is at fault. Nothing ran.
+	Rejected OutcomeKind = "rejected"
+)
+
+// OutcomeReason says why a request ended as it did.
+type OutcomeReason string
+
+// The reasons of outcomes.
+const (
+	ReasonNone           OutcomeReason = ""
+	ReasonUnknownRoute   OutcomeReason = "unknown-route"
+	ReasonForbidden      OutcomeReason = "forbidden"
+	ReasonBadRequest     OutcomeReason = "bad-request"
+	ReasonBadDeadline    OutcomeReason = "bad-deadline"
+	ReasonUnauthorized   OutcomeReason = "unauthorized"
+	ReasonTooLarge       OutcomeReason = "too-large"
+	ReasonKeyRequired    OutcomeReason = "key-required"
+	ReasonKeyReused      OutcomeReason = "key-reused"
+	ReasonKeyTime        OutcomeReason = "key-time"
+	ReasonNotReady       OutcomeReason = "not-ready"
+	ReasonLeaving        OutcomeReason = "leaving"
+	ReasonOverload       OutcomeReason = "overload"
+	ReasonDeadline       OutcomeReason = "deadline"
+	ReasonNoServer       OutcomeReason = "no-server"
+	ReasonStageFailed    OutcomeReason = "stage-failed"
+	ReasonCallerGone     OutcomeReason = "caller-gone"
+	ReasonCrashes        OutcomeReason = "crashes-servers"
+	ReasonLogUnavailable OutcomeReason = "log-unavailable"
+	ReasonInProgress     OutcomeReason = "in-progress"
+	ReasonInDoubt        OutcomeReason = "in-doubt"
+	ReasonClaimUnknown   OutcomeReason = "claim-unknown"
+	ReasonSettled        OutcomeReason = "settled-not-run"
+)
+
+// Outcome is how a request ended and why.
+type Outcome struct {
+	Kind   OutcomeKind
+	Reason OutcomeReason
+	// Detail is for the caller and holds no secrets.
+	Detail string
+	// RetryAfter is when a repeat makes sense; 0 means unsaid.
+	RetryAfter time.Duration
+}
+
+// StageCost is what one stage of a request took.
+type StageCost struct {
+	Stage string `json:"stage" cbor:"1,keyasint"`
+	Pool  string `json:"pool" cbor:"2,keyasint"`
+	// Calls counts the calls made, of which all but one were in vain.
+	Calls int `json:"calls" cbor:"3,keyasint"`
+	// EngineMS is the time of the backend servers, in milliseconds.
+	EngineMS float64 `json:"engine_ms" cbor:"4,keyasint"`
+	// WastedMS is the part of EngineMS spent on calls without a used answer.
+	WastedMS float64 `json:"wasted_ms" cbor:"5,keyasint"`
+	Tokens   int     `json:"tokens" cbor:"6,keyasint"`
+	// WaitMS is the time spent waiting for a call slot.
+	WaitMS float64 `json:"wait_ms" cbor:"7,keyasint"`
+	Server string  `json:"server" cbor:"8,keyasint"`
+}
+
+// Answer is the whole answer to a request.
+type Answer struct {
+	ContentType string `cbor:"1,keyasint"`
+	Body        []byte `cbor:"2,keyasint"`
+}
+
+// Result is all that a caller is told.
+type Result struct {
+	Outcome Outcome
+	Answer  Answer
+	// Replayed is true if the answer is that of an earlier request with the
+	// same idempotency key.
+	Replayed bool
+	Costs    []StageCost
+	Revision uint64
+}
+
+// Request is one request of a caller.
+type Request struct {
+	ID      string
+	Account string
+	Route   string
+	// Key is the idempotency key; empty if the caller gave none.
+	Key         string
+	ContentType string
+	Body        []byte
+	// Deadline is the caller's; the zero time means the route's.
+	Deadline time.Time
+	// Events receives the events of the last stage if the caller streams.
+	// A nil Events asks for a whole answer.
+	Events EventSink
+}
+
+// Event is one event of a streamed answer.
+type Event struct {
+	ID   string
+	Data string
+}
+
+// EventSink receives a streamed answer. An error means that the caller is gone.
+type EventSink interface {
+	Send(Event) error
+}
--- /dev/null
+++ b/plugins/admin/admin.go
@@ -0,0 +1,113 @@
+// Package admin serves the administration API to operators.
+//
+// Every path but /metrics, /healthz and /readyz wants an operator's token.
+package admin
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/savoryfold/savoryfold/config"
+	"github.com/savoryfold/savoryfold/kernel"
+)
+
+const section = "admin"
+
+func init() {
+	kernel.Register(kernel.ModuleInfo{
+		ID:    "admin",
+		Phase: kernel.PhaseEntry,
+		Settings: []config.Key{
+			{Section: section, Name: "listen", Kind: config.Address, Doc: "address for operators; empty means none"},
+			{Section: section, Name: "tls_cert", Doc: "file with the certificate for operators; empty means plain HTTP"},
+			{Section: section, Name: "tls_key", Doc: "file with the key of tls_cert"},
+			{Section: "operator *", Name: "token_sha256", Required: true, Secret: true, Doc: "SHA-256 of the operator's token, in hexadecimal"},
+			{Section: "operator *", Name: "rights", Kind: config.Enum, Accepted: []string{"read", "edit"}, Default: "read", Doc: "what the operator may do"},
+			{Section: "operator *", Name: "sections", Kind: config.List, Doc: "prefixes of the sections that the operator may edit, such as \"route answer\"; empty means all"},
+		},
+		New: func() kernel.Module { return &Admin{} },
+	})
+}
+
+// Admin is the HTTP server for operators.
+type Admin struct {
+	host      *kernel.Host
+	operators []operator
+	server    *http.Server
+	listener  net.Listener
+}
+
+// Provision implements kernel.Provisioner.
+func (a *Admin) Provision(h *kernel.Host) error {
+	a.host = h
+	a.operators = readOperators(h.Settings)
+	a.server = &http.Server{
+		Handler:           a.routes(),
+		ReadHeaderTimeout: 5 * time.Second,
+		ReadTimeout:       10 * time.Second,
+		IdleTimeout:       time.Minute,
+		ErrorLog:          slog.NewLogLogger(h.Logger.Handler(), slog.LevelDebug),
+	}
+	return nil
+}
+
+// Validate implements kernel.Validator.
+func (a *Admin) Validate() error {
+	s := a.host.Settings
+	if (s.String(section, "tls_cert") == "") != (s.String(section, "tls_key") == "") {
+		return errors.New("[admin] tls_cert and tls_key go together")
+	}
+	for _, op := range a.operators {
+		if len(op.tokenHash) != 64 {
+			return errors.Errorf("[operator %s] token_sha256: want 64 hexadecimal digits", op.name)
+		}
+	}
+	return nil
+}
+
+// Start implements kernel.Starter.
+func (a *Admin) Start(context.Context) error {
+	address := a.host.Settings.String(section, "listen")
+	if address == "" {
+		return nil
+	}
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return errors.Wrap(err, "admin")
+	}
+	a.listener = l
+	a.host.Logger.Info("admin listens", "address", l.Addr().String())
+	go a.serve(l)
+	return nil
+}
+
+func (a *Admin) serve(l net.Listener) {
+	cert, key := a.host.Settings.String(section, "tls_cert"), a.host.Settings.String(section, "tls_key")
+	var err error
+	if cert != "" {
+		err = a.server.ServeTLS(l, cert, key)
+	} else {
+		err = a.server.Serve(l)
+	}
+	if !errors.Is(err, http.ErrServerClosed) {
+		a.host.Logger.Error("admin ended", "error", err)
+	}
+}
+
+// Address returns the address in use, or "" if there is none.
+func (a *Admin) Address() string {
+	if a.listener == nil {
+		return ""
+	}
+	return a.listener.Addr().String()
+}
+
+// Stop implements kernel.Stopper.
+func (a *Admin) Stop(ctx context.Context) error {
+	return errors.Wrap(a.server.Shutdown(ctx), "admin")
+}
--- /dev/null
+++ b/plugins/admin/operators.go
@@ -0,0 +1,77 @@
+package admin
+
+import (
+	"net/http"
+	"strings"
+
+	"github.com/savoryfold/savoryfold/config"
+	"github.com/savoryfold/savoryfold/internal/httpapi"
+)
+
+// operator is a person or program that may use the administration API.
+type operator struct {
+	name      string
+	tokenHash string
+	edit      bool
+	// sections are the prefixes of the sections that it may edit; empty means all.
+	sections []string
+}
+
+func readOperators(s *config.Settings) []operator {
+	var ops []operator
+	for _, name := range s.Names("operator") {
+		heading := "operator " + name
+		ops = append(ops, operator{
+			name:      name,
+			tokenHash: strings.ToLower(s.String(heading, "token_sha256")),
+			edit:      s.String(heading, "rights") == "edit",
+			sections:  s.Words(heading, "sections"),
+		})
+	}
+	return ops
+}
+
+// mayEdit reports whether the operator may edit a section.
+func (o operator) mayEdit(section string) bool {
+	if !o.edit {
+		return false
+	}
+	if len(o.sections) == 0 {
+		return true
+	}
+	for _, prefix := range o.sections {
+		if strings.HasPrefix(section, prefix) {
+			return true
+		}
+	}
+	return false
+}
+
+// find returns the operator with the token. It compares with every operator,
+// so that its time tells nothing.
+func (a *Admin) find(token string) (operator, bool) {
+	hash := httpapi.HashToken(token)
+	var found operator
+	ok := false
+	for _, op := range a.operators {
+		if httpapi.EqualHash(op.tokenHash, hash) {
+			found, ok = op, true
+		}
+	}
+	return found, ok && token != ""
+}
+
+type operatorHandler func(w http.ResponseWriter, r *http.Request, op operator)
+
+// authenticated passes a request on if it bears an operator's token.
+func (a *Admin) authenticated(h operatorHandler) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		op, ok := a.find(httpapi.Bearer(r))
+		if !ok {
+			a.host.Counter("admin_unauthorized").Inc(1)
+			httpapi.WriteProblem(w, httpapi.Problem{Status: http.StatusUnauthorized, Detail: "want an operator's token in the header Authorization: Bearer TOKEN"})
+			return
+		}
+		h(w, r, op)
+	}
+}
--- /dev/null
+++ b/plugins/backendhttp/backendhttp.go
@@ -0,0 +1,265 @@
+// Package backendhttp calls backend servers over HTTP.
+//
+// A call is a POST with a unique call ID, which the server echoes. An answer
+// counts only if it echoes the ID and is whole: its length is right, or its
+// event stream ends with the event "done". Every call has progress deadlines
+// for its first byte and between bytes.
+package backendhttp
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/savoryfold/savoryfold/config"
+	"github.com/savoryfold/savoryfold/internal/httpapi"
+	"github.com/savoryfold/savoryfold/kernel"
+	"github.com/savoryfold/savoryfold/policy"
+)
+
+const (
+	section        = "backend"
+	keepAlive      = 15 * time.Second
+	idlePerServer  = 64
+	maxAnswerBytes = 16 << 20
+	maxErrorBytes  = 1 << 10
+)
+
+func init() {
+	kernel.Register(kernel.ModuleInfo{
+		ID:    "backendhttp",
+		Phase: kernel.PhaseRequest,
+		Settings: []config.Key{
+			{Section: section, Name: "dial_timeout", Kind: config.Duration, Default: "500ms", Doc: "longest wait for a connection to a backend server"},
+			{Section: section, Name: "idle_timeout", Kind: config.Duration, Default: "60s", Doc: "time after which an idle connection is closed"},
+		},
+		New: func() kernel.Module { return &Transport{} },
+	})
+}
+
+// Transport implements kernel.Transport.
+type Transport struct {
+	host    *kernel.Host
+	dialer  *net.Dialer
+	idle    time.Duration
+	clients sync.Map // address -> *http.Transport
+}
+
+// Provision implements kernel.Provisioner.
+func (t *Transport) Provision(h *kernel.Host) error {
+	t.host = h
+	t.dialer = &net.Dialer{Timeout: h.Settings.Duration(section, "dial_timeout"), KeepAlive: keepAlive}
+	t.idle = h.Settings.Duration(section, "idle_timeout")
+	return nil
+}
+
+// Stop implements kernel.Stopper.
+func (t *Transport) Stop(context.Context) error {
+	t.clients.Range(func(_, c any) bool {
+		c.(*http.Transport).CloseIdleConnections()
+		return true
+	})
+	return nil
+}
+
+// Forget implements kernel.Transport: calls from now on use new connections.
+func (t *Transport) Forget(s config.Server) {
+	if c, ok := t.clients.LoadAndDelete(s.Address); ok {
+		c.(*http.Transport).CloseIdleConnections()
+		t.host.Counter(`connections_forgotten{server="` + s.Pool + `/` + s.Name + `"}`).Inc(1)
+	}
+}
+
+func (t *Transport) client(address string) *http.Transport {
+	if c, ok := t.clients.Load(address); ok {
+		return c.(*http.Transport)
+	}
+	fresh := &http.Transport{
+		DialContext:         t.dialer.DialContext,
+		MaxIdleConnsPerHost: idlePerServer,
+		IdleConnTimeout:     t.idle,
+		DisableCompression:  true,
+	}
+	c, _ := t.clients.LoadOrStore(address, fresh)
+	return c.(*http.Transport)
+}
+
+// exchange is one call in progress.
+type exchange struct {
+	call   *kernel.StageCall
+	cancel context.CancelCauseFunc
+	// progress is reset at every byte; it fires when the server is silent.
+	progress *time.Timer
+	// sent is true once a byte of the call may have left the instance.
+	sent atomic.Bool
+}
+
+var (
+	errSilent   = errors.New("no byte within the progress deadline")
+	errNoEnd    = errors.New("the answer has no end")
+	errWrongID  = errors.New("the answer is to another call")
+	errTooLarge = errors.New("the answer is too large")
+)
+
+// Call implements kernel.Transport.
+func (t *Transport) Call(ctx context.Context, c *kernel.StageCall) kernel.StageAnswer {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	x := &exchange{call: c, cancel: cancel}
+	x.progress = time.AfterFunc(c.Pool.FirstByte, func() { cancel(errSilent) })
+	defer x.progress.Stop()
+
+	req, err := x.request(ctx)
+	if err != nil {
+		return kernel.StageAnswer{Result: kernel.CallNotSent, Err: err}
+	}
+	resp, err := t.client(c.Server.Address).RoundTrip(req)
+	if err != nil {
+		return x.failure(ctx, err)
+	}
+	defer resp.Body.Close()
+	x.progress.Reset(c.Pool.BetweenBytes)
+	return x.answer(ctx, resp)
+}
+
+// request builds the HTTP request. Its body cannot be rewound, so that
+// net/http never sends a call twice on its own.
+func (x *exchange) request(ctx context.Context) (*http.Request, error) {
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { x.sent.Store(true) }}
+	ctx = httptrace.WithClientTrace(ctx, trace)
+	url := "http://" + x.call.Server.Address + x.call.Stage.Path
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "stage call")
+	}
+	req.Body = io.NopCloser(bytes.NewReader(x.call.Body))
+	req.ContentLength = int64(len(x.call.Body))
+	req.Header.Set("Content-Type", x.call.ContentType)
+	req.Header.Set(httpapi.HeaderCallID, x.call.ID)
+	req.Header.Set(httpapi.HeaderPriority, strconv.Itoa(x.call.Priority))
+	req.Header.Set(httpapi.HeaderDeadlineMS, strconv.FormatInt(time.Until(x.call.Deadline).Milliseconds(), 10))
+	if x.call.Key != "" {
+		req.Header.Set(httpapi.HeaderIdempotencyKey, x.call.Key)
+	}
+	if x.call.Events != nil {
+		req.Header.Set("Accept", "text/event-stream")
+	}
+	if x.call.ResumeAfter != "" {
+		req.Header.Set("Last-Event-ID", x.call.ResumeAfter)
+	}
+	return req, nil
+}
+
+// failure sorts an error by its cause.
+func (x *exchange) failure(ctx context.Context, err error) kernel.StageAnswer {
+	a := kernel.StageAnswer{Result: kernel.CallBroken, Err: err}
+	switch {
+	case !x.sent.Load():
+		a.Result = kernel.CallNotSent
+	case errors.Is(context.Cause(ctx), errSilent):
+		a.Result, a.Err = kernel.CallSilent, errSilent
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		a.Result = kernel.CallDeadline
+	case ctx.Err() != nil:
+		a.Result = kernel.CallCancelled
+	}
+	return a
+}
+
+// answer reads and checks the response.
+func (x *exchange) answer(ctx context.Context, resp *http.Response) kernel.StageAnswer {
+	if resp.Header.Get(httpapi.HeaderCallID) != x.call.ID {
+		return kernel.StageAnswer{Result: kernel.CallFailed, Err: errWrongID}
+	}
+	if resp.StatusCode != http.StatusOK {
+		return x.refusal(resp)
+	}
+	if strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
+		return x.stream(ctx, resp)
+	}
+	body, err := x.read(resp.Body)
+	if errors.Is(err, errTooLarge) {
+		return kernel.StageAnswer{Result: kernel.CallFailed, Err: err}
+	}
+	if err != nil {
+		return x.failure(ctx, err)
+	}
+	a := kernel.StageAnswer{Answer: kernel.Answer{ContentType: resp.Header.Get("Content-Type"), Body: body}}
+	account(&a, headerOrTrailer(resp))
+	return a
+}
+
+// headerOrTrailer looks a field up among the headers, then the trailers.
+func headerOrTrailer(resp *http.Response) func(string) string {
+	return func(name string) string {
+		if v := resp.Header.Get(name); v != "" {
+			return v
+		}
+		return resp.Trailer.Get(name)
+	}
+}
+
+// account reads the server's account of the work and its load report.
+func account(a *kernel.StageAnswer, field func(string) string) {
+	a.EngineMS, _ = strconv.ParseFloat(field(httpapi.HeaderEngineMS), 64)
+	a.Tokens, _ = strconv.Atoi(field(httpapi.HeaderTokens))
+	if text := field(httpapi.HeaderLoad); text != "" {
+		report := &policy.LoadReport{}
+		if json.Unmarshal([]byte(text), report) == nil {
+			a.Load = report
+		}
+	}
+}
+
+// refusal sorts an error status.
+func (x *exchange) refusal(resp *http.Response) kernel.StageAnswer {
+	text, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
+	a := kernel.StageAnswer{Result: kernel.CallFailed, Err: errors.Errorf("status %d: %s", resp.StatusCode, bytes.TrimSpace(text))}
+	if resp.Header.Get(httpapi.HeaderNotRun) == "true" {
+		a.Result = kernel.CallRefused
+		if resp.StatusCode >= 400 && resp.StatusCode < 500 && resp.StatusCode != http.StatusTooManyRequests {
+			a.Result = kernel.CallRejected
+		}
+	}
+	if seconds, err := strconv.Atoi(resp.Header.Get("Retry-After")); err == nil {
+		a.RetryAfter = time.Duration(seconds) * time.Second
+	}
+	account(&a, resp.Header.Get)
+	return a
+}
+
+// read reads a whole body and extends the progress deadline with every part.
+func (x *exchange) read(body io.Reader) ([]byte, error) {
+	var buf bytes.Buffer
+	_, err := io.Copy(&buf, io.LimitReader(&progressReader{body, x}, maxAnswerBytes+1))
+	if err == nil && buf.Len() > maxAnswerBytes {
+		err = errTooLarge
+	}
+	return buf.Bytes(), err
+}
+
+// progressReader extends the progress deadline with every part read.
+type progressReader struct {
+	r io.Reader
+	x *exchange
+}
+
+// Read implements io.Reader.
+func (p *progressReader) Read(b []byte) (int, error) {
+	n, err := p.r.Read(b)
+	if n > 0 {
+		p.x.progress.Reset(p.x.call.Pool.BetweenBytes)
+	}
+	return n, err
+}
--- /dev/null
+++ b/plugins/claims/memory.go
@@ -0,0 +1,88 @@
+// Package claims lets a request that may not be repeated run at most once.
+//
+// The module "claims.memory" is the baseline: each instance remembers the keys
+// that it has run itself, and knows nothing of the others.
+package claims
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/savoryfold/savoryfold/kernel"
+)
+
+func init() {
+	kernel.Register(kernel.ModuleInfo{
+		ID:    "claims.memory",
+		Phase: kernel.PhaseRequest,
+		New:   func() kernel.Module { return &Memory{entries: make(map[string]*memoryClaim)} },
+	})
+}
+
+// Memory implements kernel.Claims within one process.
+type Memory struct {
+	mu      sync.Mutex
+	entries map[string]*memoryClaim // guarded by mu
+}
+
+type memoryClaim struct {
+	owner  *Memory
+	key    string
+	hash   [32]byte
+	done   bool
+	doubt  bool
+	answer kernel.Answer
+}
+
+// Claim implements kernel.Claims.
+func (m *Memory) Claim(_ context.Context, r kernel.ClaimRequest) kernel.ClaimGrant {
+	key := r.Account + "\x00" + r.Route + "\x00" + r.Key
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	c := m.entries[key]
+	if c == nil {
+		c = &memoryClaim{owner: m, key: key, hash: r.BodyHash}
+		m.entries[key] = c
+		return kernel.ClaimGrant{Claim: c}
+	}
+	return kernel.ClaimGrant{Result: c.repeat(r)}
+}
+
+// repeat is the result of another request with the claim's key.
+func (c *memoryClaim) repeat(r kernel.ClaimRequest) kernel.Result {
+	switch {
+	case c.hash != r.BodyHash:
+		return kernel.Result{Outcome: kernel.Outcome{Kind: kernel.Rejected, Reason: kernel.ReasonKeyReused, Detail: "the key was used with another body"}}
+	case c.done:
+		return kernel.Result{Outcome: kernel.Outcome{Kind: kernel.Served}, Answer: c.answer, Replayed: true}
+	case c.doubt:
+		return kernel.Result{Outcome: kernel.Outcome{Kind: kernel.Unknown, Reason: kernel.ReasonInDoubt}}
+	}
+	return kernel.Result{Outcome: kernel.Outcome{Kind: kernel.Unknown, Reason: kernel.ReasonInProgress, RetryAfter: time.Second}}
+}
+
+// MayDispatch implements kernel.Claim.
+func (c *memoryClaim) MayDispatch(time.Time) bool { return true }
+
+// Release implements kernel.Claim.
+func (c *memoryClaim) Release() {
+	c.owner.mu.Lock()
+	defer c.owner.mu.Unlock()
+	delete(c.owner.entries, c.key)
+}
+
+// Complete implements kernel.Claim.
+func (c *memoryClaim) Complete(_ context.Context, a kernel.Answer) {
+	c.owner.mu.Lock()
+	defer c.owner.mu.Unlock()
+	c.done = true
+	c.answer = a
+}
+
+// Doubt implements kernel.Claim.
+func (c *memoryClaim) Doubt() {
+	c.owner.mu.Lock()
+	defer c.owner.mu.Unlock()
+	c.doubt = true
+}
--- /dev/null
+++ b/plugins/entryhttp/entryhttp.go
@@ -0,0 +1,137 @@
+// Package entryhttp takes requests of callers over HTTP.
+//
+//	POST /v1/routes/{route}   run a request, whole or as an event stream
+//	GET  /healthz             the process lives
+//	GET  /readyz              the instance takes requests
+package entryhttp
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/savoryfold/savoryfold/config"
+	"github.com/savoryfold/savoryfold/internal/httpapi"
+	"github.com/savoryfold/savoryfold/kernel"
+)
+
+const section = "entry"
+
+func init() {
+	kernel.Register(kernel.ModuleInfo{
+		ID:    "entryhttp",
+		Phase: kernel.PhaseEntry,
+		Settings: []config.Key{
+			{Section: section, Name: "listen", Kind: config.Address, Required: true, Doc: "address for callers"},
+			{Section: section, Name: "tls_cert", Doc: "file with the certificate for callers; empty means plain HTTP"},
+			{Section: section, Name: "tls_key", Doc: "file with the key of tls_cert"},
+			{Section: section, Name: "max_body", Kind: config.Size, Default: "1MiB", Doc: "largest body of a request"},
+			{Section: section, Name: "max_requests", Kind: config.Int, Default: "4096", Doc: "most requests in progress"},
+			{Section: section, Name: "header_timeout", Kind: config.Duration, Default: "5s", Doc: "longest time to read a request's header"},
+			{Section: section, Name: "body_timeout", Kind: config.Duration, Default: "10s", Doc: "longest time to read a whole request"},
+			{Section: section, Name: "idle_timeout", Kind: config.Duration, Default: "60s", Doc: "time after which an idle connection is closed"},
+			{Section: section, Name: "drain", Kind: config.Duration, Default: "1s", Doc: "time between not being ready and refusing connections on a stop"},
+		},
+		New: func() kernel.Module { return &Entry{} },
+	})
+}
+
+// Entry is the HTTP server for callers.
+type Entry struct {
+	host     *kernel.Host
+	server   *http.Server
+	listener net.Listener
+	maxBody  int64
+	inFlight atomic.Int64
+	limit    int64
+	drain    time.Duration
+}
+
+// Provision implements kernel.Provisioner.
+func (e *Entry) Provision(h *kernel.Host) error {
+	s := h.Settings
+	e.host = h
+	e.maxBody = s.Bytes(section, "max_body")
+	e.limit = int64(s.Int(section, "max_requests"))
+	e.drain = s.Duration(section, "drain")
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/routes/{route}", e.serveRoute)
+	mux.HandleFunc("GET /healthz", e.serveHealth)
+	mux.HandleFunc("GET /readyz", e.serveReady)
+	e.server = &http.Server{
+		Handler:           mux,
+		ReadHeaderTimeout: s.Duration(section, "header_timeout"),
+		ReadTimeout:       s.Duration(section, "body_timeout"),
+		IdleTimeout:       s.Duration(section, "idle_timeout"),
+		MaxHeaderBytes:    16 << 10,
+		ErrorLog:          slog.NewLogLogger(h.Logger.Handler(), slog.LevelDebug),
+	}
+	return nil
+}
+
+// Validate implements kernel.Validator.
+func (e *Entry) Validate() error {
+	cert, key := e.host.Settings.String(section, "tls_cert"), e.host.Settings.String(section, "tls_key")
+	if (cert == "") != (key == "") {
+		return errors.New("[entry] tls_cert and tls_key go together")
+	}
+	return nil
+}
+
+// Start implements kernel.Starter.
+func (e *Entry) Start(context.Context) error {
+	l, err := net.Listen("tcp", e.host.Settings.String(section, "listen"))
+	if err != nil {
+		return errors.Wrap(err, "entry")
+	}
+	e.listener = l
+	e.host.Logger.Info("entry listens", "address", l.Addr().String())
+	go e.serve(l)
+	return nil
+}
+
+func (e *Entry) serve(l net.Listener) {
+	cert, key := e.host.Settings.String(section, "tls_cert"), e.host.Settings.String(section, "tls_key")
+	var err error
+	if cert != "" {
+		err = e.server.ServeTLS(l, cert, key)
+	} else {
+		err = e.server.Serve(l)
+	}
+	if !errors.Is(err, http.ErrServerClosed) {
+		e.host.Logger.Error("entry ended", "error", err)
+		e.host.Instance.Shutdown()
+	}
+}
+
+// Address returns the address in use.
+func (e *Entry) Address() string { return e.listener.Addr().String() }
+
+// Stop implements kernel.Stopper: the balancer sees "not ready" for the drain
+// time, then connections are refused and requests in progress finish.
+func (e *Entry) Stop(ctx context.Context) error {
+	drained := time.NewTimer(e.drain)
+	defer drained.Stop()
+	select {
+	case <-drained.C:
+	case <-ctx.Done():
+	}
+	return errors.Wrap(e.server.Shutdown(ctx), "entry")
+}
+
+func (e *Entry) serveHealth(w http.ResponseWriter, _ *http.Request) {
+	httpapi.WriteJSON(w, http.StatusOK, map[string]string{"state": e.host.Instance.State().String()})
+}
+
+func (e *Entry) serveReady(w http.ResponseWriter, _ *http.Request) {
+	status := http.StatusOK
+	if !e.host.Instance.Ready() {
+		status = http.StatusServiceUnavailable
+	}
+	httpapi.WriteJSON(w, status, map[string]string{"state": e.host.Instance.State().String()})
+}
--- /dev/null
+++ b/plugins/entryhttp/route.go
@@ -0,0 +1,175 @@
+package entryhttp
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
+	"github.com/savoryfold/savoryfold/internal/httpapi"
+	"github.com/savoryfold/savoryfold/kernel"
+)
+
+// Bounds of a caller's headers.
+const (
+	minDeadline  = time.Millisecond
+	maxDeadline  = 10 * time.Minute
+	maxKeyLength = 128
+)
+
+// serveRoute runs one request of a caller.
+func (e *Entry) serveRoute(w http.ResponseWriter, r *http.Request) {
+	start := time.Now()
+	id := uuid.NewString()
+	w.Header().Set(httpapi.HeaderRequestID, id)
+	defer e.inFlight.Add(-1)
+	if e.inFlight.Add(1) > e.limit {
+		writeOutcome(w, kernel.Outcome{Kind: kernel.NotRun, Reason: kernel.ReasonOverload, Detail: "too many requests in progress", RetryAfter: time.Second})
+		return
+	}
+	req, out := e.request(w, r, start)
+	if out.Kind != "" {
+		e.host.Counter(`entry_refused{reason="` + string(out.Reason) + `"}`).Inc(1)
+		writeOutcome(w, out)
+		return
+	}
+	req.ID = id
+	if strings.Contains(r.Header.Get("Accept"), "text/event-stream") {
+		e.serveStream(w, r, req)
+		return
+	}
+	result := e.host.Serve(r.Context(), req)
+	writeResult(w, result)
+}
+
+// request reads and checks a request. The outcome is empty if it is right.
+func (e *Entry) request(w http.ResponseWriter, r *http.Request, now time.Time) (*kernel.Request, kernel.Outcome) {
+	account, out := e.authenticate(r)
+	if out.Kind != "" {
+		return nil, out
+	}
+	req := &kernel.Request{
+		Account:     account,
+		Route:       r.PathValue("route"),
+		Key:         r.Header.Get(httpapi.HeaderIdempotencyKey),
+		ContentType: r.Header.Get("Content-Type"),
+	}
+	if len(req.Key) > maxKeyLength {
+		return nil, reject(kernel.ReasonBadRequest, "the header Idempotency-Key is longer than "+strconv.Itoa(maxKeyLength)+" bytes")
+	}
+	if text := r.Header.Get(httpapi.HeaderDeadline); text != "" {
+		d, err := time.ParseDuration(text)
+		if err != nil || d < minDeadline || d > maxDeadline {
+			return nil, reject(kernel.ReasonBadDeadline, "the header Savoryfold-Deadline wants a duration from 1ms to 10m, such as 1500ms")
+		}
+		req.Deadline = now.Add(d)
+	}
+	if req.Body, out = e.body(w, r); out.Kind != "" {
+		return nil, out
+	}
+	return req, kernel.Outcome{}
+}
+
+func (e *Entry) authenticate(r *http.Request) (string, kernel.Outcome) {
+	snap := e.host.Snapshot()
+	if snap == nil {
+		return "", kernel.Outcome{Kind: kernel.NotRun, Reason: kernel.ReasonNotReady, Detail: "no tables in force yet", RetryAfter: time.Second}
+	}
+	hash := httpapi.HashToken(httpapi.Bearer(r))
+	account := snap.Tables.ByKey[hash]
+	if account == nil || !httpapi.EqualHash(account.KeySHA256, hash) {
+		return "", reject(kernel.ReasonUnauthorized, "want an API key in the header Authorization: Bearer KEY")
+	}
+	return account.Name, kernel.Outcome{}
+}
+
+func (e *Entry) body(w http.ResponseWriter, r *http.Request) ([]byte, kernel.Outcome) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, e.maxBody))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, reject(kernel.ReasonTooLarge, "the body is larger than "+strconv.FormatInt(e.maxBody, 10)+" bytes")
+	}
+	if err != nil {
+		return nil, reject(kernel.ReasonBadRequest, "the body did not arrive whole in time")
+	}
+	if !json.Valid(body) {
+		return nil, reject(kernel.ReasonBadRequest, "the body is no JSON")
+	}
+	return body, kernel.Outcome{}
+}
+
+func reject(reason kernel.OutcomeReason, detail string) kernel.Outcome {
+	return kernel.Outcome{Kind: kernel.Rejected, Reason: reason, Detail: detail}
+}
+
+// statusOf maps an outcome to an HTTP status.
+func statusOf(o kernel.Outcome) int {
+	switch o.Kind {
+	case kernel.Served:
+		return http.StatusOK
+	case kernel.NotRun:
+		return http.StatusServiceUnavailable
+	case kernel.Incomplete:
+		return http.StatusGatewayTimeout
+	case kernel.Unknown:
+		return http.StatusConflict
+	}
+	switch o.Reason {
+	case kernel.ReasonUnknownRoute:
+		return http.StatusNotFound
+	case kernel.ReasonForbidden:
+		return http.StatusForbidden
+	case kernel.ReasonUnauthorized:
+		return http.StatusUnauthorized
+	case kernel.ReasonTooLarge:
+		return http.StatusRequestEntityTooLarge
+	case kernel.ReasonKeyReused:
+		return http.StatusUnprocessableEntity
+	}
+	return http.StatusBadRequest
+}
+
+func setOutcome(h http.Header, o kernel.Outcome) {
+	h.Set(httpapi.HeaderOutcome, string(o.Kind))
+	if o.Reason != kernel.ReasonNone {
+		h.Set(httpapi.HeaderReason, string(o.Reason))
+	}
+	if o.RetryAfter > 0 {
+		h.Set("Retry-After", httpapi.RetryAfter(o.RetryAfter))
+	}
+}
+
+func writeOutcome(w http.ResponseWriter, o kernel.Outcome) {
+	setOutcome(w.Header(), o)
+	httpapi.WriteProblem(w, problemOf(o))
+}
+
+func problemOf(o kernel.Outcome) httpapi.Problem {
+	return httpapi.Problem{Status: statusOf(o), Detail: o.Detail, Outcome: string(o.Kind), Reason: string(o.Reason)}
+}
+
+// writeResult writes a whole answer, or the problem that stands in its place.
+func writeResult(w http.ResponseWriter, result kernel.Result) {
+	costs, _ := json.Marshal(result.Costs)
+	h := w.Header()
+	h.Set(httpapi.HeaderRevision, strconv.FormatUint(result.Revision, 10))
+	if result.Replayed {
+		h.Set(httpapi.HeaderReplayed, "true")
+	}
+	if result.Outcome.Kind != kernel.Served {
+		h.Set(httpapi.HeaderCost, string(costs))
+		writeOutcome(w, result.Outcome)
+		return
+	}
+	h.Set("Trailer", httpapi.HeaderCost)
+	h.Set("Content-Type", result.Answer.ContentType)
+	setOutcome(h, result.Outcome)
+	w.WriteHeader(http.StatusOK)
+	_, _ = w.Write(result.Answer.Body)
+	h.Set(httpapi.HeaderCost, string(costs))
+}
--- /dev/null
+++ b/plugins/policies/policies.go
@@ -0,0 +1,21 @@
+// Package policies registers the decisions of package policy as plug-ins, so
+// that the settings can select the standard ones or the plain baselines.
+package policies
+
+import (
+	"github.com/savoryfold/savoryfold/kernel"
+	"github.com/savoryfold/savoryfold/policy"
+)
+
+func init() {
+	register("admission.baseline", func() kernel.Module { return policy.AdmitAll{} })
+	register("placement.baseline", func() kernel.Module { return &policy.RoundRobin{} })
+	register("limits.baseline", func() kernel.Module { return policy.FixedLimits{} })
+	register("retry.baseline", func() kernel.Module { return policy.BlindRetries{} })
+	register("queue.baseline", func() kernel.Module { return policy.FIFOQueues{} })
+	register("rollout.baseline", func() kernel.Module { return policy.LinearRollout{} })
+}
+
+func register(id kernel.ModuleID, create func() kernel.Module) {
+	kernel.Register(kernel.ModuleInfo{ID: id, Phase: kernel.PhasePolicy, New: create})
+}
--- /dev/null
+++ b/plugins/standard/standard.go
@@ -0,0 +1,12 @@
+// Package standard imports all plug-ins, which register themselves.
+package standard
+
+import (
+	_ "github.com/savoryfold/savoryfold/plugins/admin"        // administration API
+	_ "github.com/savoryfold/savoryfold/plugins/backendhttp"  // calls of backend servers
+	_ "github.com/savoryfold/savoryfold/plugins/claims"       // at-most-once requests
+	_ "github.com/savoryfold/savoryfold/plugins/configsource" // tables
+	_ "github.com/savoryfold/savoryfold/plugins/entryhttp"    // requests of callers
+	_ "github.com/savoryfold/savoryfold/plugins/membership"   // other instances
+	_ "github.com/savoryfold/savoryfold/plugins/policies"     // decisions
+)
--- /dev/null
+++ b/policy/limit.go
@@ -0,0 +1,74 @@
+package policy
+
+import "time"
+
+// LimitConfig is what the table of pools says of a server's limit.
+type LimitConfig struct {
+	// Cold is the largest number of calls on a cold server, Max on a warm one,
+	// over all instances together.
+	Cold, Max int
+}
+
+// CallSample is the result of one call, as the limit of its server sees it.
+type CallSample struct {
+	// Latency is the time from dispatch to the end of the answer.
+	Latency time.Duration
+	// Class is the request's size class, whose latencies are compared.
+	Class string
+	OK    bool
+	// InFlight counts this instance's calls when the call was sent.
+	InFlight int
+}
+
+// LoadReport is what a backend server says of itself.
+type LoadReport struct {
+	// Running and Waiting count the server's calls.
+	Running int `cbor:"1,keyasint" json:"running"`
+	Waiting int `cbor:"2,keyasint" json:"waiting"`
+	// Warm is from 0, just started, to 1.
+	Warm float64 `cbor:"3,keyasint" json:"warm"`
+	// Boot changes whenever the server starts anew.
+	Boot string `cbor:"4,keyasint" json:"boot"`
+	// Version is the model version that the server runs.
+	Version string `cbor:"5,keyasint" json:"version"`
+	// At is when the server made the report.
+	At time.Time `cbor:"6,keyasint" json:"at"`
+}
+
+// ServerLimit is the state machine of one backend server's limit.
+// It is not safe for concurrent use.
+type ServerLimit interface {
+	// Limit is the number of calls that all instances together may have.
+	Limit(now time.Time) int
+	// Cold reports whether the server is regarded as cold.
+	Cold(now time.Time) bool
+	// Observe takes the result of a call.
+	Observe(now time.Time, s CallSample)
+	// Report takes a load report.
+	Report(now time.Time, r LoadReport)
+}
+
+// Limits makes the limits of servers.
+type Limits interface {
+	New(now time.Time, c LimitConfig) ServerLimit
+	// Share is the part of a server's limit that belongs to the instance with
+	// the rank among the live instances.
+	Share(limit, rank, members int) int
+}
+
+// FixedLimits is the baseline: each instance uses the full limit of a warm
+// server, whatever the server's state and the other instances do.
+type FixedLimits struct{}
+
+// New implements Limits.
+func (FixedLimits) New(_ time.Time, c LimitConfig) ServerLimit { return fixedLimit{c.Max} }
+
+// Share implements Limits.
+func (FixedLimits) Share(limit, _, _ int) int { return limit }
+
+type fixedLimit struct{ max int }
+
+func (l fixedLimit) Limit(time.Time) int         { return l.max }
+func (fixedLimit) Cold(time.Time) bool           { return false }
+func (fixedLimit) Observe(time.Time, CallSample) {}
+func (fixedLimit) Report(time.Time, LoadReport)  {}
--- /dev/null
+++ b/standin/server.go
@@ -0,0 +1,36 @@
+package standin
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Server serves one stand-in on an address.
+type Server struct {
+	listener net.Listener
+	http     *http.Server
+}
+
+// Listen starts to serve a handler. Port 0 takes a free port.
+func Listen(address string, h http.Handler) (*Server, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "stand-in")
+	}
+	s := &Server{listener: l, http: &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second}}
+	go func() { _ = s.http.Serve(l) }()
+	return s, nil
+}
+
+// Address returns the address in use.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
+// Close ends the server at once, with all its connections.
+func (s *Server) Close() error { return s.http.Close() }
+
+// Shutdown ends the server once its requests are finished.
+func (s *Server) Shutdown(ctx context.Context) error { return s.http.Shutdown(ctx) }
