Add the log service's client and stand-in, and the backend protocol

Cause: configuration, claims and moves all stand on the platform's log; their work needs one client and one stand-in with outages and lost answers.

Change: platform.LogClient sorts failures into "surely not added" and "not known", never sends an append twice by itself; the stand-in keeps streams with offsets, retention, a rate limit and faults that can be set while it runs. The protocol of backend servers is written down in package standin.

--- a/cmd/savoryfold-standin/main.go
+++ b/cmd/savoryfold-standin/main.go
@@ -38,7 +38,7 @@
 		SilenceUsage:  true,
 	}
 	root.PersistentFlags().String("listen", "127.0.0.1:0", "address to serve on; port 0 takes a free one")
-	root.AddCommand(serviceCommand(), engineCommand())
+	root.AddCommand(serviceCommand(), engineCommand(), logCommand())
 	return root
 }
 
@@ -67,6 +67,21 @@
 	return cmd
 }
 
+func logCommand() *cobra.Command {
+	var retention time.Duration
+	var appends float64
+	cmd := &cobra.Command{
+		Use:   "log",
+		Short: "The platform's append-only log service",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return serve(cmd, standin.NewLogService(retention, appends).Handler())
+		},
+	}
+	cmd.Flags().DurationVar(&retention, "retention", time.Hour, "time that records are kept; 0 keeps them for ever")
+	cmd.Flags().Float64Var(&appends, "appends", 300, "appends taken a second; 0 means no limit")
+	return cmd
+}
+
 // serve serves until SIGTERM or SIGINT. The first line of output is the address.
 func serve(cmd *cobra.Command, h http.Handler) error {
 	address, err := cmd.Flags().GetString("listen")
--- a/kernel/host.go
+++ b/kernel/host.go
@@ -46,6 +46,9 @@
 	Claims     Claims
 	Versions   Versions
 	CrashGuard CrashGuard
+	// ClaimsOperator and Moves serve operators.
+	ClaimsOperator ClaimsOperator
+	Moves          Moves
 
 	snapshot atomic.Pointer[Snapshot]
 	onTables []func(*config.Tables)
@@ -92,6 +95,8 @@
 	set(&h.Claims, m)
 	set(&h.Versions, m)
 	set(&h.CrashGuard, m)
+	set(&h.ClaimsOperator, m)
+	set(&h.Moves, m)
 }
 
 func set[T any](field *T, m Module) {
--- a/kernel/interfaces.go
+++ b/kernel/interfaces.go
@@ -101,23 +101,24 @@
 
 // LogRecord is one record of a stream.
 type LogRecord struct {
-	Offset uint64
+	Offset uint64 `json:"offset"`
 	// Time is the log service's time of the append. It never decreases within
 	// a stream.
-	Time time.Time
-	Data []byte
+	Time time.Time `json:"time"`
+	Data []byte    `json:"data"`
 }
 
 // LogBatch is the result of a read.
 type LogBatch struct {
-	Records []LogRecord
+	Records []LogRecord `json:"records"`
 	// First is the oldest offset that the log keeps: a reader that asked for an
 	// older one has missed records.
-	First uint64
+	First uint64 `json:"first"`
 	// FirstTime is the time of the record at First, zero if there is none.
-	FirstTime time.Time
-	// Next is the offset that the stream's next record will get.
-	Next uint64
+	FirstTime time.Time `json:"first_time"`
+	// Next is the offset that the stream's next record will get. Offsets begin
+	// at 1.
+	Next uint64 `json:"next"`
 }
 
 // Errors of the log service.
@@ -257,3 +258,64 @@
 	// Charge notes that a server died while it ran the request.
 	Charge(now time.Time, fingerprint uint64, server string)
 }
+
+// ClaimInfo describes a claim to operators.
+type ClaimInfo struct {
+	Shard   int       `json:"shard"`
+	Account string    `json:"account"`
+	Route   string    `json:"route"`
+	Key     string    `json:"key"`
+	Attempt string    `json:"attempt"`
+	Holder  string    `json:"holder"`
+	Claimed time.Time `json:"claimed"`
+	// Why says why the claim is in doubt.
+	Why string `json:"why"`
+}
+
+// Verdict is an operator's finding on a claim in doubt.
+type Verdict string
+
+// The verdicts.
+const (
+	VerdictRan    Verdict = "ran"     // it ran; repeats are told so
+	VerdictNotRun Verdict = "not-run" // it did not run; the key stays closed
+)
+
+// ClaimsOperator lets operators see and settle claims in doubt.
+type ClaimsOperator interface {
+	InDoubt(ctx context.Context) ([]ClaimInfo, error)
+	// Settle ends a claim in doubt. The record on the log names the operator.
+	Settle(ctx context.Context, c ClaimInfo, v Verdict, operator string) error
+}
+
+// MoveState is the state of a move of a version or an availability zone.
+type MoveState string
+
+// The states of a move.
+const (
+	MoveRunning   MoveState = "running"
+	MoveDone      MoveState = "done"
+	MoveTakenBack MoveState = "taken-back"
+)
+
+// MoveStatus tells operators how a move stands.
+type MoveStatus struct {
+	// Kind is "version" or "zone".
+	Kind string `json:"kind"`
+	// Name is the route or the availability zone.
+	Name  string    `json:"name"`
+	From  string    `json:"from,omitempty"`
+	To    string    `json:"to,omitempty"`
+	State MoveState `json:"state"`
+	// Share is the part of the traffic that the new version gets.
+	Share    float64   `json:"share"`
+	Why      string    `json:"why,omitempty"`
+	Revision uint64    `json:"revision"`
+	By       time.Time `json:"by,omitzero"`
+	At       time.Time `json:"at,omitzero"`
+}
+
+// Moves tells operators how moves stand.
+type Moves interface {
+	Moves() []MoveStatus
+}
--- a/plugins/standard/standard.go
+++ b/plugins/standard/standard.go
@@ -8,5 +8,6 @@
 	_ "github.com/savoryfold/savoryfold/plugins/configsource" // tables
 	_ "github.com/savoryfold/savoryfold/plugins/entryhttp"    // requests of callers
 	_ "github.com/savoryfold/savoryfold/plugins/membership"   // other instances
+	_ "github.com/savoryfold/savoryfold/plugins/platformlog"  // log service
 	_ "github.com/savoryfold/savoryfold/plugins/policies"     // decisions
 )
--- a/standin/doc.go
+++ b/standin/doc.go
@@ -2,6 +2,43 @@
 // model engines, plain services, the platform's log service, its list of
 // instances and its weight store. They serve tests and the quickstart only.
 //
-// Every stand-in is a Server with a fault switchboard at /faults, which can be
-// changed while it runs.
+// # Backend servers
+//
+// A stage call is a POST to the stage's path with the headers
+// Savoryfold-Call-Id, Savoryfold-Deadline-Ms, Savoryfold-Priority and, for
+// stages that are not idempotent, Idempotency-Key. The body is JSON:
+//
+//	{"request": the caller's body, "results": {stage name: its answer, ...}}
+//
+// The answer echoes Savoryfold-Call-Id and carries Savoryfold-Engine-Ms,
+// Savoryfold-Tokens and Savoryfold-Load, a load report as JSON. With
+// "Accept: text/event-stream" an engine sends one event a token, with ids that
+// count from 1, and ends with the event "done", whose data is
+//
+//	{"engine_ms": 12.5, "tokens": 16, "load": {...}}
+//
+// A stream is resumed with the header Last-Event-ID. An engine's answer is a
+// function of the request and the version, so that another engine of the same
+// version can go on with it. Closing the connection cancels the call.
+//
+// A refusal that did not run the call has the header Savoryfold-Not-Run: true,
+// with status 503 or 429 if another server may take it and another 4xx if the
+// request itself is at fault.
+//
+//	GET  /v1/load              {"running": 3, "waiting": 0, "warm": 1, "boot": "...", "version": "v1", "at": "..."}
+//	GET  /v1/cache-events?from=N   {"next": M, "events": [{"seq": N, "op": "stored" or "evicted", "prefix": "hash"}]}
+//	POST /v1/orders            {"fence": 17, "version": "v2", "role": "both"}; 409 for an older fence if the engine checks
+//	GET  /v1/orders            {"fence": 17, "version": "v2", "role": "both", "loading": false}
+//	GET  /executions           {"key": times run} (plain services)
+//
+// # Platform
+//
+//	POST /v1/records?stream=S                    append the body as one record: {"offset": N}
+//	GET  /v1/records?stream=S&from=N&wait_ms=W   {"records": [...], "first": F, "first_time": T, "next": M}
+//	GET  /v1/instances                           [{"id": "hobart-1", "zone": "hobart", "state": "live" or "leaving", "gossip_address": "...", "peer_address": "..."}]
+//	PUT  /v1/instances/{id}                      register or change an instance
+//	GET  /v1/weights/{version}                   the weights, at the store's rate
+//
+// Every stand-in has a switchboard of faults at /faults, which can be changed
+// while it runs.
 package standin
--- /dev/null
+++ b/standin/logservice.go
@@ -0,0 +1,207 @@
+package standin
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+// Bounds of the log service.
+const (
+	maxRecordBytes = 256 << 10
+	maxReadRecords = 512
+	maxReadWait    = 30 * time.Second
+)
+
+// LogFaults are the faults of a log service.
+type LogFaults struct {
+	// Down refuses every call.
+	Down bool `json:"down"`
+	// DelayMS delays every call.
+	DelayMS int `json:"delay_ms"`
+	// LoseAnswers is the part of the appends whose answer is lost after the
+	// append took effect, from 0 to 1.
+	LoseAnswers float64 `json:"lose_answers"`
+}
+
+// LogRecord is one record of a stream.
+type LogRecord struct {
+	Offset uint64    `json:"offset"`
+	Time   time.Time `json:"time"`
+	Data   []byte    `json:"data"`
+}
+
+// LogBatch is the answer to a read.
+type LogBatch struct {
+	Records   []LogRecord `json:"records"`
+	First     uint64      `json:"first"`
+	FirstTime time.Time   `json:"first_time"`
+	Next      uint64      `json:"next"`
+}
+
+// LogService is an append-only log with any number of streams. Offsets of a
+// stream begin at 1.
+//
+//	POST /v1/records?stream=S                     append the body as one record
+//	GET  /v1/records?stream=S&from=N&wait_ms=W    read, waiting for the first
+type LogService struct {
+	switchboard[LogFaults]
+	// Retention is the time that records are kept; 0 keeps them for ever.
+	Retention time.Duration
+	limiter   *rate.Limiter
+
+	mu      sync.Mutex
+	streams map[string]*logStream // guarded by mu
+	appends int                   // guarded by mu
+}
+
+type logStream struct {
+	records []LogRecord
+	next    uint64
+	grown   chan struct{} // closed at the next append
+}
+
+// NewLogService makes a log service that takes a number of appends a second;
+// 0 means no limit.
+func NewLogService(retention time.Duration, appendsPerSecond float64) *LogService {
+	limit := rate.Inf
+	if appendsPerSecond > 0 {
+		limit = rate.Limit(appendsPerSecond)
+	}
+	return &LogService{
+		Retention: retention,
+		limiter:   rate.NewLimiter(limit, int(appendsPerSecond/10)+1),
+		streams:   make(map[string]*logStream),
+	}
+}
+
+// Handler returns the service's HTTP interface.
+func (s *LogService) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/records", s.faulty(s.serveAppend))
+	mux.HandleFunc("GET /v1/records", s.faulty(s.serveRead))
+	mux.HandleFunc("GET /stats", func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, map[string]int{"appends": s.Appends()})
+	})
+	s.register(mux)
+	return mux
+}
+
+// Appends returns the number of appends that took effect.
+func (s *LogService) Appends() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.appends
+}
+
+func (s *LogService) faulty(h http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		f := s.Get()
+		time.Sleep(time.Duration(f.DelayMS) * time.Millisecond)
+		if f.Down {
+			http.Error(w, "down", http.StatusServiceUnavailable)
+			return
+		}
+		h(w, r)
+	}
+}
+
+func (s *LogService) serveAppend(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRecordBytes))
+	if err != nil || r.URL.Query().Get("stream") == "" {
+		http.Error(w, "want ?stream=NAME and a record of at most 256 KiB", http.StatusBadRequest)
+		return
+	}
+	if !s.limiter.Allow() {
+		w.Header().Set("Retry-After", "1")
+		http.Error(w, "too many appends", http.StatusTooManyRequests)
+		return
+	}
+	offset := s.append(r.URL.Query().Get("stream"), data)
+	if rand.Float64() < s.Get().LoseAnswers {
+		panic(http.ErrAbortHandler)
+	}
+	w.WriteHeader(http.StatusCreated)
+	writeJSON(w, map[string]uint64{"offset": offset})
+}
+
+// stream returns a stream, made if it is new. The caller holds mu.
+func (s *LogService) stream(name string) *logStream {
+	st := s.streams[name]
+	if st == nil {
+		st = &logStream{next: 1, grown: make(chan struct{})}
+		s.streams[name] = st
+	}
+	return st
+}
+
+func (s *LogService) append(name string, data []byte) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st := s.stream(name)
+	offset := st.next
+	st.records = append(st.records, LogRecord{Offset: offset, Time: time.Now(), Data: data})
+	st.next++
+	s.appends++
+	close(st.grown)
+	st.grown = make(chan struct{})
+	return offset
+}
+
+// trim drops records past their retention. The caller holds mu.
+func (s *LogService) trim(st *logStream) {
+	if s.Retention <= 0 {
+		return
+	}
+	oldest := time.Now().Add(-s.Retention)
+	for len(st.records) > 0 && st.records[0].Time.Before(oldest) {
+		st.records = st.records[1:]
+	}
+}
+
+func (s *LogService) serveRead(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	from, err := strconv.ParseUint(q.Get("from"), 10, 64)
+	if err != nil || q.Get("stream") == "" {
+		http.Error(w, "want ?stream=NAME&from=OFFSET", http.StatusBadRequest)
+		return
+	}
+	waitMS, _ := strconv.Atoi(q.Get("wait_ms"))
+	ctx, cancel := context.WithTimeout(r.Context(), min(time.Duration(waitMS)*time.Millisecond, maxReadWait))
+	defer cancel()
+	for {
+		batch, grown := s.read(q.Get("stream"), from)
+		if len(batch.Records) > 0 || ctx.Err() != nil {
+			writeJSON(w, batch)
+			return
+		}
+		select {
+		case <-grown:
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (s *LogService) read(name string, from uint64) (LogBatch, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st := s.stream(name)
+	s.trim(st)
+	batch := LogBatch{First: st.next, Next: st.next, Records: []LogRecord{}}
+	if len(st.records) > 0 {
+		batch.First = st.records[0].Offset
+		batch.FirstTime = st.records[0].Time
+	}
+	for _, rec := range st.records {
+		if rec.Offset >= from && len(batch.Records) < maxReadRecords {
+			batch.Records = append(batch.Records, rec)
+		}
+	}
+	return batch, st.grown
+}
