--- a/config/edit.go
+++ b/config/edit.go
@@ -28,13 +28,13 @@
 
 // EditResult is the verdict on one edit.
 type EditResult struct {
-	Status EditStatus `json:"status"`
+	Status EditStatus `cbor:"1,keyasint" json:"status"`
 	// Revision is the section's revision after the edit, or the one that
 	// superseded it.
-	Revision uint64 `json:"revision"`
+	Revision uint64 `cbor:"2,keyasint" json:"revision"`
 	// By is the operator whose edit superseded this one.
-	By      string `json:"by,omitempty"`
-	Problem string `json:"problem,omitempty"`
+	By      string `cbor:"3,keyasint,omitempty" json:"by,omitempty"`
+	Problem string `cbor:"4,keyasint,omitempty" json:"problem,omitempty"`
 }
 
 // Empty returns tables without any section.
@@ -49,13 +49,13 @@
 func Apply(t *Tables, e Edit, offset uint64) (*Tables, EditResult) {
 	current := t.Sections[e.Section]
 	if current.Revision != e.Base {
-		return t, EditResult{Status: EditSuperseded, Revision: current.Revision}
+		return t, EditResult{Status: EditSuperseded, Revision: current.Revision, By: current.By}
 	}
 	sections := maps.Clone(t.Sections)
 	if e.Delete {
 		delete(sections, e.Section)
 	} else {
-		sections[e.Section] = Section{Name: e.Section, Body: e.Body, Revision: offset}
+		sections[e.Section] = Section{Name: e.Section, Body: e.Body, Revision: offset, By: e.Operator}
 	}
 	next, err := Compile(sections, offset)
 	if err != nil {
--- a/config/tables.go
+++ b/config/tables.go
@@ -27,6 +27,8 @@
 	Body string `cbor:"2,keyasint" json:"body"`
 	// Revision is the log offset of the edit that put the section.
 	Revision uint64 `cbor:"3,keyasint" json:"revision"`
+	// By is the operator whose edit put the section.
+	By string `cbor:"4,keyasint,omitempty" json:"by,omitempty"`
 }
 
 // Kind returns the section's kind.
