Keep retries within budgets, streams whole, crashing requests apart

Cause: three blind retries multiply the load of a failing pool; a silent connection looked like a dead server; a stream that broke could only start anew; a request that kills servers would be retried over the whole pool.

Ruled out: a retry budget a pool alone, since one client account could use it up; charging every request beside a dying server for good, since neighbours are innocent (they are cleared by their next success, suspects do not share a server, and breaks of three servers within a second are charged to nobody).

Change: policy.BudgetedRetries (a quarter of a retry earned a call, scaled by the route's cost weight), policy.CrashLedger with the crashguard plug-in, kernel.EventCollector (drops repeated events, refuses gaps, resumes by ID), Transport.Renew (a probe on a new connection tells a dead connection from a dead server). The path of a request is split into run.go and stage.go.

Conclusion: the property test holds calls below 1.25 a request plus the start budget at every failing part; outcome tables pass under -race.

--- a/kernel/host.go
+++ b/kernel/host.go
@@ -53,6 +53,7 @@
 	snapshot atomic.Pointer[Snapshot]
 	onTables []func(*config.Tables)
 	fleet    fleet
+	suspects suspects
 }
 
 // ID returns the instance's name.
--- a/kernel/interfaces.go
+++ b/kernel/interfaces.go
@@ -59,12 +59,10 @@
 	Body        []byte
 	Deadline    time.Time
 	Priority    int
-	// Events receives the events of a streamed answer; nil asks for a whole one.
-	Events EventSink
-	// ResumeAfter is the ID of the last event received from an earlier call of
-	// the same stage, and Received the text of those events.
-	ResumeAfter string
-	Received    string
+	// FirstByte bounds the wait for the first byte of the answer.
+	FirstByte time.Duration
+	// Events receives the events of a stage that streams; nil for others.
+	Events *EventCollector
 }
 
 // StageAnswer is the result of one stage call.
@@ -85,8 +83,10 @@
 // Transport calls backend servers.
 type Transport interface {
 	Call(ctx context.Context, c *StageCall) StageAnswer
-	// Forget drops the connections to a server whose silence was seen.
-	Forget(s config.Server)
+	// Renew makes further calls of a server use new connections, after silence
+	// was seen on an old one. It reports whether the server answers on a new
+	// connection, so that a dead connection can be told from a dead server.
+	Renew(ctx context.Context, s config.Server) bool
 }
 
 // Log is the platform's append-only log service.
@@ -251,12 +251,19 @@
 	Observe(now time.Time, route, version string, ok bool, latency time.Duration, load float64)
 }
 
-// CrashGuard recognises requests that crash the servers that run them.
+// CrashGuard recognises requests that crash the servers that run them. A
+// fingerprint identifies a request over repeats.
 type CrashGuard interface {
-	// Refuse reports whether a request with the fingerprint is refused.
+	// Refuse reports whether a request is refused for now.
 	Refuse(now time.Time, fingerprint uint64) bool
-	// Charge notes that a server died while it ran the request.
-	Charge(now time.Time, fingerprint uint64, server string)
+	// Suspect reports whether a request must not share a server with another
+	// suspect.
+	Suspect(now time.Time, fingerprint uint64) bool
+	// Broken notes that the connection to a server broke while it ran the
+	// request.
+	Broken(now time.Time, fingerprint uint64, server string)
+	// Succeeded notes that a server ran the request without harm.
+	Succeeded(now time.Time, fingerprint uint64)
 }
 
 // ClaimInfo describes a claim to operators.
--- /dev/null
+++ b/kernel/serve_test.go
@@ -0,0 +1,272 @@
+package kernel
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/savoryfold/savoryfold/config"
+	"github.com/savoryfold/savoryfold/policy"
+)
+
+const testTables = `[account alto]
+key_sha256 = 0000000000000000000000000000000000000000000000000000000000000001
+
+[route plain]
+deadline = 2s
+stages = a, b
+a.pool = p
+b.pool = p
+
+[route once]
+deadline = 2s
+stages = a, b
+a.pool = p
+b.pool = p
+b.idempotent = false
+
+[route stream]
+deadline = 2s
+stages = g
+g.pool = p
+g.stream = true
+
+[pool p]
+server.s1 = zone=hobart addr=127.0.0.1:1
+server.s2 = zone=hobart addr=127.0.0.1:2
+server.s3 = zone=hobart addr=127.0.0.1:3
+`
+
+// fakeTransport answers each call by a function.
+type fakeTransport struct {
+	mu      sync.Mutex
+	calls   []StageCall
+	answer  func(n int, c *StageCall) StageAnswer
+	renewed bool
+}
+
+func (f *fakeTransport) Call(_ context.Context, c *StageCall) StageAnswer {
+	f.mu.Lock()
+	f.calls = append(f.calls, *c)
+	n := len(f.calls)
+	f.mu.Unlock()
+	return f.answer(n, c)
+}
+
+func (f *fakeTransport) Renew(context.Context, config.Server) bool { return f.renewed }
+
+func okAnswer(body string) StageAnswer {
+	return StageAnswer{Answer: Answer{ContentType: "application/json", Body: []byte(body)}, EngineMS: 1}
+}
+
+// fakeClaims grants every claim and remembers how it ended.
+type fakeClaims struct {
+	deny  bool
+	ended string
+}
+
+func (f *fakeClaims) Claim(context.Context, ClaimRequest) ClaimGrant { return ClaimGrant{Claim: f} }
+func (f *fakeClaims) MayDispatch(time.Time) bool                     { return !f.deny }
+func (f *fakeClaims) Release()                                       { f.ended += "release" }
+func (f *fakeClaims) Complete(context.Context, Answer)               { f.ended += "complete" }
+func (f *fakeClaims) Doubt()                                         { f.ended += "doubt" }
+
+func testHost(t *testing.T, transport Transport) *Host {
+	t.Helper()
+	schema := &config.Schema{}
+	schema.Add(config.Key{Section: "instance", Name: "id"}, config.Key{Section: "instance", Name: "zone"})
+	settings, err := schema.Load("test.ini", []byte("[instance]\nid = hobart-1\nzone = hobart\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	h := &Host{
+		Settings:  settings,
+		Logger:    slog.New(slog.NewTextHandler(io.Discard, nil)),
+		Metrics:   metrics.NewRegistry(),
+		Transport: transport,
+		Decisions: Decisions{
+			Admission: policy.AdmitAll{}, Placement: &policy.RoundRobin{}, Limits: policy.FixedLimits{},
+			Retry: policy.BlindRetries{}, Queues: policy.FIFOQueues{}, Rollout: policy.LinearRollout{},
+		},
+	}
+	tables, err := config.ParseTables("tables.ini", []byte(testTables))
+	if err != nil {
+		t.Fatal(err)
+	}
+	tables.Revision = 1
+	h.SetTables(tables)
+	return h
+}
+
+func TestOutcomes(t *testing.T) {
+	failed := func(r CallResult) StageAnswer { return StageAnswer{Result: r} }
+	cases := []struct {
+		name, route string
+		answer      func(n int, c *StageCall) StageAnswer
+		want        OutcomeKind
+		calls       int
+		ended       string
+	}{
+		{"served", "plain", func(int, *StageCall) StageAnswer { return okAnswer(`1`) }, Served, 2, ""},
+		{"nothing sent", "plain", func(int, *StageCall) StageAnswer { return failed(CallNotSent) }, NotRun, 4, ""},
+		{"refused as not run", "plain", func(int, *StageCall) StageAnswer { return failed(CallRefused) }, NotRun, 4, ""},
+		{"first stage failed", "plain", func(int, *StageCall) StageAnswer { return failed(CallBroken) }, Incomplete, 4, ""},
+		{"second stage not sent", "plain", func(n int, _ *StageCall) StageAnswer {
+			if n == 1 {
+				return okAnswer(`1`)
+			}
+			return failed(CallNotSent)
+		}, Incomplete, 5, ""},
+		{"request at fault", "plain", func(int, *StageCall) StageAnswer { return failed(CallRejected) }, Rejected, 1, ""},
+		{"one server fails", "plain", func(n int, _ *StageCall) StageAnswer {
+			if n == 1 {
+				return failed(CallFailed)
+			}
+			return okAnswer(`1`)
+		}, Served, 3, ""},
+		{"once served", "once", func(int, *StageCall) StageAnswer { return okAnswer(`1`) }, Served, 2, "complete"},
+		{"once broken after it was sent", "once", func(n int, _ *StageCall) StageAnswer {
+			if n == 1 {
+				return okAnswer(`1`)
+			}
+			return failed(CallBroken)
+		}, Unknown, 2, "doubt"},
+		{"once silent", "once", func(n int, _ *StageCall) StageAnswer {
+			if n == 1 {
+				return okAnswer(`1`)
+			}
+			return failed(CallSilent)
+		}, Unknown, 2, "doubt"},
+		{"once not sent at first", "once", func(n int, _ *StageCall) StageAnswer {
+			if n == 2 {
+				return failed(CallNotSent)
+			}
+			return okAnswer(`1`)
+		}, Served, 3, "complete"},
+		{"once never sent", "once", func(n int, _ *StageCall) StageAnswer {
+			if n == 1 {
+				return okAnswer(`1`)
+			}
+			return failed(CallRefused)
+		}, Incomplete, 5, "release"},
+	}
+	for _, c := range cases {
+		Convey("Outcome: "+c.name, t, func() {
+			transport := &fakeTransport{answer: c.answer}
+			h := testHost(t, transport)
+			claims := &fakeClaims{}
+			h.Claims = claims
+			result := h.Serve(context.Background(), &Request{Account: "alto", Route: c.route, Key: "k", Body: []byte(`{}`)})
+			So(result.Outcome.Kind, ShouldEqual, c.want)
+			So(transport.calls, ShouldHaveLength, c.calls)
+			So(claims.ended, ShouldEqual, c.ended)
+		})
+	}
+}
+
+func TestRetryGoesToAnotherServer(t *testing.T) {
+	Convey("A failed call is repeated on a server that was not tried, with a new call ID", t, func() {
+		transport := &fakeTransport{answer: func(n int, _ *StageCall) StageAnswer {
+			if n <= 2 {
+				return StageAnswer{Result: CallBroken}
+			}
+			return okAnswer(`1`)
+		}}
+		h := testHost(t, transport)
+		h.Serve(context.Background(), &Request{Account: "alto", Route: "plain", Body: []byte(`{}`)})
+		servers := map[string]bool{}
+		ids := map[string]bool{}
+		for _, c := range transport.calls[:3] {
+			servers[c.Server.Name] = true
+			ids[c.ID] = true
+		}
+		So(servers, ShouldHaveLength, 3)
+		So(ids, ShouldHaveLength, 3)
+	})
+}
+
+func TestClaimThatNoLongerAllowsDispatch(t *testing.T) {
+	Convey("A claim that forbids dispatch is released and nothing is sent to the stage", t, func() {
+		transport := &fakeTransport{answer: func(int, *StageCall) StageAnswer { return okAnswer(`1`) }}
+		h := testHost(t, transport)
+		claims := &fakeClaims{deny: true}
+		h.Claims = claims
+		result := h.Serve(context.Background(), &Request{Account: "alto", Route: "once", Key: "k", Body: []byte(`{}`)})
+		So(result.Outcome.Kind, ShouldEqual, Incomplete)
+		So(transport.calls, ShouldHaveLength, 1)
+		So(claims.ended, ShouldEqual, "release")
+	})
+}
+
+func TestRefusedRequests(t *testing.T) {
+	transport := &fakeTransport{answer: func(int, *StageCall) StageAnswer { return okAnswer(`1`) }}
+	h := testHost(t, transport)
+	cases := []struct {
+		name string
+		req  Request
+		want OutcomeReason
+	}{
+		{"unknown route", Request{Account: "alto", Route: "none"}, ReasonUnknownRoute},
+		{"unknown account", Request{Account: "bass", Route: "plain"}, ReasonForbidden},
+		{"no key", Request{Account: "alto", Route: "once"}, ReasonKeyRequired},
+		{"late", Request{Account: "alto", Route: "plain", Deadline: time.Unix(1, 0)}, ReasonDeadline},
+	}
+	for _, c := range cases {
+		Convey("Refused: "+c.name, t, func() {
+			So(h.Serve(context.Background(), &c.req).Outcome.Reason, ShouldEqual, c.want)
+			So(transport.calls, ShouldBeEmpty)
+		})
+	}
+}
+
+// recorder is a caller that takes events.
+type recorder struct{ events []Event }
+
+func (r *recorder) Send(e Event) error {
+	r.events = append(r.events, e)
+	return nil
+}
+
+func TestResumedStream(t *testing.T) {
+	Convey("A broken stream goes on at another server without a doubled or lost part", t, func() {
+		transport := &fakeTransport{answer: func(n int, c *StageCall) StageAnswer {
+			if n == 1 {
+				_ = c.Events.Send(Event{ID: "1", Data: "one "})
+				_ = c.Events.Send(Event{ID: "2", Data: "two "})
+				return StageAnswer{Result: CallBroken}
+			}
+			So(c.Events.LastID(), ShouldEqual, "2")
+			for _, e := range []Event{{"2", "two "}, {"3", "three"}} { // the server repeats one event
+				So(c.Events.Send(e), ShouldBeNil)
+			}
+			return okAnswer(`{"text":"` + c.Events.Text() + `"}`)
+		}}
+		h := testHost(t, transport)
+		caller := &recorder{}
+		result := h.Serve(context.Background(), &Request{Account: "alto", Route: "stream", Body: []byte(`{}`), Events: caller})
+		So(result.Outcome.Kind, ShouldEqual, Served)
+		So(caller.events, ShouldResemble, []Event{{"1", "one "}, {"2", "two "}, {"3", "three"}})
+		So(string(result.Answer.Body), ShouldEqual, `{"text":"one two three"}`)
+	})
+	Convey("A gap in a stream is an error", t, func() {
+		c := &EventCollector{}
+		So(c.Send(Event{ID: "1"}), ShouldBeNil)
+		So(c.Send(Event{ID: "3"}), ShouldNotBeNil)
+		So(c.Send(Event{ID: "x"}), ShouldNotBeNil)
+	})
+}
+
+func TestOlderTablesAreNotPutInForce(t *testing.T) {
+	Convey("Tables of an older revision are ignored", t, func() {
+		h := testHost(t, &fakeTransport{})
+		older := config.Empty()
+		So(h.SetTables(older), ShouldBeFalse)
+		So(h.Snapshot().Tables.Revision, ShouldEqual, 1)
+	})
+}
--- /dev/null
+++ b/kernel/stage.go
@@ -0,0 +1,303 @@
+package kernel
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
+	"github.com/savoryfold/savoryfold/config"
+	"github.com/savoryfold/savoryfold/policy"
+)
+
+// suspectWait is the time between two looks for a server that runs no other
+// suspect.
+const suspectWait = 5 * time.Millisecond
+
+// stageRun is one stage of a request, with as many calls as it takes.
+type stageRun struct {
+	*run
+	stage config.Stage
+	pool  *Pool
+	cost  *StageCost
+	want  *want
+	call  *StageCall
+}
+
+// do runs the stage. It returns an empty outcome once the stage is done.
+func (s *stageRun) do(ctx context.Context) Outcome {
+	if !s.pool.hasServer(s.version) {
+		return s.fail(ReasonNoServer, "no backend server for stage "+s.stage.Name)
+	}
+	s.want = &want{
+		ticket:  s.ticket(),
+		call:    policy.Call{Class: string(s.route.Size), Prefix: s.prefix},
+		version: s.version,
+	}
+	s.call = s.newCall()
+	s.host.Decisions.Retry.Sent(s.stage.Pool, s.account.Name, s.route.CostWeight)
+	for attempt := 1; ; attempt++ {
+		server := s.acquire(ctx)
+		if server == nil {
+			return s.gaveUp(ctx)
+		}
+		if !s.stage.Idempotent && !s.claim.MayDispatch(time.Now()) {
+			s.pool.release(server)
+			return s.fail(ReasonDeadline, "the claim no longer allows stage "+s.stage.Name)
+		}
+		answer := s.attempt(ctx, server)
+		if answer.Result == CallOK {
+			s.done(answer)
+			return Outcome{}
+		}
+		if out := s.afterFailure(ctx, attempt, answer, server); out.Kind != "" {
+			return out
+		}
+	}
+}
+
+// gaveUp is the outcome of a request that got no call slot in time.
+func (s *stageRun) gaveUp(ctx context.Context) Outcome {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return s.fail(ReasonCallerGone, "the caller went away")
+	}
+	return s.fail(ReasonDeadline, "no call slot for stage "+s.stage.Name+" in time")
+}
+
+func (s *stageRun) done(answer StageAnswer) {
+	s.results[s.stage.Name] = jsonOrString(answer.Answer.Body)
+	s.last = answer.Answer
+	if g := s.host.CrashGuard; g != nil {
+		g.Succeeded(time.Now(), s.fingerprint)
+	}
+}
+
+func (s *stageRun) ticket() policy.Ticket {
+	f := s.pool.forecast(s.stage)
+	return policy.Ticket{
+		Account: s.account.Name, Weight: s.account.Weight, Class: string(s.route.Size),
+		Priority: s.route.Priority, Deadline: s.deadline, Arrived: time.Now(),
+		Expected: f.Service, Cost: milliseconds(f.Service) * s.stage.CostWeight,
+	}
+}
+
+func (s *stageRun) newCall() *StageCall {
+	call := &StageCall{
+		Pool: s.pool.Config, Stage: s.stage, ContentType: "application/json",
+		Body: s.input(), Deadline: s.deadline, Priority: s.route.Priority,
+	}
+	if !s.stage.Idempotent {
+		call.Key = s.req.Account + "/" + s.req.Route + "/" + s.stage.Name + "/" + s.req.Key
+	}
+	if s.stage.Stream {
+		call.Events = &EventCollector{sink: s.req.Events}
+	}
+	return call
+}
+
+// input is the body of a stage call: the caller's request and the results of
+// the stages before.
+func (s *stageRun) input() []byte {
+	input := struct {
+		Request json.RawMessage            `json:"request"`
+		Results map[string]json.RawMessage `json:"results,omitempty"`
+	}{Request: jsonOrString(s.req.Body), Results: s.results}
+	body, err := json.Marshal(input)
+	if err != nil {
+		panic("kernel: stage input: " + err.Error())
+	}
+	return body
+}
+
+// jsonOrString returns a body that is JSON as it is, and any other as a string.
+func jsonOrString(body []byte) json.RawMessage {
+	if json.Valid(body) {
+		return body
+	}
+	quoted, _ := json.Marshal(string(body))
+	return quoted
+}
+
+// suspects holds the servers that run a suspect request, by server ID.
+type suspects struct{ m sync.Map }
+
+// acquire takes a call slot. A request under suspicion of crashing servers
+// takes one only on a server that runs no other suspect.
+func (s *stageRun) acquire(ctx context.Context) *Server {
+	start := time.Now()
+	defer func() { s.cost.WaitMS += milliseconds(time.Since(start)) }()
+	for {
+		server := s.pool.acquire(ctx, s.want)
+		if server == nil || !s.suspect() {
+			return server
+		}
+		if _, taken := s.host.suspects.m.LoadOrStore(server.ID, s.fingerprint); !taken {
+			return server
+		}
+		s.pool.release(server)
+		if !sleep(ctx, suspectWait) {
+			return nil
+		}
+	}
+}
+
+func (s *stageRun) suspect() bool {
+	g := s.host.CrashGuard
+	return g != nil && g.Suspect(time.Now(), s.fingerprint)
+}
+
+// attempt makes one call on a server and gives its call slot back.
+func (s *stageRun) attempt(ctx context.Context, server *Server) StageAnswer {
+	defer s.pool.release(server)
+	defer s.host.suspects.m.CompareAndDelete(server.ID, s.fingerprint)
+	s.call.ID = uuid.NewString()
+	s.call.Server = server.Config
+	s.call.FirstByte = s.firstByte()
+	sample := policy.CallSample{Class: string(s.route.Size), InFlight: int(server.inFlight.Load())}
+	start := time.Now()
+	answer := s.host.Transport.Call(ctx, s.call)
+	sample.Latency = time.Since(start)
+	sample.OK = answer.Result == CallOK
+	s.note(server, answer, sample)
+	return answer
+}
+
+// firstByte bounds the wait for an answer's first byte. An idempotent stage
+// leaves time for another call.
+func (s *stageRun) firstByte() time.Duration {
+	limit := s.pool.Config.FirstByte
+	if s.stage.Idempotent {
+		limit = min(limit, time.Until(s.deadline)/2)
+	}
+	return max(limit, time.Millisecond)
+}
+
+// note books a finished call to costs, counters and the server's state.
+func (s *stageRun) note(server *Server, answer StageAnswer, sample policy.CallSample) {
+	if answer.Result.Sent() && answer.EngineMS == 0 {
+		answer.EngineMS = milliseconds(sample.Latency)
+	}
+	s.cost.Calls++
+	s.cost.Server = server.Config.Name
+	s.cost.EngineMS += answer.EngineMS
+	s.cost.Tokens += answer.Tokens
+	if answer.Result != CallOK {
+		s.cost.WastedMS += answer.EngineMS
+	}
+	if answer.Result.Sent() {
+		s.sent = true
+		s.sentOnce = s.sentOnce || !s.stage.Idempotent
+	}
+	s.host.Counter(`stage_calls{pool="` + s.stage.Pool + `",result="` + answer.Result.String() + `"}`).Inc(1)
+	s.teach(server, answer, sample)
+}
+
+// teach takes what a call showed of its server into the views on which
+// decisions rest. A call that ended for the request's own sake shows nothing.
+func (s *stageRun) teach(server *Server, answer StageAnswer, sample policy.CallSample) {
+	now := time.Now()
+	if answer.Load != nil {
+		server.Report(now, *answer.Load)
+	}
+	switch answer.Result {
+	case CallCancelled, CallRejected, CallSilent:
+		return // silence is judged once the server was tried on a new connection
+	}
+	server.observe(now, sample)
+	if v := s.host.Versions; v != nil && s.pool.Config.Versioned {
+		load := float64(sample.InFlight) / float64(max(1, server.allowance.Load()))
+		v.Observe(now, s.route.Name, server.Config.Version, sample.OK, sample.Latency, load)
+	}
+	if g := s.host.CrashGuard; g != nil && answer.Result == CallBroken {
+		g.Broken(now, s.fingerprint, server.ID)
+	}
+}
+
+// afterFailure decides what follows a failed call. An empty outcome means
+// another call.
+func (s *stageRun) afterFailure(ctx context.Context, attempt int, answer StageAnswer, server *Server) Outcome {
+	switch answer.Result {
+	case CallRejected:
+		return s.rejected(answer)
+	case CallCancelled:
+		return s.fail(ReasonCallerGone, "the caller went away")
+	case CallDeadline:
+		return s.fail(ReasonDeadline, "the deadline passed in stage "+s.stage.Name)
+	case CallSilent:
+		s.afterSilence(ctx, server)
+	}
+	if g := s.host.CrashGuard; g != nil && g.Refuse(time.Now(), s.fingerprint) {
+		return s.fail(ReasonCrashes, "backend servers died while they ran this request")
+	}
+	s.want.tried = append(s.want.tried, server.ID)
+	s.keepVersion(server)
+	decision := s.host.Decisions.Retry.Decide(time.Now(), s.retryAttempt(attempt, answer, server))
+	if !decision.Retry {
+		s.host.Counter(`retries_refused{pool="` + s.stage.Pool + `",reason="` + string(decision.Reason) + `"}`).Inc(1)
+		return s.fail(ReasonStageFailed, "stage "+s.stage.Name+": "+answer.Result.String())
+	}
+	s.host.Counter(`retries{pool="` + s.stage.Pool + `"}`).Inc(1)
+	if !sleep(ctx, decision.Delay) {
+		return s.fail(ReasonDeadline, "the deadline passed before another call of stage "+s.stage.Name)
+	}
+	return Outcome{}
+}
+
+func (s *stageRun) retryAttempt(attempt int, answer StageAnswer, server *Server) policy.Attempt {
+	return policy.Attempt{
+		Number: attempt, Pool: s.stage.Pool, Account: s.account.Name,
+		Idempotent: s.stage.Idempotent, Sent: answer.Result.Sent(), Deadline: s.deadline,
+		Expected: time.Duration(server.expected.Load()), CostWeight: s.route.CostWeight,
+		Random: rand.Uint64(),
+	}
+}
+
+// keepVersion makes further calls of a stream that has begun use servers of
+// the same version, whose text goes on where the first call ended.
+func (s *stageRun) keepVersion(server *Server) {
+	if s.call.Events != nil && s.call.Events.LastID() != "" {
+		s.want.version = server.Config.Version
+	}
+}
+
+// afterSilence tells a dead connection from a dead server. Only a dead server
+// counts as a failure of the server.
+func (s *stageRun) afterSilence(ctx context.Context, server *Server) {
+	if s.host.Transport.Renew(ctx, server.Config) {
+		s.host.Counter(`connections_silent{pool="` + s.stage.Pool + `"}`).Inc(1)
+		return
+	}
+	s.host.Counter(`servers_silent{pool="` + s.stage.Pool + `"}`).Inc(1)
+	server.observe(time.Now(), policy.CallSample{Class: string(s.route.Size)})
+}
+
+// rejected is the outcome of a request that a backend server found at fault.
+func (s *stageRun) rejected(answer StageAnswer) Outcome {
+	detail := "stage " + s.stage.Name + " rejected the request"
+	if answer.Err != nil {
+		detail += ": " + answer.Err.Error()
+	}
+	if s.sentOnce {
+		return Outcome{Kind: Unknown, Reason: ReasonStageFailed, Detail: detail}
+	}
+	return Outcome{Kind: Rejected, Reason: ReasonBadRequest, Detail: detail}
+}
+
+// sleep waits and reports whether the context lives on.
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/plugins/backendhttp/backendhttp.go
+++ b/plugins/backendhttp/backendhttp.go
@@ -34,6 +34,8 @@
 	idlePerServer  = 64
 	maxAnswerBytes = 16 << 20
 	maxErrorBytes  = 1 << 10
+	// probeTimeout bounds the look whether a silent server answers at all.
+	probeTimeout = 300 * time.Millisecond
 )
 
 func init() {
@@ -73,12 +75,23 @@
 	return nil
 }
 
-// Forget implements kernel.Transport: calls from now on use new connections.
-func (t *Transport) Forget(s config.Server) {
-	if c, ok := t.clients.LoadAndDelete(s.Address); ok {
-		c.(*http.Transport).CloseIdleConnections()
-		t.host.Counter(`connections_forgotten{server="` + s.Pool + `/` + s.Name + `"}`).Inc(1)
+// Renew implements kernel.Transport. Calls in progress keep their connections.
+func (t *Transport) Renew(ctx context.Context, s config.Server) bool {
+	if old, ok := t.clients.LoadAndDelete(s.Address); ok {
+		old.(*http.Transport).CloseIdleConnections()
+	}
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+s.Address+"/v1/load", nil)
+	if err != nil {
+		return false
 	}
+	resp, err := t.client(s.Address).RoundTrip(req)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return true
 }
 
 func (t *Transport) client(address string) *http.Transport {
@@ -117,7 +130,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	x := &exchange{call: c, cancel: cancel}
-	x.progress = time.AfterFunc(c.Pool.FirstByte, func() { cancel(errSilent) })
+	x.progress = time.AfterFunc(c.FirstByte, func() { cancel(errSilent) })
 	defer x.progress.Stop()
 
 	req, err := x.request(ctx)
@@ -154,9 +167,9 @@
 	}
 	if x.call.Events != nil {
 		req.Header.Set("Accept", "text/event-stream")
-	}
-	if x.call.ResumeAfter != "" {
-		req.Header.Set("Last-Event-ID", x.call.ResumeAfter)
+		if id := x.call.Events.LastID(); id != "" {
+			req.Header.Set("Last-Event-ID", id)
+		}
 	}
 	return req, nil
 }
@@ -185,7 +198,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return x.refusal(resp)
 	}
-	if strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
+	if x.call.Events != nil && strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
 		return x.stream(ctx, resp)
 	}
 	body, err := x.read(resp.Body)
--- a/plugins/backendhttp/stream.go
+++ b/plugins/backendhttp/stream.go
@@ -4,8 +4,8 @@
 	"context"
 	"encoding/json"
 	"net/http"
-	"strings"
 
+	"github.com/pkg/errors"
 	"github.com/tmaxmax/go-sse"
 
 	"github.com/savoryfold/savoryfold/kernel"
@@ -25,19 +25,20 @@
 // stream passes events on as they come. The stream is whole only if it ends
 // with the event "done".
 func (x *exchange) stream(ctx context.Context, resp *http.Response) kernel.StageAnswer {
-	var text strings.Builder
-	text.WriteString(x.call.Received)
 	for event, err := range sse.Read(&progressReader{resp.Body, x}, &sse.ReadConfig{MaxEventSize: maxAnswerBytes}) {
 		if err != nil {
 			return x.failure(ctx, err)
 		}
 		if event.Type == doneEvent {
-			return finished(event.Data, text.String())
+			return finished(event.Data, x.call.Events.Text())
 		}
-		if err := x.call.Events.Send(kernel.Event{ID: event.LastEventID, Data: event.Data}); err != nil {
+		err := x.call.Events.Send(kernel.Event{ID: event.LastEventID, Data: event.Data})
+		if errors.Is(err, kernel.ErrCallerGone) {
 			return kernel.StageAnswer{Result: kernel.CallCancelled, Err: err}
 		}
-		text.WriteString(event.Data)
+		if err != nil {
+			return kernel.StageAnswer{Result: kernel.CallFailed, Err: err}
+		}
 	}
 	if ctx.Err() != nil {
 		return x.failure(ctx, ctx.Err())
@@ -45,10 +46,11 @@
 	return kernel.StageAnswer{Result: kernel.CallBroken, Err: errNoEnd}
 }
 
+// finished is the whole answer of a stream that ended with the event "done".
 func finished(data, text string) kernel.StageAnswer {
 	var end streamEnd
 	if err := json.Unmarshal([]byte(data), &end); err != nil {
-		return kernel.StageAnswer{Result: kernel.CallBroken, Err: err}
+		return kernel.StageAnswer{Result: kernel.CallFailed, Err: err}
 	}
 	body, _ := json.Marshal(map[string]string{"text": text})
 	return kernel.StageAnswer{
--- a/plugins/policies/policies.go
+++ b/plugins/policies/policies.go
@@ -12,6 +12,7 @@
 	register("placement.baseline", func() kernel.Module { return &policy.RoundRobin{} })
 	register("limits.baseline", func() kernel.Module { return policy.FixedLimits{} })
 	register("retry.baseline", func() kernel.Module { return policy.BlindRetries{} })
+	register("retry.standard", func() kernel.Module { return &policy.BudgetedRetries{} })
 	register("queue.baseline", func() kernel.Module { return policy.FIFOQueues{} })
 	register("rollout.baseline", func() kernel.Module { return policy.LinearRollout{} })
 }
--- a/plugins/standard/standard.go
+++ b/plugins/standard/standard.go
@@ -6,6 +6,7 @@
 	_ "github.com/savoryfold/savoryfold/plugins/backendhttp"  // calls of backend servers
 	_ "github.com/savoryfold/savoryfold/plugins/claims"       // at-most-once requests
 	_ "github.com/savoryfold/savoryfold/plugins/configsource" // tables
+	_ "github.com/savoryfold/savoryfold/plugins/crashguard"   // requests that crash servers
 	_ "github.com/savoryfold/savoryfold/plugins/entryhttp"    // requests of callers
 	_ "github.com/savoryfold/savoryfold/plugins/membership"   // other instances
 	_ "github.com/savoryfold/savoryfold/plugins/platformlog"  // log service
