Bring tables into force from the log and from other instances

Cause: instances read their tables from a file and took no edits.

Ruled out: answering an edit with the append's result. Answers are lost, and only the records before an edit decide on it.

--- a/config/edit.go
+++ b/config/edit.go
@@ -63,3 +63,27 @@
 	}
 	return next, EditResult{Status: EditAccepted, Revision: offset}
 }
+
+// UnsettledError says that no verdict on an edit is known. The edit may be
+// sent again with the same ID: it takes effect at most once.
+type UnsettledError struct {
+	ID string
+	// Sent is false if the edit surely is not on the log.
+	Sent  bool
+	Cause error
+}
+
+// Error implements error.
+func (e *UnsettledError) Error() string {
+	what := "the log service is out of reach, the edit was not taken"
+	if e.Sent {
+		what = "the edit was sent, its verdict is not known yet"
+	}
+	if e.Cause != nil {
+		what += ": " + e.Cause.Error()
+	}
+	return what
+}
+
+// Unwrap returns the cause.
+func (e *UnsettledError) Unwrap() error { return e.Cause }
--- /dev/null
+++ b/plugins/configsource/peers.go
@@ -0,0 +1,145 @@
+package configsource
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"github.com/savoryfold/savoryfold/config"
+	"github.com/savoryfold/savoryfold/kernel"
+)
+
+// fetchMethod is the request by which an instance asks another for its state.
+const fetchMethod = "config.fetch"
+
+// Times of fetches.
+const (
+	fetchTick    = 200 * time.Millisecond
+	fetchTimeout = 2 * time.Second
+)
+
+// fetchRequest asks for a state newer than the one at an offset.
+type fetchRequest struct {
+	Have uint64 `cbor:"1,keyasint"`
+}
+
+// serveFetch answers with a restatement, or with nothing if it is not newer.
+func (l *Log) serveFetch(_ context.Context, _ string, body []byte) ([]byte, error) {
+	var req fetchRequest
+	if err := cbor.Unmarshal(body, &req); err != nil {
+		return nil, errors.Wrap(err, fetchMethod)
+	}
+	s := l.state()
+	if s == nil || s.Offset <= req.Have {
+		return nil, nil
+	}
+	return config.EncodeRestatement(s.Restate())
+}
+
+// fetchLoop fetches the state of another instance whenever the log has lagged
+// behind it for a while.
+func (l *Log) fetchLoop(ctx context.Context) {
+	if l.host.Peers == nil || l.host.Membership == nil {
+		return
+	}
+	patience := l.host.Settings.Duration(logSection, "peer_patience")
+	ticker := time.NewTicker(fetchTick)
+	defer ticker.Stop()
+	var since time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			member, behind := l.newest()
+			if !behind {
+				since = time.Time{}
+				continue
+			}
+			if since.IsZero() {
+				since = now
+			}
+			if now.Sub(since) < patience {
+				continue
+			}
+			since = now.Add(rand.N(patience)) // the next fetch waits longer
+			l.fetch(ctx, member)
+		}
+	}
+}
+
+// newest returns a member with the newest tables, and whether this instance is
+// behind: it has older tables, or it lacks records.
+func (l *Log) newest() (kernel.Member, bool) {
+	l.mu.Lock()
+	gathering, s := l.follower.Gathering(), l.follower.State()
+	l.mu.Unlock()
+	var own uint64
+	if s != nil {
+		own = s.Tables.Revision
+	}
+	var best kernel.Member
+	found := 0
+	view := l.host.Membership.View()
+	for _, m := range view.Members {
+		if m.ID == l.host.ID() || m.State == kernel.MemberGone || m.ConfigRevision < own {
+			continue
+		}
+		if found == 0 || m.ConfigRevision > best.ConfigRevision {
+			best, found = m, 1
+		} else if m.ConfigRevision == best.ConfigRevision {
+			found++
+			if rand.N(found) == 0 {
+				best = m
+			}
+		}
+	}
+	return best, found > 0 && (best.ConfigRevision > own || (gathering && best.ConfigRevision > 0))
+}
+
+// fetch takes the state of a member.
+func (l *Log) fetch(ctx context.Context, m kernel.Member) {
+	result := "failed"
+	took, err := l.fetchFrom(ctx, m)
+	switch {
+	case err != nil:
+		l.logger.Debug("fetch failed", "from", m.ID, "error", err)
+	case took:
+		result = "newer"
+	default:
+		result = "same"
+	}
+	l.host.Counter(`config_fetches{result="` + result + `"}`).Inc(1)
+}
+
+func (l *Log) fetchFrom(ctx context.Context, m kernel.Member) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	var have uint64
+	if s := l.state(); s != nil {
+		have = s.Offset
+	}
+	body, err := cbor.Marshal(fetchRequest{Have: have})
+	if err != nil {
+		return false, errors.Wrap(err, fetchMethod)
+	}
+	answer, err := l.host.Peers.Call(ctx, m, fetchMethod, body)
+	if err != nil || len(answer) == 0 {
+		return false, err
+	}
+	r, err := config.DecodeRestatement(answer)
+	if err != nil {
+		return false, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	took, err := l.follower.Adopt(r)
+	if took {
+		l.logger.Info("state taken from another instance", "from", m.ID, "revision", r.Revision)
+		l.publish()
+	}
+	return took, err
+}
