Complete the administration API and describe it in OpenAPI

Cause: operators had no way to see moves, claims, the log's records, or where a revision is in force; the API had no description.

Settling needs the right to edit the claim's route; the log level needs an editor of all sections. Byte strings of records, which hold callers' answers, are left out.

Seen to fail with the mechanism off: an endpoint left out, a field renamed, an endpoint without authentication, section prefixes not looked at, byte strings shown (plugins/admin/admin_test.go). Each answer of that test is validated against the description; it also looks for tokens in all answers and log lines.

--- a/plugins/admin/admin.go
+++ b/plugins/admin/admin.go
@@ -50,6 +50,7 @@
 		Handler:           a.routes(),
 		ReadHeaderTimeout: 5 * time.Second,
 		ReadTimeout:       10 * time.Second,
+		WriteTimeout:      30 * time.Second,
 		IdleTimeout:       time.Minute,
 		ErrorLog:          slog.NewLogLogger(h.Logger.Handler(), slog.LevelDebug),
 	}
--- /dev/null
+++ b/plugins/admin/admin_test.go
@@ -0,0 +1,269 @@
+package admin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/getkin/kin-openapi/openapi3"
+	"github.com/getkin/kin-openapi/openapi3filter"
+	"github.com/getkin/kin-openapi/routers"
+	"github.com/getkin/kin-openapi/routers/legacy"
+	"github.com/pkg/errors"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/savoryfold/savoryfold/api"
+	"github.com/savoryfold/savoryfold/config"
+	"github.com/savoryfold/savoryfold/internal/httpapi"
+	"github.com/savoryfold/savoryfold/kernel"
+	"github.com/savoryfold/savoryfold/policy"
+)
+
+const (
+	editToken = "edit-token-of-alice"
+	teamToken = "team-token-of-bob"
+	readToken = "read-token-of-carol"
+)
+
+// fakes stands in for the other modules.
+type fakes struct {
+	host *kernel.Host
+	err  error
+}
+
+func (f *fakes) Edit(_ context.Context, e config.Edit) (config.EditResult, error) {
+	if f.err != nil {
+		return config.EditResult{}, f.err
+	}
+	current := config.Empty()
+	offset := uint64(1)
+	if snap := f.host.Snapshot(); snap != nil {
+		current, offset = snap.Tables, snap.Tables.Revision+1
+	}
+	next, result := config.Apply(current, e, offset)
+	if result.Status == config.EditAccepted {
+		f.host.SetTables(next)
+	}
+	return result, nil
+}
+
+func (f *fakes) View() *kernel.MemberView {
+	self := kernel.Member{ID: "a", State: kernel.MemberReady}
+	return &kernel.MemberView{Self: self, Members: []kernel.Member{self, {ID: "b", State: kernel.MemberReady}, {ID: "c", State: kernel.MemberGone}}}
+}
+func (f *fakes) Subscribe(func(*kernel.MemberView)) {}
+func (f *fakes) SetState(kernel.MemberState)        {}
+func (f *fakes) Moves() []kernel.MoveStatus {
+	return []kernel.MoveStatus{{Kind: "version", Name: "answer", From: "v1", To: "v2", State: kernel.MoveTakenBack, Share: 0, Why: "failures", By: time.Now()}}
+}
+func (f *fakes) InDoubt(context.Context) ([]kernel.ClaimInfo, error) {
+	return []kernel.ClaimInfo{{Account: "x", Route: "answer", Key: "k"}}, f.err
+}
+func (f *fakes) Settle(context.Context, kernel.ClaimInfo, kernel.Verdict, string) error { return f.err }
+func (f *fakes) Append(context.Context, string, []byte) (uint64, error)                 { return 0, f.err }
+func (f *fakes) Read(_ context.Context, stream string, _ uint64, _ time.Duration) (kernel.LogBatch, error) {
+	data, _ := config.EncodeRecord(config.Record{Edit: &config.Edit{ID: "1", Section: "zone x"}})
+	return kernel.LogBatch{First: 1, Next: 3, Records: []kernel.LogRecord{{Offset: 1, Time: time.Now(), Data: data}, {Offset: 2, Time: time.Now(), Data: []byte{0xff}}}}, f.err
+}
+
+// world is the API on fakes, with every answer checked against the description.
+type world struct {
+	t      *testing.T
+	server *httptest.Server
+	router routers.Router
+	doc    *openapi3.T
+	admin  *Admin
+	fakes  *fakes
+	logs   bytes.Buffer
+	seen   strings.Builder // all answers
+}
+
+func newWorld(t *testing.T) *world {
+	text := "[instance]\nid = a\nzone = hobart\n"
+	for name, rest := range map[string]string{
+		"alice " + editToken: "rights = edit", "bob " + teamToken: "rights = edit\nsections = route team-, zone hobart", "carol " + readToken: "rights = read",
+	} {
+		op, token, _ := strings.Cut(name, " ")
+		text += "[operator " + op + "]\ntoken_sha256 = " + httpapi.HashToken(token) + "\n" + rest + "\n"
+	}
+	settings, err := kernel.Schema().Load("t.ini", []byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := &world{t: t, fakes: &fakes{}, admin: &Admin{}}
+	in, err := kernel.NewInstance(settings, slog.New(slog.NewTextHandler(&w.logs, nil)), &slog.LevelVar{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	h := in.Host
+	w.fakes.host = h
+	h.Config, h.Membership, h.Moves, h.ClaimsOperator, h.Log = w.fakes, w.fakes, w.fakes, w.fakes, w.fakes
+	h.Decisions.Limits, h.Decisions.Queues = policy.FixedLimits{}, policy.FIFOQueues{}
+	if err := errors.Cause(w.admin.Provision(h)); err != nil {
+		t.Fatal(err)
+	}
+	w.doc, err = openapi3.NewLoader().LoadFromData(api.Description)
+	if err == nil {
+		err = w.doc.Validate(context.Background())
+	}
+	if err == nil {
+		w.router, err = legacy.NewRouter(w.doc)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.server = httptest.NewServer(w.admin.server.Handler)
+	t.Cleanup(w.server.Close)
+	return w
+}
+
+// call makes a call, checks the answer against the description and returns it.
+func (w *world) call(token, method, path, body string) (int, string) {
+	req, err := http.NewRequest(method, w.server.URL+path, strings.NewReader(body))
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	if token != "" {
+		req.Header.Set("Authorization", "Bearer "+token)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	answer, err := io.ReadAll(resp.Body)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.seen.Write(answer)
+	route, params, err := w.router.FindRoute(httptest.NewRequest(method, path, nil))
+	if err != nil {
+		w.t.Fatalf("%s %s: %v", method, path, err)
+	}
+	input := &openapi3filter.ResponseValidationInput{
+		RequestValidationInput: &openapi3filter.RequestValidationInput{Request: req, PathParams: params, Route: route},
+		Status:                 resp.StatusCode, Header: resp.Header,
+		Options: &openapi3filter.Options{IncludeResponseStatus: true},
+	}
+	input.SetBodyBytes(answer)
+	if err := openapi3filter.ValidateResponse(context.Background(), input); err != nil {
+		w.t.Fatalf("%s %s: the answer %d %s is not as described: %v", method, path, resp.StatusCode, answer, err)
+	}
+	return resp.StatusCode, string(answer)
+}
+
+func TestDescriptionNamesEveryRoute(t *testing.T) {
+	Convey("The description and the handlers name the same methods and paths", t, func() {
+		w := newWorld(t)
+		served := make(map[string]bool)
+		for _, e := range w.admin.endpoints() {
+			served[e.pattern] = true
+		}
+		described := make(map[string]bool)
+		for path, item := range w.doc.Paths.Map() {
+			for method := range item.Operations() {
+				described[method+" "+path] = true
+			}
+		}
+		So(described, ShouldResemble, served)
+	})
+}
+
+func TestRightsAndAnswers(t *testing.T) {
+	Convey("Given the administration API", t, func() {
+		w := newWorld(t)
+		status := func(token, method, path, body string) int {
+			code, _ := w.call(token, method, path, body)
+			return code
+		}
+		Convey("without a right token only health, readiness and counters are served", func() {
+			for _, e := range w.admin.endpoints() {
+				method, path, _ := strings.Cut(e.pattern, " ")
+				path = strings.NewReplacer("{kind}", "zone", "{name}", "x", "{revision}", "1").Replace(path)
+				for _, token := range []string{"", "wrong", httpapi.HashToken(editToken)} {
+					if strings.HasPrefix(path, "/v1/") {
+						So(status(token, method, path, ""), ShouldEqual, http.StatusUnauthorized)
+					} else {
+						So(status(token, method, path, ""), ShouldBeIn, http.StatusOK, http.StatusServiceUnavailable)
+					}
+				}
+			}
+		})
+		Convey("readers read and change nothing", func() {
+			for _, path := range []string{"/v1/dump", "/v1/members", "/v1/tables", "/v1/moves", "/v1/claims", "/v1/log?stream=config&from=1", "/v1/log-level", "/v1/applied/1"} {
+				So(status(readToken, "GET", path, ""), ShouldEqual, http.StatusOK)
+			}
+			So(status(readToken, "PUT", "/v1/tables/zone/x?base=0", "state = in\n"), ShouldEqual, http.StatusForbidden)
+			So(status(readToken, "DELETE", "/v1/tables/zone/x?base=0", ""), ShouldEqual, http.StatusForbidden)
+			So(status(readToken, "PUT", "/v1/log-level", `{"level": "debug"}`), ShouldEqual, http.StatusForbidden)
+			So(status(readToken, "POST", "/v1/claims/settle", `{"claim": {"route": "answer"}, "verdict": "ran"}`), ShouldEqual, http.StatusForbidden)
+		})
+		Convey("a team edits its own sections and settles claims of its own routes only", func() {
+			So(status(teamToken, "PUT", "/v1/tables/zone/hobart?base=0", "state = in\n"), ShouldEqual, http.StatusOK)
+			So(status(teamToken, "PUT", "/v1/tables/zone/burnie?base=0", "state = in\n"), ShouldEqual, http.StatusForbidden)
+			So(status(teamToken, "PUT", "/v1/log-level", `{"level": "debug"}`), ShouldEqual, http.StatusForbidden)
+			So(status(teamToken, "POST", "/v1/claims/settle", `{"claim": {"route": "team-a"}, "verdict": "ran"}`), ShouldEqual, http.StatusOK)
+			So(status(teamToken, "POST", "/v1/claims/settle", `{"claim": {"route": "answer"}, "verdict": "ran"}`), ShouldEqual, http.StatusForbidden)
+		})
+		Convey("edits are accepted, superseded, invalid or out of reach", func() {
+			So(status(editToken, "PUT", "/v1/tables/zone/x?base=0", "state = in\n"), ShouldEqual, http.StatusOK)
+			So(status(editToken, "GET", "/v1/tables/zone/x", ""), ShouldEqual, http.StatusOK)
+			So(status(editToken, "GET", "/v1/tables/zone/y", ""), ShouldEqual, http.StatusNotFound)
+			So(status(editToken, "PUT", "/v1/tables/zone/x?base=0", "state = out\n"), ShouldEqual, http.StatusConflict)
+			So(status(editToken, "PUT", "/v1/tables/zone/x?base=1", "state = odd\n"), ShouldEqual, http.StatusUnprocessableEntity)
+			So(status(editToken, "PUT", "/v1/tables/zone/x", ""), ShouldEqual, http.StatusBadRequest)
+			So(status(editToken, "PUT", "/v1/tables/zone/x?base=1", strings.Repeat("x", maxEditBytes+1)), ShouldEqual, http.StatusRequestEntityTooLarge)
+			_, applied := w.call(readToken, "GET", "/v1/applied/1", "")
+			var answer api.Applied
+			So(json.Unmarshal([]byte(applied), &answer), ShouldBeNil)
+			So(answer, ShouldResemble, api.Applied{Revision: 1, Instances: 2, InForce: 1, Behind: []string{"b"}})
+			w.fakes.err = &config.UnsettledError{ID: "7"}
+			code, text := w.call(editToken, "DELETE", "/v1/tables/zone/x?base=1&id=7", "")
+			So(code, ShouldEqual, http.StatusServiceUnavailable)
+			So(text, ShouldContainSubstring, "id=7")
+			So(status(readToken, "GET", "/v1/claims", ""), ShouldEqual, http.StatusServiceUnavailable)
+			So(status(readToken, "GET", "/v1/log?stream=x&from=1", ""), ShouldEqual, http.StatusServiceUnavailable)
+		})
+		Convey("the log level changes", func() {
+			So(status(editToken, "PUT", "/v1/log-level", `{"level": "debug"}`), ShouldEqual, http.StatusOK)
+			So(w.admin.host.LogLevel.Level(), ShouldEqual, slog.LevelDebug)
+			So(status(editToken, "PUT", "/v1/log-level", `{"level": "loud"}`), ShouldEqual, http.StatusBadRequest)
+		})
+		Reset(func() {
+			for _, secret := range []string{editToken, teamToken, readToken, httpapi.HashToken(editToken)} {
+				So(w.seen.String(), ShouldNotContainSubstring, secret)
+				So(w.logs.String(), ShouldNotContainSubstring, secret)
+			}
+		})
+	})
+}
+
+func TestRecordsAreShownWithoutByteStrings(t *testing.T) {
+	Convey("An answer that a claim's record keeps is left out", t, func() {
+		data := []byte{0xa1, 0x01, 0x43, 's', 'e', 'c'}
+		v, err := decodeRecord("claims/1", data)
+		So(err, ShouldBeNil)
+		So(v, ShouldResemble, map[string]any{"1": "(3 bytes)"})
+	})
+}
+
+func FuzzDecodeRecord(f *testing.F) {
+	f.Add([]byte{0xa1, 0x01, 0x43, 's', 'e', 'c'})
+	f.Add([]byte{0x82, 0xf9, 0x7e, 0x00, 0xc1, 0x00})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		v, err := decodeRecord("claims/1", data)
+		if err != nil {
+			return
+		}
+		if _, err := json.Marshal(v); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
--- a/plugins/admin/operators.go
+++ b/plugins/admin/operators.go
@@ -47,6 +47,10 @@
 	return false
 }
 
+// mayEditAll reports whether the operator may change what belongs to no
+// section.
+func (o operator) mayEditAll() bool { return o.edit && len(o.sections) == 0 }
+
 // find returns the operator with the token. It compares with every operator,
 // so that its time tells nothing.
 func (a *Admin) find(token string) (operator, bool) {
--- /dev/null
+++ b/plugins/admin/tables.go
@@ -0,0 +1,134 @@
+package admin
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
+	"github.com/savoryfold/savoryfold/api"
+	"github.com/savoryfold/savoryfold/config"
+	"github.com/savoryfold/savoryfold/internal/httpapi"
+	"github.com/savoryfold/savoryfold/kernel"
+)
+
+// maxEditBytes bounds a section, so that its edit fits into a record.
+const maxEditBytes = 200 << 10
+
+// snapshot returns the snapshot in force, or answers that there is none.
+func (a *Admin) snapshot(w http.ResponseWriter) *kernel.Snapshot {
+	snap := a.host.Snapshot()
+	if snap == nil {
+		problem(w, http.StatusServiceUnavailable, "no tables in force yet")
+	}
+	return snap
+}
+
+func (a *Admin) serveTables(w http.ResponseWriter, _ *http.Request, _ operator) {
+	answer := api.Tables{Sections: []config.Section{}}
+	// Before the first edit there are no tables, which is no error here.
+	if snap := a.host.Snapshot(); snap != nil {
+		answer.Revision = snap.Tables.Revision
+		for _, name := range snap.Tables.SectionNames() {
+			answer.Sections = append(answer.Sections, snap.Tables.Sections[name])
+		}
+	}
+	httpapi.WriteJSON(w, http.StatusOK, answer)
+}
+
+func (a *Admin) serveSection(w http.ResponseWriter, r *http.Request, _ operator) {
+	snap := a.snapshot(w)
+	if snap == nil {
+		return
+	}
+	s, ok := snap.Tables.Sections[sectionName(r)]
+	if !ok {
+		problem(w, http.StatusNotFound, "no section ["+sectionName(r)+"]")
+		return
+	}
+	httpapi.WriteJSON(w, http.StatusOK, s)
+}
+
+func sectionName(r *http.Request) string { return r.PathValue("kind") + " " + r.PathValue("name") }
+
+// editSection puts or deletes a section. The query holds the revision that the
+// edit is based on (base) and the edit's ID (id), which makes it idempotent.
+func (a *Admin) editSection(w http.ResponseWriter, r *http.Request, op operator) {
+	name := sectionName(r)
+	if !op.mayEdit(name) {
+		a.forbid(w, "operator "+op.name+" may not edit ["+name+"]")
+		return
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxEditBytes))
+	if err != nil {
+		problem(w, http.StatusRequestEntityTooLarge, "a section has at most "+strconv.Itoa(maxEditBytes)+" bytes")
+		return
+	}
+	base, err := strconv.ParseUint(r.URL.Query().Get("base"), 10, 64)
+	if err != nil {
+		problem(w, http.StatusBadRequest, "want ?base=REVISION, the section's revision that the edit is based on, 0 for a new section")
+		return
+	}
+	e := config.Edit{
+		ID: r.URL.Query().Get("id"), Operator: op.name, Section: name,
+		Body: string(body), Delete: r.Method == http.MethodDelete, Base: base,
+	}
+	if e.ID == "" {
+		e.ID = uuid.NewString()
+	}
+	a.submit(w, r, e)
+}
+
+func (a *Admin) submit(w http.ResponseWriter, r *http.Request, e config.Edit) {
+	result, err := a.host.Config.Edit(r.Context(), e)
+	var unsettled *config.UnsettledError
+	switch {
+	case errors.As(err, &unsettled):
+		problem(w, http.StatusServiceUnavailable, err.Error()+"; send the edit again with id="+e.ID)
+		return
+	case err != nil:
+		problem(w, http.StatusNotImplemented, err.Error())
+		return
+	}
+	status := http.StatusOK
+	switch result.Status {
+	case config.EditSuperseded:
+		status = http.StatusConflict
+	case config.EditInvalid:
+		status = http.StatusUnprocessableEntity
+	}
+	httpapi.WriteJSON(w, status, result)
+}
+
+// serveApplied tells on how many of the live instances a revision is in force.
+func (a *Admin) serveApplied(w http.ResponseWriter, r *http.Request, _ operator) {
+	revision, err := strconv.ParseUint(r.PathValue("revision"), 10, 64)
+	if err != nil {
+		problem(w, http.StatusBadRequest, "want a revision, a whole number")
+		return
+	}
+	answer := api.Applied{Revision: revision, Behind: []string{}}
+	count := func(id string, has uint64) {
+		answer.Instances++
+		if has >= revision {
+			answer.InForce++
+		} else {
+			answer.Behind = append(answer.Behind, id)
+		}
+	}
+	var own uint64
+	if snap := a.host.Snapshot(); snap != nil {
+		own = snap.Tables.Revision
+	}
+	count(a.host.ID(), own)
+	if a.host.Membership != nil {
+		for _, m := range a.host.Membership.View().Members {
+			if m.ID != a.host.ID() && m.State != kernel.MemberGone {
+				count(m.ID, m.ConfigRevision)
+			}
+		}
+	}
+	httpapi.WriteJSON(w, http.StatusOK, answer)
+}
