Give operators their commands

Cause: savoryfoldctl could only check a file.

Change: tables get and load, list, get, put and delete of routes, pools, accounts and zones, zone out and in, version move, stop and pin, moves, members, applied, claims, dump, log, log-level, hash; flags for server, token file, CA and JSON; exit codes for wrong arguments and superseded edits. An edit without a verdict is sent again with the same ID, and an accepted one is waited for until it is in force on every instance. A route with a move and a pinned version is now refused: the move would silently never start.

--- a/cmd/savoryfoldctl/check.go
+++ b/cmd/savoryfoldctl/check.go
@@ -14,7 +14,7 @@
 		Use:     "check FILE",
 		Short:   "Check a file of tables and name every fault with its line",
 		Example: "  savoryfoldctl check tables.ini",
-		Args:    cobra.ExactArgs(1),
+		Args:    exactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			text, err := os.ReadFile(args[0])
 			if err != nil {
--- /dev/null
+++ b/cmd/savoryfoldctl/edit.go
@@ -0,0 +1,144 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/savoryfold/savoryfold/api"
+	"github.com/savoryfold/savoryfold/config"
+	"github.com/savoryfold/savoryfold/internal/backoff"
+)
+
+// Times of an edit.
+const (
+	retryMin    = 200 * time.Millisecond
+	retryMax    = 2 * time.Second
+	appliedPoll = 200 * time.Millisecond
+)
+
+// editFlags are the flags of commands that edit.
+type editFlags struct {
+	base    string
+	id      string
+	timeout time.Duration
+	wait    time.Duration
+}
+
+func (f *editFlags) add(cmd *cobra.Command) {
+	cmd.Flags().StringVar(&f.base, "base", "", "revision of the section that the edit is based on, 0 for a new one (default: the revision shown)")
+	cmd.Flags().StringVar(&f.id, "id", "", "the edit's ID, to send an edit without a verdict again")
+	cmd.Flags().DurationVar(&f.timeout, "timeout", 20*time.Second, "longest wait for the verdict")
+	cmd.Flags().DurationVar(&f.wait, "wait", 4*time.Second, "longest wait for the edit to be in force on all instances")
+}
+
+// baseOr returns the flag's base, or else the revision that was shown.
+func (f *editFlags) baseOr(shown uint64) (uint64, error) {
+	if f.base == "" {
+		return shown, nil
+	}
+	base, err := strconv.ParseUint(f.base, 10, 64)
+	if err != nil {
+		return 0, exitError{errors.New("--base: want a revision, a whole number"), exitUsage}
+	}
+	return base, nil
+}
+
+// editOutcome is what the operator is told of an edit.
+type editOutcome struct {
+	Section string            `json:"section"`
+	Result  config.EditResult `json:"result"`
+	Applied *api.Applied      `json:"applied,omitempty"`
+}
+
+// edit submits an edit, waits until it is in force, and tells the operator.
+func (s *session) edit(cmd *cobra.Command, c *api.Client, f *editFlags, e config.Edit) error {
+	e.ID = f.id
+	result, err := submit(cmd.Context(), c, f.timeout, e)
+	if err != nil {
+		return err
+	}
+	out := editOutcome{Section: e.Section, Result: result}
+	if result.Status == config.EditAccepted && f.wait > 0 {
+		out.Applied = waitApplied(cmd.Context(), c, result.Revision, f.wait)
+	}
+	if err := s.print(cmd, out, out.text); err != nil {
+		return err
+	}
+	return verdictError(e.Section, result)
+}
+
+// submit sends an edit, again and with the same ID while there is no verdict.
+func submit(ctx context.Context, c *api.Client, timeout time.Duration, e config.Edit) (config.EditResult, error) {
+	if e.ID == "" {
+		e.ID = uuid.NewString()
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	retry := backoff.Backoff{Min: retryMin, Max: retryMax}
+	for {
+		result, err := c.Edit(ctx, e)
+		if err == nil {
+			return result, nil
+		}
+		var problem *api.ProblemError
+		if errors.As(err, &problem) && problem.Status != http.StatusServiceUnavailable {
+			return result, err
+		}
+		if !retry.Wait(ctx) {
+			return result, errors.Wrapf(err, "no verdict on the edit of [%s] yet, send it again with --id %s", e.Section, e.ID)
+		}
+	}
+}
+
+// waitApplied waits until a revision is in force on all instances.
+func waitApplied(ctx context.Context, c *api.Client, revision uint64, longest time.Duration) *api.Applied {
+	ctx, cancel := context.WithTimeout(ctx, longest)
+	defer cancel()
+	var last *api.Applied
+	for {
+		if a, err := c.Applied(ctx, revision); err == nil {
+			last = &a
+			if a.InForce == a.Instances {
+				return last
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return last
+		case <-time.After(appliedPoll):
+		}
+	}
+}
+
+func (o editOutcome) text() string {
+	if o.Result.Status != config.EditAccepted {
+		return ""
+	}
+	text := fmt.Sprintf("[%s] accepted, revision %d", o.Section, o.Result.Revision)
+	if o.Applied != nil {
+		text += ", " + appliedText(*o.Applied)
+	}
+	return text + "\n"
+}
+
+// verdictError is the error, with its exit code, for an edit not accepted.
+func verdictError(section string, r config.EditResult) error {
+	switch r.Status {
+	case config.EditSuperseded:
+		by := r.By
+		if by == "" {
+			by = "another operator"
+		}
+		return exitError{errors.Errorf("[%s] superseded by %s, its revision is now %d", section, by, r.Revision), exitSuperseded}
+	case config.EditInvalid:
+		return exitError{errors.Errorf("[%s] is not right: %s", section, r.Problem), exitUsage}
+	}
+	return nil
+}
--- a/cmd/savoryfoldctl/main.go
+++ b/cmd/savoryfoldctl/main.go
@@ -7,6 +7,7 @@
 import (
 	"fmt"
 	"os"
+	"strings"
 
 	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
@@ -32,23 +33,54 @@
 		return
 	}
 	fmt.Fprintln(os.Stderr, err)
-	code := exitFailed
+	os.Exit(exitCode(err))
+}
+
+// usageErrors begin the errors by which cobra refuses arguments.
+var usageErrors = []string{"unknown command", "required flag", "accepts "}
+
+func exitCode(err error) int {
 	var coded exitError
 	if errors.As(err, &coded) {
-		code = coded.code
+		return coded.code
+	}
+	for _, usage := range usageErrors {
+		if strings.HasPrefix(err.Error(), usage) {
+			return exitUsage
+		}
 	}
-	os.Exit(code)
+	return exitFailed
 }
 
 func command() *cobra.Command {
+	s := &session{}
 	root := &cobra.Command{
-		Use:           "savoryfoldctl",
-		Short:         "Operate savoryfold",
+		Use:   "savoryfoldctl",
+		Short: "Operate savoryfold",
+		Long: "savoryfoldctl operates savoryfold through the administration API of any instance.\n\n" +
+			"Exit codes: 0 done, 1 failed, 2 wrong arguments or faults in a file, 3 the edit\nwas superseded by another.",
 		Version:       version.Version,
 		SilenceErrors: true,
 		SilenceUsage:  true,
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return exitError{err, exitUsage} })
-	root.AddCommand(quickstartCommand(), checkCommand())
+	s.addFlags(root)
+	root.AddCommand(
+		quickstartCommand(), checkCommand(), hashCommand(),
+		tablesCommand(s), zoneCommand(s), versionCommand(s),
+		sectionCommand(s, "route"), sectionCommand(s, "pool"), sectionCommand(s, "account"), sectionCommand(s, "zone"),
+		movesCommand(s), membersCommand(s), appliedCommand(s), claimsCommand(s),
+		dumpCommand(s), logCommand(s), logLevelCommand(s),
+	)
 	return root
 }
+
+// exactArgs wants a number of arguments.
+func exactArgs(n int) cobra.PositionalArgs {
+	return func(cmd *cobra.Command, args []string) error {
+		if err := cobra.ExactArgs(n)(cmd, args); err != nil {
+			return exitError{err, exitUsage}
+		}
+		return nil
+	}
+}
--- a/cmd/savoryfoldctl/quickstart.go
+++ b/cmd/savoryfoldctl/quickstart.go
@@ -13,9 +13,10 @@
 
 func quickstartCommand() *cobra.Command {
 	return &cobra.Command{
-		Use:   "quickstart",
-		Short: "Serve one four-stage request on stand-ins and three instances in this process",
-		Args:  cobra.NoArgs,
+		Use:     "quickstart",
+		Example: "  savoryfoldctl quickstart",
+		Short:   "Serve one four-stage request on stand-ins and three instances in this process",
+		Args:    exactArgs(0),
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			ctx, cancel := context.WithTimeout(cmd.Context(), quickstartTimeout)
 			defer cancel()
--- a/config/compile.go
+++ b/config/compile.go
@@ -178,6 +178,9 @@
 	}
 	c.checkShares(r)
 	r.Move = c.move()
+	if r.Move != nil && r.Version != "" {
+		c.fail("version", "is not used beside a move")
+	}
 	return r
 }
 
