Prove calls and entry against wrong answers and bad input

Cause: the transport and the entry had no tests of the failures that they are meant for.

Ruled out: clearing the connection's read deadline by hand so that a request may outlive body_timeout; net/http does so itself once the body is read, and the test that was to fail without it passed.

--- a/kernel/instance.go
+++ b/kernel/instance.go
@@ -89,6 +89,16 @@
 	return nil
 }
 
+// Module returns the module with the ID, or nil if the settings left it out.
+func (in *Instance) Module(id ModuleID) Module {
+	for _, l := range in.modules {
+		if l.info.ID == id {
+			return l.module
+		}
+	}
+	return nil
+}
+
 // State returns the instance's state.
 func (in *Instance) State() State { return State(in.state.Load()) }
 
--- /dev/null
+++ b/plugins/entryhttp/entryhttp_test.go
@@ -0,0 +1,270 @@
+package entryhttp
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"go.uber.org/goleak"
+
+	"github.com/savoryfold/savoryfold/config"
+	"github.com/savoryfold/savoryfold/internal/httpapi"
+	"github.com/savoryfold/savoryfold/kernel"
+	_ "github.com/savoryfold/savoryfold/plugins/backendhttp"
+	_ "github.com/savoryfold/savoryfold/plugins/claims"
+	_ "github.com/savoryfold/savoryfold/plugins/configsource"
+	_ "github.com/savoryfold/savoryfold/plugins/membership"
+	_ "github.com/savoryfold/savoryfold/plugins/policies"
+)
+
+const apiKey = "alto-key"
+
+// running is an instance with one backend server.
+type running struct {
+	address string
+	calls   atomic.Int32
+	in      *kernel.Instance
+	done    chan error
+	backend *httptest.Server
+}
+
+func start(t *testing.T, backend http.HandlerFunc) *running {
+	t.Helper()
+	r := &running{done: make(chan error, 1)}
+	r.backend = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		r.calls.Add(1)
+		w.Header().Set(httpapi.HeaderCallID, req.Header.Get(httpapi.HeaderCallID))
+		backend(w, req)
+	}))
+	settings, err := kernel.Schema().Load("t.ini", []byte(`[instance]
+id = hobart-1
+zone = hobart
+[entry]
+listen = 127.0.0.1:0
+max_body = 1KiB
+header_timeout = 200ms
+body_timeout = 300ms
+drain = 1ms
+[policy]
+admission = baseline
+placement = baseline
+limits = baseline
+retry = baseline
+queue = baseline
+rollout = baseline
+configsource = file
+membership = static
+claims = memory
+[tables]
+file = /dev/null
+`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.in, err = kernel.NewInstance(settings, slog.New(slog.DiscardHandler), &slog.LevelVar{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.run(t)
+	return r
+}
+
+func (r *running) run(t *testing.T) {
+	t.Helper()
+	text := fmt.Sprintf("[account alto]\nkey_sha256 = %s\n[route answer]\nstages = a\na.pool = p\na.stream = true\n"+
+		"[route issue]\nstages = a\na.pool = p\na.idempotent = false\n[pool p]\nserver.s = zone=hobart addr=%s\n",
+		httpapi.HashToken(apiKey), strings.TrimPrefix(r.backend.URL, "http://"))
+	tables, err := config.ParseTables("t.ini", []byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	tables.Revision = 1
+	go func() { r.done <- r.in.Run(context.Background()) }()
+	r.in.Host.SetTables(tables)
+	deadline := time.Now().Add(30 * time.Second)
+	for !r.in.Ready() && time.Now().Before(deadline) {
+		time.Sleep(time.Millisecond)
+	}
+	r.address = r.in.Module("entryhttp").(*Entry).Address()
+}
+
+func (r *running) stop() {
+	r.in.Shutdown()
+	<-r.done
+	r.backend.Close()
+	http.DefaultClient.CloseIdleConnections()
+}
+
+func (r *running) post(route, key, body string, headers map[string]string) *http.Response {
+	req, _ := http.NewRequest(http.MethodPost, "http://"+r.address+"/v1/routes/"+route, strings.NewReader(body))
+	if key != "" {
+		req.Header.Set("Authorization", "Bearer "+key)
+	}
+	for k, v := range headers {
+		req.Header.Set(k, v)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	So(err, ShouldBeNil)
+	return resp
+}
+
+func TestBadInput(t *testing.T) {
+	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+	r := start(t, func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, `{}`) })
+	defer r.stop()
+	cases := []struct {
+		name, route, key, body string
+		headers                map[string]string
+		status                 int
+		reason                 kernel.OutcomeReason
+	}{
+		{"unknown route", "none", apiKey, `{}`, nil, 404, kernel.ReasonUnknownRoute},
+		{"no key", "answer", "", `{}`, nil, 401, kernel.ReasonUnauthorized},
+		{"wrong key", "answer", "guess", `{}`, nil, 401, kernel.ReasonUnauthorized},
+		{"malformed JSON", "answer", apiKey, `{`, nil, 400, kernel.ReasonBadRequest},
+		{"oversized body", "answer", apiKey, `"` + strings.Repeat("a", 2000) + `"`, nil, 413, kernel.ReasonTooLarge},
+		{"bad deadline", "answer", apiKey, `{}`, map[string]string{httpapi.HeaderDeadline: "soon"}, 400, kernel.ReasonBadDeadline},
+		{"deadline past bounds", "answer", apiKey, `{}`, map[string]string{httpapi.HeaderDeadline: "-5s"}, 400, kernel.ReasonBadDeadline},
+		{"no idempotency key", "issue", apiKey, `{}`, nil, 400, kernel.ReasonKeyRequired},
+		{"long idempotency key", "issue", apiKey, `{}`, map[string]string{httpapi.HeaderIdempotencyKey: strings.Repeat("k", 200)}, 400, kernel.ReasonBadRequest},
+	}
+	for _, c := range cases {
+		Convey("Bad input: "+c.name, t, func() {
+			resp := r.post(c.route, c.key, c.body, c.headers)
+			defer resp.Body.Close()
+			So(resp.StatusCode, ShouldEqual, c.status)
+			So(resp.Header.Get("Content-Type"), ShouldEqual, "application/problem+json")
+			So(resp.Header.Get(httpapi.HeaderOutcome), ShouldEqual, string(kernel.Rejected))
+			So(resp.Header.Get(httpapi.HeaderReason), ShouldEqual, string(c.reason))
+			text, _ := io.ReadAll(resp.Body)
+			So(json.Valid(text), ShouldBeTrue)
+			So(string(text), ShouldNotContainSubstring, apiKey)
+		})
+	}
+	Convey("A slow caller and a half-open one are dropped", t, func() {
+		for _, sent := range []string{"POST /v1/routes/answer HT", "POST /v1/routes/answer HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + apiKey + "\r\nContent-Length: 50\r\n\r\n{"} {
+			conn, err := net.Dial("tcp", r.address)
+			So(err, ShouldBeNil)
+			_, err = io.WriteString(conn, sent)
+			So(err, ShouldBeNil)
+			So(conn.SetReadDeadline(time.Now().Add(30*time.Second)), ShouldBeNil)
+			text, err := io.ReadAll(conn)
+			So(err, ShouldBeNil) // the instance ended the connection, not our deadline
+			So(string(text), ShouldNotContainSubstring, "200 OK")
+			So(conn.Close(), ShouldBeNil)
+		}
+	})
+	Convey("None of it ran anything", t, func() { So(r.calls.Load(), ShouldEqual, 0) })
+}
+
+func TestWholeAndStreamedAnswers(t *testing.T) {
+	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+	r := start(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		fmt.Fprint(w, "id: 1\ndata: one\n\nid: 2\ndata: two\n\nevent: done\ndata: {\"engine_ms\": 7, \"tokens\": 2}\n\n")
+	})
+	defer r.stop()
+	Convey("A whole answer carries each stage's cost in its trailer", t, func() {
+		resp := r.post("answer", apiKey, `{}`, nil)
+		defer resp.Body.Close()
+		text, err := io.ReadAll(resp.Body)
+		So(err, ShouldBeNil)
+		So(string(text), ShouldEqual, `{"text":"onetwo"}`)
+		So(resp.Header.Get(httpapi.HeaderOutcome), ShouldEqual, "served")
+		var costs []kernel.StageCost
+		So(json.Unmarshal([]byte(resp.Trailer.Get(httpapi.HeaderCost)), &costs), ShouldBeNil)
+		So(costs[0].EngineMS, ShouldEqual, 7)
+		So(costs[0].Tokens, ShouldEqual, 2)
+	})
+	Convey("A streamed answer ends with the event done", t, func() {
+		resp := r.post("answer", apiKey, `{}`, map[string]string{"Accept": "text/event-stream"})
+		defer resp.Body.Close()
+		text, err := io.ReadAll(resp.Body)
+		So(err, ShouldBeNil)
+		So(string(text), ShouldContainSubstring, "id: 1\ndata: one\n\n")
+		So(string(text), ShouldContainSubstring, "event: done\ndata: {\"outcome\":\"served\"")
+	})
+}
+
+func TestCutStreamEndsWithAnError(t *testing.T) {
+	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+	r := start(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		fmt.Fprint(w, "id: 1\ndata: one\n\n")
+	})
+	defer r.stop()
+	Convey("A stream that cannot go on ends with an error event", t, func() {
+		resp := r.post("answer", apiKey, `{}`, map[string]string{"Accept": "text/event-stream"})
+		defer resp.Body.Close()
+		scanner := bufio.NewScanner(resp.Body)
+		var last string
+		for scanner.Scan() {
+			if strings.HasPrefix(scanner.Text(), "event:") {
+				last = scanner.Text()
+			}
+		}
+		So(scanner.Err(), ShouldBeNil)
+		So(last, ShouldEqual, "event: error")
+	})
+}
+
+func TestLongRequestOutlivesBodyTimeout(t *testing.T) {
+	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+	r := start(t, func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(600 * time.Millisecond) // twice body_timeout
+		fmt.Fprint(w, `{}`)
+	})
+	defer r.stop()
+	Convey("The time to read a request does not bound the time to run it", t, func() {
+		resp := r.post("answer", apiKey, `{}`, nil)
+		defer resp.Body.Close()
+		So(resp.StatusCode, ShouldEqual, http.StatusOK)
+	})
+}
+
+func TestPlannedStopFinishesRequests(t *testing.T) {
+	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+	started, goOn := make(chan struct{}), make(chan struct{})
+	r := start(t, func(w http.ResponseWriter, _ *http.Request) {
+		close(started)
+		<-goOn
+		fmt.Fprint(w, `{"whole": true}`)
+	})
+	Convey("A request in progress is answered whole while the instance stops", t, func() {
+		answers := make(chan *http.Response, 1)
+		go func() {
+			req, _ := http.NewRequest(http.MethodPost, "http://"+r.address+"/v1/routes/issue", strings.NewReader(`{}`))
+			req.Header.Set("Authorization", "Bearer "+apiKey)
+			req.Header.Set(httpapi.HeaderIdempotencyKey, "k")
+			resp, err := http.DefaultClient.Do(req)
+			if err != nil {
+				close(answers)
+				return
+			}
+			answers <- resp
+		}()
+		<-started
+		r.in.Shutdown()
+		close(goOn)
+		resp, ok := <-answers
+		So(ok, ShouldBeTrue)
+		text, err := io.ReadAll(resp.Body)
+		So(err, ShouldBeNil)
+		So(string(text), ShouldEqual, `{"whole": true}`)
+		resp.Body.Close()
+		So(<-r.done, ShouldBeNil)
+		r.backend.Close()
+		http.DefaultClient.CloseIdleConnections()
+	})
+}
