Add adaptive limits divided among the instances, and slots handed to waiters

Cause: each instance used the full limit of every server, so nine instances together sent a cold server nine times what it can bear. A freed slot woke one waiter, which could lose it to a newcomer. A server kept the table entry of its first revision, so that an edit "leaving" or a zone taken out did not reach it.

Ruled out: shares in proportion to the zone's traffic. They are not monotone in the number of members, so that the sum is no longer bounded while views differ; the order of ranks, own zone first, keeps the bound.

Change: limits.standard (AIMD on latency against its floor for each size class, cold until a report or successes at the limit show the server warm, cold again on a new boot, a fall of warmth, a jump of latency or failures in a row); members that left count for instance.settle, a new instance waits as long; Host.Lend and SlotBorrower for slots between instances; waiting calls are handed their slots in the queue's order and told at once when they can no longer be done in time; the runtime state of a server is apart from its table entry.

Conclusion: the sum of shares equals the limit with equal views and exceeds it by one share at most while views differ by a member (rapid, kernel and policy).

--- a/kernel/dump.go
+++ b/kernel/dump.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/savoryfold/savoryfold/config"
+	"github.com/savoryfold/savoryfold/policy"
 )
 
 // Dump is the state of one process, without secrets.
@@ -24,8 +25,10 @@
 
 // PoolDump is a pool's state as dumped.
 type PoolDump struct {
-	Waiting int          `json:"waiting"`
-	Servers []ServerDump `json:"servers"`
+	Waiting int `json:"waiting"`
+	// Decisions counts placements and ends of waiting by their reason.
+	Decisions map[policy.Reason]int64 `json:"decisions"`
+	Servers   []ServerDump            `json:"servers"`
 }
 
 // ZoneStatus is an availability zone's state as dumped.
@@ -58,7 +61,7 @@
 	d.Revision = snap.Tables.Revision
 	for _, name := range slices.Sorted(maps.Keys(snap.pools)) {
 		p := snap.pools[name]
-		pd := PoolDump{Waiting: p.waiters.len()}
+		pd := PoolDump{Waiting: p.waiters.len(), Decisions: p.reasons.dump()}
 		for _, s := range p.Servers {
 			pd.Servers = append(pd.Servers, s.dump())
 		}
--- a/kernel/fleet.go
+++ b/kernel/fleet.go
@@ -1,100 +1,72 @@
 package kernel
 
 import (
-	"slices"
-	"strings"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/savoryfold/savoryfold/config"
 )
 
 // fleet keeps the runtime state of pools and servers over revisions.
 type fleet struct {
 	mu      sync.Mutex
-	servers map[serverKey]*Server // guarded by mu
-	queues  map[string]*waiters   // by pool; guarded by mu
+	servers map[serverKey]*serverState // guarded by mu
+	pools   map[string]*poolState      // by name; guarded by mu
+	sharers sharers
 }
 
 type serverKey struct{ pool, name, address string }
 
-// build makes a snapshot for the tables. It keeps the state of servers that
-// stay and forgets those that went. The caller holds mu.
+// build makes a snapshot for the tables. It keeps the state of servers and
+// pools that stay and forgets those that went. The caller holds mu.
 func (f *fleet) build(h *Host, t *config.Tables) *Snapshot {
 	now := time.Now()
-	old := f.servers
-	f.servers = make(map[serverKey]*Server)
-	if f.queues == nil {
-		f.queues = make(map[string]*waiters)
-	}
+	oldServers, oldPools := f.servers, f.pools
+	f.servers = make(map[serverKey]*serverState)
+	f.pools = make(map[string]*poolState)
 	snap := &Snapshot{Tables: t, pools: make(map[string]*Pool)}
 	for name, pc := range t.Pools {
-		p := &Pool{Config: pc, host: h, tables: t}
+		state := oldPools[name]
+		if state == nil {
+			state = &poolState{waiters: newWaiters(h.Decisions.Queues)}
+		}
+		f.pools[name] = state
+		servers := make([]*Server, 0, len(pc.Servers))
 		for _, sc := range pc.Servers {
-			p.Servers = append(p.Servers, f.server(h, old, sc, pc, now))
+			s := f.server(h, oldServers, sc, pc, now)
+			s.barred.Store(sc.Leaving || t.ZoneOut(sc.Zone))
+			servers = append(servers, s)
 		}
-		if f.queues[name] == nil {
-			f.queues[name] = &waiters{queue: h.Decisions.Queues.NewQueue()}
+		snap.pools[name] = newPool(h, t, pc, state, servers)
+	}
+	for key, s := range oldServers {
+		if f.servers[key] == nil {
+			s.barred.Store(true)
 		}
-		p.waiters = f.queues[name]
-		snap.pools[name] = p
 	}
-	refresh(h, snap, now)
+	f.refresh(h, snap, now)
 	return snap
 }
 
-func (f *fleet) server(h *Host, old map[serverKey]*Server, c config.Server, pool *config.Pool, now time.Time) *Server {
+func (f *fleet) server(h *Host, old map[serverKey]*serverState, c config.Server, pool *config.Pool, now time.Time) *Server {
 	key := serverKey{c.Pool, c.Name, c.Address}
 	s := old[key]
 	if s == nil {
-		s = newServer(c, pool, h.Decisions.Limits, now)
+		s = newServerState(c, pool, h.Decisions.Limits, now)
 	}
+	s.configure(pool)
 	f.servers[key] = s
-	return s
+	return &Server{Config: c, serverState: s}
 }
 
 // refresh works out the allowance of every server of a snapshot.
-func refresh(h *Host, snap *Snapshot, now time.Time) {
-	live := liveIDs(h)
+func (f *fleet) refresh(h *Host, snap *Snapshot, now time.Time) {
+	settle := h.Settings.Duration("instance", "settle")
+	roster := f.sharers.update(now, liveSharers(h), settle)
 	for _, p := range snap.pools {
 		for _, s := range p.Servers {
-			s.refresh(now, h.Decisions.Limits, rankOf(h.ID(), live, s.ID), len(live))
+			s.refresh(now, h.Decisions.Limits, h.ID(), roster)
 		}
-		p.waiters.wake()
+		p.waiters.dispatch()
 	}
 }
-
-// liveIDs returns the IDs of the instances that share the servers' limits.
-func liveIDs(h *Host) []string {
-	ids := []string{h.ID()}
-	if h.Membership == nil {
-		return ids
-	}
-	for _, m := range h.Membership.View().Live() {
-		if m.ID != h.ID() {
-			ids = append(ids, m.ID)
-		}
-	}
-	slices.Sort(ids)
-	return ids
-}
-
-// rankOf is the place of an instance among the live ones in the rendezvous
-// order of a server, from 0.
-func rankOf(self string, live []string, server string) int {
-	mine := rendezvous(self, server)
-	rank := 0
-	for _, id := range live {
-		weight := rendezvous(id, server)
-		if weight > mine || (weight == mine && strings.Compare(id, self) < 0) {
-			rank++
-		}
-	}
-	return rank
-}
-
-func rendezvous(instance, key string) uint64 {
-	return xxhash.Sum64String(instance + "\x00" + key)
-}
--- a/kernel/host.go
+++ b/kernel/host.go
@@ -46,6 +46,8 @@
 	Claims     Claims
 	Versions   Versions
 	CrashGuard CrashGuard
+	Borrower   SlotBorrower
+	CacheHints CacheHints
 	// ClaimsOperator and Moves serve operators.
 	ClaimsOperator ClaimsOperator
 	Moves          Moves
@@ -95,6 +97,8 @@
 	set(&h.Claims, m)
 	set(&h.Versions, m)
 	set(&h.CrashGuard, m)
+	set(&h.Borrower, m)
+	set(&h.CacheHints, m)
 	set(&h.ClaimsOperator, m)
 	set(&h.Moves, m)
 }
--- a/kernel/instance.go
+++ b/kernel/instance.go
@@ -141,7 +141,7 @@
 		select {
 		case now := <-ticker.C:
 			if snap := in.Host.Snapshot(); snap != nil {
-				refresh(in.Host, snap, now)
+				in.Host.fleet.refresh(in.Host, snap, now)
 			}
 		case <-in.stop:
 			return
@@ -181,6 +181,6 @@
 // servers changed.
 func (in *Instance) Refresh() {
 	if snap := in.Host.Snapshot(); snap != nil {
-		refresh(in.Host, snap, time.Now())
+		in.Host.fleet.refresh(in.Host, snap, time.Now())
 	}
 }
--- /dev/null
+++ b/kernel/lend.go
@@ -0,0 +1,78 @@
+package kernel
+
+import (
+	"context"
+
+	"github.com/savoryfold/savoryfold/policy"
+)
+
+// Lend takes one of this instance's own free call slots on a server, named
+// "pool/name", for another instance. The release function gives it back and is
+// called exactly once. Calls that wait here go first: nothing is lent then.
+func (h *Host) Lend(server string) (release func(), ok bool) {
+	p, s := h.findServer(server)
+	if s == nil || p.waiters.busy() || !p.usable(s) || !s.take() {
+		return nil, false
+	}
+	return func() {
+		s.inFlight.Add(-1)
+		p.waiters.dispatch()
+	}, true
+}
+
+// IdleSlots counts this instance's free call slots on a server, named
+// "pool/name", that it could lend.
+func (h *Host) IdleSlots(server string) int {
+	p, s := h.findServer(server)
+	if s == nil || p.waiters.busy() || !p.usable(s) {
+		return 0
+	}
+	return int(max(0, s.allowance.Load()+s.borrowed.Load()-s.inFlight.Load()))
+}
+
+// findServer returns the pool and the server with the ID, or nil.
+func (h *Host) findServer(id string) (*Pool, *Server) {
+	snap := h.Snapshot()
+	if snap == nil {
+		return nil, nil
+	}
+	for _, p := range snap.pools {
+		for _, s := range p.Servers {
+			if s.ID == id {
+				return p, s
+			}
+		}
+	}
+	return nil, nil
+}
+
+// usable reports whether the server may get new calls now.
+func (p *Pool) usable(s *Server) bool {
+	v := p.view(&want{})
+	defer v.free()
+	return v.usable(s)
+}
+
+// borrow takes a call slot from another instance on a server that placement
+// chooses as if every server had a free slot. It returns nil if no slot is lent.
+func (p *Pool) borrow(ctx context.Context, w *want) *Server {
+	borrower := p.host.Borrower
+	if borrower == nil {
+		return nil
+	}
+	v := p.view(w)
+	defer v.free()
+	v.borrowing = true
+	choice := p.choose(w, v)
+	if choice.Index == policy.NoServer {
+		return nil
+	}
+	s := p.Servers[choice.Index]
+	release, ok := borrower.Borrow(ctx, s.ID)
+	if !ok {
+		return nil
+	}
+	s.acquireBorrowed(release)
+	p.reasons.count(reasonBorrowed)
+	return s
+}
--- a/kernel/pool.go
+++ b/kernel/pool.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
-	"sync"
+	"slices"
 	"time"
 
 	"github.com/savoryfold/savoryfold/config"
@@ -12,65 +12,20 @@
 
 // Pool is one pool of a snapshot.
 type Pool struct {
-	Config  *config.Pool
+	Config *config.Pool
+	// Servers holds those of the instance's own availability zone first.
 	Servers []*Server
+	locals  int      // number of servers of the own zone
+	ids     []uint64 // hashes of the servers' identities, by index
 	host    *Host
 	tables  *config.Tables
-	waiters *waiters
-}
-
-// waiters holds the calls that wait for a call slot of a pool.
-type waiters struct {
-	mu    sync.Mutex
-	queue policy.Queue             // guarded by mu
-	woken map[uint64]chan struct{} // guarded by mu
-	next  uint64                   // guarded by mu
-}
-
-// wait queues a ticket and returns the channel that is closed when it is the
-// ticket's turn to try again.
-func (w *waiters) wait(now time.Time, t policy.Ticket) (uint64, <-chan struct{}) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.next++
-	t.ID = w.next
-	if w.woken == nil {
-		w.woken = make(map[uint64]chan struct{})
-	}
-	ch := make(chan struct{})
-	w.woken[t.ID] = ch
-	w.queue.Push(now, t)
-	return t.ID, ch
-}
-
-// leave takes a ticket out. It reports whether the ticket had been woken.
-func (w *waiters) leave(id uint64) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if _, waiting := w.woken[id]; !waiting {
-		return true
-	}
-	delete(w.woken, id)
-	w.queue.Remove(id)
-	return false
+	*poolState
 }
 
-// wake lets the next ticket try again.
-func (w *waiters) wake() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	t, ok := w.queue.Pop(time.Now())
-	if !ok {
-		return
-	}
-	close(w.woken[t.ID])
-	delete(w.woken, t.ID)
-}
-
-func (w *waiters) len() int {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.queue.Len()
+// poolState is the runtime state of a pool, which lives over revisions.
+type poolState struct {
+	waiters *waiters
+	reasons reasons
 }
 
 // want is what a stage call asks of a pool.
@@ -81,109 +36,84 @@
 	tried   []string // IDs of servers that failed the stage already
 }
 
-// view shows a pool's servers to placement.
-type view struct {
-	pool *Pool
-	want *want
-	now  int64
-	zone string
-	// second is true if servers that were tried already are usable again.
-	second bool
-}
-
-// Len implements policy.View.
-func (v *view) Len() int { return len(v.pool.Servers) }
-
-// At implements policy.View.
-func (v *view) At(i int) policy.Candidate {
-	s := v.pool.Servers[i]
-	return s.candidate(v.usable(s), v.zone)
-}
-
-func (v *view) usable(s *Server) bool {
-	if s.Config.Leaving || v.pool.tables.ZoneOut(s.Config.Zone) {
-		return false
-	}
-	if v.want.version != "" && v.pool.Config.Versioned && s.Config.Version != v.want.version {
-		return false
-	}
-	if s.ejected.Load() > v.now {
-		return false
+// newPool makes a pool of a snapshot, without its servers' allowances.
+func newPool(h *Host, t *config.Tables, c *config.Pool, state *poolState, servers []*Server) *Pool {
+	p := &Pool{Config: c, Servers: servers, host: h, tables: t, poolState: state}
+	slices.SortStableFunc(p.Servers, func(a, b *Server) int {
+		return p.distance(a) - p.distance(b)
+	})
+	for _, s := range p.Servers {
+		p.locals += 1 - p.distance(s)
+		p.ids = append(p.ids, s.hash)
 	}
-	return v.second || !v.wasTried(s)
+	return p
 }
 
-func (v *view) wasTried(s *Server) bool {
-	for _, id := range v.want.tried {
-		if id == s.ID {
-			return true
-		}
+// distance is 0 for a server of the instance's own zone, else 1.
+func (p *Pool) distance(s *Server) int {
+	if s.Config.Zone == p.host.Zone() {
+		return 0
 	}
-	return false
+	return 1
 }
 
-// acquire takes a call slot on the server that placement chooses, waiting in
-// the pool's queue while all are taken. It returns nil when the context ends.
+// acquire takes a call slot on the server that placement chooses. While all are
+// taken it borrows one of another instance, or waits in the pool's queue. It
+// returns nil when the context ends or the call can no longer be done in time.
 func (p *Pool) acquire(ctx context.Context, w *want) *Server {
-	for {
+	if !p.waiters.busy() {
 		if s := p.try(w); s != nil {
 			return s
 		}
-		id, turn := p.waiters.wait(time.Now(), w.ticket)
-		// A slot may have come free between the try and the wait.
-		if s := p.try(w); s != nil {
-			if p.waiters.leave(id) {
-				p.waiters.wake()
-			}
-			return s
-		}
-		select {
-		case <-turn:
-		case <-ctx.Done():
-			if p.waiters.leave(id) {
-				p.waiters.wake()
-			}
-			return nil
-		}
 	}
+	if s := p.borrow(ctx, w); s != nil {
+		return s
+	}
+	return p.waiters.wait(ctx, p, w)
 }
 
 // try takes a call slot if one is free now.
 func (p *Pool) try(w *want) *Server {
-	now := time.Now()
-	v := &view{pool: p, want: w, now: now.UnixNano(), zone: p.host.Zone()}
+	v := p.view(w)
+	defer v.free()
 	for range len(p.Servers) + 1 {
-		w.call.Random = rand.Uint64()
-		choice := p.host.Decisions.Placement.Choose(now, w.call, v)
+		choice := p.choose(w, v)
 		if choice.Index == policy.NoServer {
-			if len(w.tried) == 0 || v.second {
-				return nil
-			}
-			v.second = true
-			continue
+			return nil
 		}
 		if s := p.Servers[choice.Index]; s.acquire() {
+			p.reasons.count(choice.Reason)
 			return s
 		}
 	}
 	return nil
 }
 
-// release gives a call slot back and lets the next call try.
+// choose asks placement for a server: first one that did not fail the stage,
+// then any.
+func (p *Pool) choose(w *want, v *view) policy.Choice {
+	call := w.call
+	call.Random = rand.Uint64()
+	placement := p.host.Decisions.Placement
+	choice := placement.Choose(v.time, call, v)
+	if choice.Index == policy.NoServer && len(w.tried) > 0 && !v.second {
+		v.second = true
+		choice = placement.Choose(v.time, call, v)
+	}
+	return choice
+}
+
+// release gives a call slot back and lets waiting calls have it.
 func (p *Pool) release(s *Server) {
 	s.release()
-	p.waiters.wake()
+	p.waiters.dispatch()
 }
 
 // hasServer reports whether any server of the pool may get calls of a version.
 func (p *Pool) hasServer(version string) bool {
-	v := &view{pool: p, want: &want{version: version}, second: true}
-	for _, s := range p.Servers {
-		if v.usable(s) {
-			return true
-		}
-	}
-	return false
+	v := p.view(&want{version: version})
+	defer v.free()
+	return slices.ContainsFunc(p.Servers, v.usable)
 }
 
 // forecast is what admission knows of a stage on this pool.
--- /dev/null
+++ b/kernel/reasons.go
@@ -0,0 +1,59 @@
+package kernel
+
+import (
+	"maps"
+	"sync"
+	"sync/atomic"
+
+	"github.com/savoryfold/savoryfold/policy"
+)
+
+// Reasons of a pool besides those of the policies.
+const (
+	reasonLate     policy.Reason = "queue-late"
+	reasonGone     policy.Reason = "queue-gone"
+	reasonBorrowed policy.Reason = "borrowed"
+)
+
+// reasons counts decisions by their reason. Reads of the map take no lock; a
+// reason seen for the first time makes a new map.
+type reasons struct {
+	counts atomic.Pointer[map[policy.Reason]*atomic.Int64]
+	mu     sync.Mutex
+}
+
+func (r *reasons) count(reason policy.Reason) { r.counter(reason).Add(1) }
+
+func (r *reasons) counter(reason policy.Reason) *atomic.Int64 {
+	if m := r.counts.Load(); m != nil {
+		if c := (*m)[reason]; c != nil {
+			return c
+		}
+	}
+	return r.add(reason)
+}
+
+func (r *reasons) add(reason policy.Reason) *atomic.Int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	next := make(map[policy.Reason]*atomic.Int64)
+	if m := r.counts.Load(); m != nil {
+		maps.Copy(next, *m)
+	}
+	if next[reason] == nil {
+		next[reason] = &atomic.Int64{}
+	}
+	r.counts.Store(&next)
+	return next[reason]
+}
+
+// dump returns the counts.
+func (r *reasons) dump() map[policy.Reason]int64 {
+	out := make(map[policy.Reason]int64)
+	if m := r.counts.Load(); m != nil {
+		for reason, c := range *m {
+			out[reason] = c.Load()
+		}
+	}
+	return out
+}
--- a/kernel/server.go
+++ b/kernel/server.go
@@ -11,71 +11,139 @@
 	"github.com/savoryfold/savoryfold/policy"
 )
 
-// Server is the runtime state of one backend server. It lives as long as the
-// tables name the server with the same address.
+// Server is one backend server of a snapshot: what the tables say of it, and
+// its runtime state, which lives as long as the tables name the server with the
+// same address.
 type Server struct {
 	Config config.Server
+	*serverState
+}
+
+// serverState is the runtime state of one backend server.
+type serverState struct {
 	// ID is "pool/name".
 	ID   string
 	hash uint64
 
 	inFlight  atomic.Int64
+	borrowed  atomic.Int64 // call slots on loan from other instances
 	sent      atomic.Int64 // calls sent since the last load report
 	done      atomic.Int64 // calls finished since the last load report
 	expected  atomic.Int64 // smoothed call time in nanoseconds
 	report    atomic.Pointer[policy.LoadReport]
+	limitNow  atomic.Int64 // the limit over all instances
 	allowance atomic.Int64 // this instance's share of the limit
 	cold      atomic.Bool
+	barred    atomic.Bool  // out of the tables in force, leaving, or in a zone that is out
 	ejected   atomic.Int64 // Unix nanoseconds until which the server is ejected
 
 	mu    sync.Mutex
 	limit policy.ServerLimit // guarded by mu
+	place place              // guarded by mu
+	loans []func()           // give borrowed slots back; guarded by mu
+}
+
+// place is an instance's place among the sharers of a server's limit.
+type place struct {
+	epoch   uint64
+	zone    string
+	rank    int
+	members int
 }
 
 // Weight of a new sample in the smoothed call time: 1/8.
 const smoothing = 8
 
-func newServer(c config.Server, pool *config.Pool, limits policy.Limits, now time.Time) *Server {
-	s := &Server{
-		Config: c,
-		ID:     c.Pool + "/" + c.Name,
-	}
+func newServerState(c config.Server, pool *config.Pool, limits policy.Limits, now time.Time) *serverState {
+	s := &serverState{ID: c.Pool + "/" + c.Name}
 	s.hash = xxhash.Sum64String(s.ID)
-	s.limit = limits.New(now, policy.LimitConfig{Cold: pool.ColdLimit, Max: pool.Limit})
+	s.limit = limits.New(now, limitConfig(pool))
 	return s
 }
 
+func limitConfig(pool *config.Pool) policy.LimitConfig {
+	return policy.LimitConfig{Cold: pool.ColdLimit, Max: pool.Limit}
+}
+
+// configure takes the limits of a new revision of the pool.
+func (s *serverState) configure(pool *config.Pool) {
+	s.mu.Lock()
+	s.limit.Configure(limitConfig(pool))
+	s.mu.Unlock()
+}
+
+// free reports whether a call slot is free.
+func (s *serverState) free() bool {
+	return s.inFlight.Load() < s.allowance.Load()+s.borrowed.Load()
+}
+
 // acquire takes a call slot if one is free.
-func (s *Server) acquire() bool {
+func (s *serverState) acquire() bool {
+	if !s.take() {
+		return false
+	}
+	s.sent.Add(1)
+	return true
+}
+
+func (s *serverState) take() bool {
 	for {
 		n := s.inFlight.Load()
-		if n >= s.allowance.Load() {
+		if n >= s.allowance.Load()+s.borrowed.Load() {
 			return false
 		}
 		if s.inFlight.CompareAndSwap(n, n+1) {
-			s.sent.Add(1)
 			return true
 		}
 	}
 }
 
-// release gives a call slot back.
-func (s *Server) release() {
+// acquireBorrowed takes a call slot that another instance lends.
+func (s *serverState) acquireBorrowed(release func()) {
+	s.mu.Lock()
+	s.loans = append(s.loans, release)
+	s.mu.Unlock()
+	s.borrowed.Add(1)
+	s.inFlight.Add(1)
+	s.sent.Add(1)
+}
+
+// release gives a call slot back, a borrowed one first.
+func (s *serverState) release() {
 	s.inFlight.Add(-1)
 	s.done.Add(1)
+	if s.borrowed.Load() > 0 {
+		s.repay()
+	}
+}
+
+// repay ends one loan.
+func (s *serverState) repay() {
+	s.mu.Lock()
+	last := len(s.loans) - 1
+	if last < 0 {
+		s.mu.Unlock()
+		return
+	}
+	release := s.loans[last]
+	s.loans = s.loans[:last]
+	s.borrowed.Add(-1)
+	s.mu.Unlock()
+	release()
 }
 
 // observe takes the result of a call into the server's state.
-func (s *Server) observe(now time.Time, sample policy.CallSample) {
+func (s *serverState) observe(now time.Time, sample policy.CallSample) {
 	if sample.OK {
 		s.smooth(sample.Latency)
 	}
+	sample.Allowance = int(s.allowance.Load())
 	s.mu.Lock()
 	s.limit.Observe(now, sample)
 	s.mu.Unlock()
 }
 
-func (s *Server) smooth(latency time.Duration) {
+func (s *serverState) smooth(latency time.Duration) {
 	old := s.expected.Load()
 	if old == 0 {
 		s.expected.Store(int64(latency))
@@ -85,7 +153,9 @@
 }
 
 // Report takes a load report of the server.
-func (s *Server) Report(now time.Time, r policy.LoadReport) {
+func (s *serverState) Report(now time.Time, r policy.LoadReport) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	old := s.report.Load()
 	if old != nil && !r.At.After(old.At) {
 		return
@@ -93,28 +163,36 @@
 	s.report.Store(&r)
 	s.sent.Store(0)
 	s.done.Store(0)
-	s.mu.Lock()
 	s.limit.Report(now, r)
-	s.mu.Unlock()
 }
 
 // refresh works out this instance's share of the limit.
-func (s *Server) refresh(now time.Time, limits policy.Limits, rank, members int) {
+func (s *Server) refresh(now time.Time, limits policy.Limits, self string, r roster) {
 	s.mu.Lock()
 	limit := s.limit.Limit(now)
 	cold := s.limit.Cold(now)
+	p := &s.place
+	if p.epoch != r.epoch || p.zone != s.Config.Zone {
+		*p = place{r.epoch, s.Config.Zone, r.rank(self, s.Config.Zone, s.hash), len(r.list)}
+	}
+	rank, members := p.rank, p.members
 	s.mu.Unlock()
+	if r.withheld {
+		rank = members
+	}
 	s.cold.Store(cold)
+	s.limitNow.Store(int64(limit))
 	s.allowance.Store(int64(limits.Share(limit, rank, members)))
 }
 
 // candidate is what placement sees of the server.
-func (s *Server) candidate(usable bool, zone string) policy.Candidate {
+func (s *Server) candidate(usable, local bool) policy.Candidate {
 	c := policy.Candidate{
 		Usable:   usable,
-		Local:    s.Config.Zone == zone,
+		Local:    local,
 		InFlight: int(s.inFlight.Load()),
-		Limit:    int(s.allowance.Load()),
+		Limit:    int(s.allowance.Load() + s.borrowed.Load()),
+		Total:    int(s.limitNow.Load()),
 		Expected: time.Duration(s.expected.Load()),
 		ID:       s.hash,
 	}
@@ -131,6 +209,8 @@
 	Address   string             `json:"address"`
 	Version   string             `json:"version,omitempty"`
 	InFlight  int64              `json:"in_flight"`
+	Borrowed  int64              `json:"borrowed"`
+	Limit     int64              `json:"limit"`
 	Allowance int64              `json:"allowance"`
 	Cold      bool               `json:"cold"`
 	Expected  string             `json:"expected"`
@@ -141,7 +221,8 @@
 func (s *Server) dump() ServerDump {
 	d := ServerDump{
 		ID: s.ID, Zone: s.Config.Zone, Address: s.Config.Address, Version: s.Config.Version,
-		InFlight: s.inFlight.Load(), Allowance: s.allowance.Load(), Cold: s.cold.Load(),
+		InFlight: s.inFlight.Load(), Borrowed: s.borrowed.Load(),
+		Limit: s.limitNow.Load(), Allowance: s.allowance.Load(), Cold: s.cold.Load(),
 		Expected: time.Duration(s.expected.Load()).String(),
 		Report:   s.report.Load(),
 	}
--- /dev/null
+++ b/kernel/sharers.go
@@ -0,0 +1,137 @@
+package kernel
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// sharer is an instance that counts when the limits of servers are divided.
+type sharer struct {
+	id, zone string
+	hash     uint64
+	seen     time.Time // last time that it was live
+}
+
+// sharers follows which instances divide the limits. A member that left still
+// counts for the settle time, since others may not have heard of it yet. An
+// instance that meets its first other member uses no share for the settle
+// time, since the others may not have heard of it.
+type sharers struct {
+	mu       sync.Mutex
+	byID     map[string]sharer // guarded by mu
+	list     []sharer          // sorted by ID; replaced whole, guarded by mu
+	epoch    uint64            // counts changes of list; guarded by mu
+	firstMet time.Time         // guarded by mu
+}
+
+// roster is the list of sharers at one time.
+type roster struct {
+	list  []sharer
+	epoch uint64
+	// withheld is true if the instance must not use its share yet.
+	withheld bool
+}
+
+// update takes the live members and returns the roster.
+func (s *sharers) update(now time.Time, live []sharer, settle time.Duration) roster {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.byID == nil {
+		s.byID = make(map[string]sharer)
+	}
+	changed := false
+	for _, m := range live {
+		if old, ok := s.byID[m.id]; !ok || old.zone != m.zone {
+			changed = true
+		}
+		m.seen = now
+		s.byID[m.id] = m
+	}
+	for id, m := range s.byID {
+		if m.seen != now && now.Sub(m.seen) >= settle {
+			delete(s.byID, id)
+			changed = true
+		}
+	}
+	if changed {
+		s.rebuild()
+	}
+	if s.firstMet.IsZero() && len(s.list) > 1 {
+		s.firstMet = now
+	}
+	withheld := !s.firstMet.IsZero() && now.Sub(s.firstMet) < settle
+	return roster{s.list, s.epoch, withheld}
+}
+
+func (s *sharers) rebuild() {
+	list := make([]sharer, 0, len(s.byID))
+	for _, m := range s.byID {
+		list = append(list, m)
+	}
+	slices.SortFunc(list, func(a, b sharer) int { return strings.Compare(a.id, b.id) })
+	s.list = list
+	s.epoch++
+}
+
+// liveSharers returns the instances that share the servers' limits now.
+func liveSharers(h *Host) []sharer {
+	live := []sharer{newSharer(h.ID(), h.Zone())}
+	if h.Membership == nil {
+		return live
+	}
+	for _, m := range h.Membership.View().Live() {
+		if m.ID != h.ID() {
+			live = append(live, newSharer(m.ID, m.Zone))
+		}
+	}
+	return live
+}
+
+func newSharer(id, zone string) sharer {
+	return sharer{id: id, zone: zone, hash: xxhash.Sum64String(id)}
+}
+
+// rank is the place of an instance among the sharers of a server, from 0. The
+// instances of the server's availability zone come first, since they send it
+// most calls; within each part the order is that of rendezvous hashing.
+func (r roster) rank(self string, zone string, server uint64) int {
+	i := slices.IndexFunc(r.list, func(m sharer) bool { return m.id == self })
+	if i < 0 {
+		return len(r.list)
+	}
+	rank := 0
+	for _, m := range r.list {
+		if before(m, r.list[i], zone, server) < 0 {
+			rank++
+		}
+	}
+	return rank
+}
+
+// before compares two instances in the order of a server's sharers.
+func before(a, b sharer, zone string, server uint64) int {
+	if (a.zone == zone) != (b.zone == zone) {
+		if a.zone == zone {
+			return -1
+		}
+		return 1
+	}
+	if c := cmp.Compare(mix(b.hash^server), mix(a.hash^server)); c != 0 {
+		return c
+	}
+	return strings.Compare(a.id, b.id)
+}
+
+// mix spreads the bits of a number over all bits of the result.
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
--- a/plugins/policies/policies.go
+++ b/plugins/policies/policies.go
@@ -10,6 +10,7 @@
 func init() {
 	register("admission.baseline", func() kernel.Module { return policy.AdmitAll{} })
 	register("placement.baseline", func() kernel.Module { return &policy.RoundRobin{} })
+	register("limits.standard", func() kernel.Module { return policy.AdaptiveLimits{} })
 	register("limits.baseline", func() kernel.Module { return policy.FixedLimits{} })
 	register("retry.baseline", func() kernel.Module { return policy.BlindRetries{} })
 	register("queue.baseline", func() kernel.Module { return policy.FIFOQueues{} })
--- a/policy/limit.go
+++ b/policy/limit.go
@@ -16,8 +16,9 @@
 	// Class is the request's size class, whose latencies are compared.
 	Class string
 	OK    bool
-	// InFlight counts this instance's calls when the call was sent.
-	InFlight int
+	// InFlight counts this instance's calls when the call was sent, Allowance is
+	// its share of the limit.
+	InFlight, Allowance int
 }
 
 // LoadReport is what a backend server says of itself.
@@ -38,6 +39,8 @@
 // ServerLimit is the state machine of one backend server's limit.
 // It is not safe for concurrent use.
 type ServerLimit interface {
+	// Configure takes what the table of pools says now.
+	Configure(c LimitConfig)
 	// Limit is the number of calls that all instances together may have.
 	Limit(now time.Time) int
 	// Cold reports whether the server is regarded as cold.
@@ -52,7 +55,8 @@
 type Limits interface {
 	New(now time.Time, c LimitConfig) ServerLimit
 	// Share is the part of a server's limit that belongs to the instance with
-	// the rank among the live instances.
+	// the rank among the members, from 0. An instance that must not use a share
+	// yet has the rank members.
 	Share(limit, rank, members int) int
 }
 
@@ -61,14 +65,15 @@
 type FixedLimits struct{}
 
 // New implements Limits.
-func (FixedLimits) New(_ time.Time, c LimitConfig) ServerLimit { return fixedLimit{c.Max} }
+func (FixedLimits) New(_ time.Time, c LimitConfig) ServerLimit { return &fixedLimit{c.Max} }
 
 // Share implements Limits.
 func (FixedLimits) Share(limit, _, _ int) int { return limit }
 
 type fixedLimit struct{ max int }
 
-func (l fixedLimit) Limit(time.Time) int         { return l.max }
-func (fixedLimit) Cold(time.Time) bool           { return false }
-func (fixedLimit) Observe(time.Time, CallSample) {}
-func (fixedLimit) Report(time.Time, LoadReport)  {}
+func (l *fixedLimit) Configure(c LimitConfig)     { l.max = c.Max }
+func (l *fixedLimit) Limit(time.Time) int         { return l.max }
+func (*fixedLimit) Cold(time.Time) bool           { return false }
+func (*fixedLimit) Observe(time.Time, CallSample) {}
+func (*fixedLimit) Report(time.Time, LoadReport)  {}
--- /dev/null
+++ b/policy/limit_test.go
@@ -0,0 +1,170 @@
+package policy
+
+import (
+	"testing"
+	"time"
+	"unsafe"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+)
+
+var epoch = time.Date(2026, 3, 2, 6, 0, 0, 0, time.UTC)
+
+const fast = 20 * time.Millisecond
+
+// feed gives the limit calls of one latency, each made at the limit, and
+// returns the time of the last.
+func feed(l ServerLimit, now time.Time, calls int, latency time.Duration) time.Time {
+	for range calls {
+		now = now.Add(latency)
+		l.Observe(now, CallSample{Latency: latency, OK: true, InFlight: 1, Allowance: 1})
+	}
+	return now
+}
+
+func warmServer() (ServerLimit, time.Time) {
+	l := AdaptiveLimits{}.New(epoch, LimitConfig{Cold: 2, Max: 32})
+	l.Report(epoch, LoadReport{Warm: 1, Boot: "a", Version: "v1"})
+	return l, feed(l, epoch, 200, fast)
+}
+
+func TestShareSum(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := rapid.IntRange(0, 400).Draw(t, "limit")
+		members := rapid.IntRange(1, 340).Draw(t, "members")
+		sum := 0
+		for rank := range members {
+			sum += AdaptiveLimits{}.Share(limit, rank, members)
+		}
+		if sum != limit {
+			t.Fatalf("the shares add up to %d, want %d", sum, limit)
+		}
+	})
+}
+
+// A member at place joined (or left) in the order of ranks; each of the others
+// either knows of it or does not.
+func TestShareSumWhileViewsDiffer(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := rapid.IntRange(0, 400).Draw(t, "limit")
+		before := rapid.IntRange(1, 40).Draw(t, "members before")
+		joined := rapid.IntRange(0, before).Draw(t, "rank of the joined")
+		own := AdaptiveLimits{}.Share(limit, joined, before+1)
+		sum := own
+		for rank := range before {
+			if !rapid.Bool().Draw(t, "knows") {
+				sum += AdaptiveLimits{}.Share(limit, rank, before)
+				continue
+			}
+			if rank >= joined {
+				rank++
+			}
+			sum += AdaptiveLimits{}.Share(limit, rank, before+1)
+		}
+		if sum > limit+own {
+			t.Fatalf("the shares add up to %d, want at most %d and one share of %d", sum, limit, own)
+		}
+	})
+}
+
+func TestLimitBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := LimitConfig{Cold: rapid.IntRange(1, 8).Draw(t, "cold"), Max: rapid.IntRange(1, 64).Draw(t, "max")}
+		l := AdaptiveLimits{}.New(epoch, c)
+		now := epoch
+		for range rapid.IntRange(0, 300).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(1, 1000).Draw(t, "ms")) * time.Millisecond)
+			if rapid.IntRange(0, 9).Draw(t, "kind") == 0 {
+				l.Report(now, LoadReport{Warm: rapid.Float64Range(0, 1).Draw(t, "warm"), Boot: rapid.StringMatching("[ab]").Draw(t, "boot"), Running: rapid.IntRange(0, 100).Draw(t, "running")})
+			} else {
+				l.Observe(now, CallSample{Latency: time.Duration(rapid.IntRange(1, 500).Draw(t, "latency")) * time.Millisecond, OK: rapid.IntRange(0, 5).Draw(t, "ok") > 0, InFlight: 4, Allowance: 4})
+			}
+			if n := l.Limit(now); n < 1 || n > max(1, c.Max) {
+				t.Fatalf("limit %d out of range", n)
+			}
+			if l.Cold(now) && l.Limit(now) > c.Cold {
+				t.Fatalf("limit %d of a cold server, want at most %d", l.Limit(now), c.Cold)
+			}
+		}
+	})
+}
+
+func TestAdaptiveLimit(t *testing.T) {
+	Convey("Given a server that has just started", t, func() {
+		l := AdaptiveLimits{}.New(epoch, LimitConfig{Cold: 2, Max: 32})
+		So(l.Limit(epoch), ShouldEqual, 2)
+		Convey("it stays cold for as long as its reports say so", func() {
+			l.Report(epoch, LoadReport{Warm: 0.3, Boot: "a"})
+			now := feed(l, epoch, 500, fast)
+			So(l.Cold(now), ShouldBeTrue)
+			So(l.Limit(now), ShouldEqual, 2)
+		})
+		Convey("it ramps with successes at the limit", func() {
+			now := feed(l, epoch, coldEvidence, fast)
+			So(l.Cold(now), ShouldBeFalse)
+			So(l.Limit(now), ShouldEqual, 2)
+			So(l.Limit(feed(l, now, 10, fast)), ShouldEqual, 32)
+		})
+		Convey("calls below the limit are no evidence", func() {
+			for range 100 {
+				l.Observe(epoch, CallSample{Latency: fast, OK: true, InFlight: 1, Allowance: 2})
+			}
+			So(l.Limit(epoch), ShouldEqual, 2)
+		})
+		Convey("an instance without a share follows what the others make it carry", func() {
+			now := epoch
+			for running := 2; running <= 32; running += 2 {
+				now = now.Add(time.Second)
+				l.Report(now, LoadReport{Warm: 1, Boot: "a", Running: running})
+			}
+			So(l.Limit(now), ShouldEqual, 32)
+		})
+	})
+	Convey("Given a warm server", t, func() {
+		l, now := warmServer()
+		So(l.Limit(now), ShouldEqual, 32)
+		Convey("a new boot puts it back to the cold limit at once", func() {
+			l.Report(now, LoadReport{Warm: 1, Boot: "b", Version: "v1"})
+			So(l.Limit(now), ShouldEqual, 2)
+		})
+		Convey("a warmth that falls does so", func() {
+			l.Report(now, LoadReport{Warm: 0.5, Boot: "a", Version: "v1"})
+			So(l.Limit(now), ShouldEqual, 2)
+		})
+		Convey("a jump of latency does so, and reports do not lift it until a call is fast again", func() {
+			now = feed(l, now, jumpRun, 10*fast)
+			So(l.Limit(now), ShouldEqual, 2)
+			l.Report(now, LoadReport{Warm: 1, Boot: "a", Version: "v1", Running: 20})
+			So(l.Limit(now), ShouldEqual, 2)
+			now = feed(l, now, 40, fast)
+			So(l.Limit(now), ShouldEqual, 32)
+		})
+		Convey("failures in a row do so", func() {
+			for range failureRun {
+				l.Observe(now, CallSample{})
+			}
+			So(l.Limit(now), ShouldEqual, 2)
+		})
+		Convey("a higher latency lowers the limit step by step", func() {
+			now = feed(l, now, 30, 3*fast)
+			So(l.Cold(now), ShouldBeFalse)
+			So(l.Limit(now), ShouldBeLessThan, 32)
+		})
+		Convey("large requests are compared with large ones", func() {
+			for range 100 {
+				now = now.Add(time.Second)
+				l.Observe(now, CallSample{Latency: time.Second, Class: largeClass, OK: true, InFlight: 1, Allowance: 1})
+			}
+			So(l.Limit(now), ShouldEqual, 32)
+		})
+	})
+}
+
+func TestLimitSize(t *testing.T) {
+	size := unsafe.Sizeof(adaptiveLimit{})
+	t.Logf("limit of one server: %d bytes", size)
+	if size > 384 {
+		t.Errorf("limit of one server takes %d bytes, want at most 384", size)
+	}
+}
--- a/policy/placement.go
+++ b/policy/placement.go
@@ -13,8 +13,8 @@
 	// Local is true if the server stands in the instance's availability zone.
 	Local bool
 	// InFlight counts this instance's calls on the server, Limit its share of
-	// the server's limit.
-	InFlight, Limit int
+	// the server's limit, Total the whole limit.
+	InFlight, Limit, Total int
 	// Reported is the server's own count of calls, at the time of its last
 	// load report, corrected for what was sent and finished since.
 	Reported int
@@ -33,6 +33,13 @@
 // View gives access to a pool's candidates without copying them all.
 type View interface {
 	Len() int
+	// Locals is the number of candidates in the instance's availability zone,
+	// which come first.
+	Locals() int
+	// IDs holds the candidates' IDs by index.
+	IDs() []uint64
+	// Free reports whether candidate i is usable and has a free call slot.
+	Free(i int) bool
 	At(i int) Candidate
 }
 
@@ -75,7 +82,7 @@
 	start := int(p.next.Add(1) % uint64(n))
 	for i := range n {
 		index := (start + i) % n
-		if v.At(index).Free() {
+		if v.Free(index) {
 			return Choice{Index: index, Reason: "turn"}
 		}
 	}
--- a/policy/queue.go
+++ b/policy/queue.go
@@ -1,6 +1,9 @@
 package policy
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Ticket is a call that waits for a call slot of a pool.
 type Ticket struct {
@@ -17,12 +20,33 @@
 	Cost     float64
 }
 
+// Latest is the latest time at which the call can start and be done by its
+// deadline.
+func (t Ticket) Latest() time.Time { return t.Deadline.Add(-t.Expected) }
+
+// Late reports whether the call can no longer be done by its deadline.
+func (t Ticket) Late(now time.Time) bool { return now.After(t.Latest()) }
+
+// Offer is the answer to the offer of a call slot.
+type Offer int
+
+// The answers.
+const (
+	// OfferTaken: the call has a slot and leaves the queue.
+	OfferTaken Offer = iota
+	// OfferSkipped: no slot fits this call; the next one is offered.
+	OfferSkipped
+	// OfferEnded: no slot fits any call.
+	OfferEnded
+)
+
 // Queue orders the calls that wait for a call slot of one pool.
 // It is not safe for concurrent use.
 type Queue interface {
 	Push(now time.Time, t Ticket)
-	// Pop removes and returns the call that goes next.
-	Pop(now time.Time) (Ticket, bool)
+	// Serve offers slots to the calls in order until one takes its slot, and
+	// reports whether one did. A skipped call keeps its place.
+	Serve(now time.Time, offer func(Ticket) Offer) bool
 	// Remove takes out a call that gave up.
 	Remove(id uint64)
 	Len() int
@@ -43,22 +67,21 @@
 
 func (q *fifo) Push(_ time.Time, t Ticket) { q.tickets = append(q.tickets, t) }
 
-func (q *fifo) Pop(time.Time) (Ticket, bool) {
-	if len(q.tickets) == 0 {
-		return Ticket{}, false
+func (q *fifo) Serve(_ time.Time, offer func(Ticket) Offer) bool {
+	for i, t := range q.tickets {
+		switch offer(t) {
+		case OfferTaken:
+			q.tickets = slices.Delete(q.tickets, i, i+1)
+			return true
+		case OfferEnded:
+			return false
+		}
 	}
-	t := q.tickets[0]
-	q.tickets = q.tickets[1:]
-	return t, true
+	return false
 }
 
 func (q *fifo) Remove(id uint64) {
-	for i, t := range q.tickets {
-		if t.ID == id {
-			q.tickets = append(q.tickets[:i], q.tickets[i+1:]...)
-			return
-		}
-	}
+	q.tickets = slices.DeleteFunc(q.tickets, func(t Ticket) bool { return t.ID == id })
 }
 
 func (q *fifo) Len() int { return len(q.tickets) }
