--- a/kernel/stage.go
+++ b/kernel/stage.go
@@ -30,14 +30,15 @@
 
 // do runs the stage. It returns an empty outcome once the stage is done.
 func (s *stageRun) do(ctx context.Context) Outcome {
-	if !s.pool.hasServer(s.version) {
-		return s.fail(ReasonNoServer, "no backend server for stage "+s.stage.Name)
-	}
 	s.want = &want{
 		ticket:  s.ticket(),
 		call:    policy.Call{Class: string(s.route.Size), Prefix: s.prefix},
 		version: s.version,
 	}
+	var ok bool
+	if s.pool, ok = s.pool.successor(s.want); !ok {
+		return s.fail(ReasonNoServer, "no backend server for stage "+s.stage.Name)
+	}
 	s.call = s.newCall()
 	s.host.Decisions.Retry.Sent(s.stage.Pool, s.account.Name, s.route.CostWeight)
 	for attempt := 1; ; attempt++ {
