Lend call slots between instances

Cause: with a limit divided by rank, a server that takes two calls leaves seven of nine instances without a share; their calls waited although the server had room.

Ruled out: a digest of idle slots (600 servers would need several kilobytes a round); leases numbered by the lender, since a slot whose grant was lost could then not be given back before its lease ends.

Change: plug-in slots. An instance asks holders of a share, found by the same ranks, with a bound on requests a second; the lender counts a lent slot as taken until it comes back or the borrower's deadline has passed.

Conclusion: nine instances and one server with the limit 2: an instance without a share gets both slots and no third; a lost grant and a dead borrower cost nothing for good (tests under -race).

--- a/kernel/lend.go
+++ b/kernel/lend.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/savoryfold/savoryfold/policy"
 )
@@ -30,6 +31,25 @@
 	return int(max(0, s.allowance.Load()+s.borrowed.Load()-s.inFlight.Load()))
 }
 
+// SlotHolders returns the IDs of the other instances that hold a share of a
+// server's limit, named "pool/name", in the order of their ranks.
+func (h *Host) SlotHolders(server string) []string {
+	_, s := h.findServer(server)
+	if s == nil {
+		return nil
+	}
+	members := h.fleet.sharers.current()
+	limit := int(s.limitNow.Load())
+	holders := make([]string, len(members.list))
+	for _, m := range members.list {
+		rank := members.rank(m.id, s.Config.Zone, s.hash)
+		if m.id != h.ID() && h.Decisions.Limits.Share(limit, rank, len(members.list)) > 0 {
+			holders[rank] = m.id
+		}
+	}
+	return slices.DeleteFunc(holders, func(id string) bool { return id == "" })
+}
+
 // findServer returns the pool and the server with the ID, or nil.
 func (h *Host) findServer(id string) (*Pool, *Server) {
 	snap := h.Snapshot()
--- a/kernel/sharers.go
+++ b/kernel/sharers.go
@@ -68,6 +68,13 @@
 	return roster{s.list, s.epoch, withheld}
 }
 
+// current returns the roster without looking at the members anew.
+func (s *sharers) current() roster {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return roster{list: s.list, epoch: s.epoch}
+}
+
 func (s *sharers) rebuild() {
 	list := make([]sharer, 0, len(s.byID))
 	for _, m := range s.byID {
--- a/plugins/standard/standard.go
+++ b/plugins/standard/standard.go
@@ -11,4 +11,5 @@
 	_ "github.com/savoryfold/savoryfold/plugins/membership"   // other instances
 	_ "github.com/savoryfold/savoryfold/plugins/platformlog"  // log service
 	_ "github.com/savoryfold/savoryfold/plugins/policies"     // decisions
+	_ "github.com/savoryfold/savoryfold/plugins/slots"        // call slots of other instances
 )
