Stand-ins: batching engine, cold start, faults, list, weights, balancer

Cause: the stand-ins slept a fixed time, so that no decision of placement, limits or admission could be told from another, and no fault could be set.

Change: engines batch continuously (a step grows with the batch), keep a prefix cache of limited memory, resume and cancel streams, take orders and load versions. Engines and services share one core: warmth, a limit that a cold server bears and beyond which it falls over, faults that are set while it runs, counters, load reports with a lag, a log of calls. A list of instances, a weight store with a rate, a balancer, and many backend servers in one process.

Ruled out: dropping connections by ending the process only; an in-process reset keeps fleets in one process. A falling-over rule without a settling time after a warm server turned cold, since calls that came before are no fault of their sender.

--- a/cmd/savoryfold-standin/main.go
+++ b/cmd/savoryfold-standin/main.go
@@ -38,10 +38,24 @@
 		SilenceUsage:  true,
 	}
 	root.PersistentFlags().String("listen", "127.0.0.1:0", "address to serve on; port 0 takes a free one")
-	root.AddCommand(serviceCommand(), engineCommand(), logCommand())
+	root.AddCommand(serviceCommand(), engineCommand(), logCommand(), listCommand(), weightsCommand(), balancerCommand(), fleetCommand())
 	return root
 }
 
+// backendFlags adds the flags that engines and services share.
+func backendFlags(cmd *cobra.Command, b *standin.Backend) {
+	flags := cmd.Flags()
+	flags.StringVar(&b.Name, "name", cmd.Name(), "name in answers")
+	flags.StringVar(&b.Version, "version-name", "v1", "version that is served")
+	flags.IntVar(&b.Capacity, "capacity", 0, "calls that run at once; 0 means the standard number")
+	flags.DurationVar(&b.ReportLag, "report-lag", 500*time.Millisecond, "greatest age of the load report")
+	flags.BoolVar(&b.Warmth.Cold, "cold", false, "start cold")
+	flags.IntVar(&b.Warmth.ColdLimit, "cold-limit", 0, "calls that a cold server bears; 0 means any number")
+	flags.DurationVar(&b.Warmth.Time, "warm-time", 5*time.Second, "time that it takes to get warm")
+	flags.IntVar(&b.Warmth.Calls, "warm-calls", 20, "calls that it takes to get warm")
+	flags.Float64Var(&b.Warmth.Slow, "cold-slow", 2, "factor of the time of the work on a cold server")
+}
+
 func serviceCommand() *cobra.Command {
 	s := &standin.Service{}
 	cmd := &cobra.Command{
@@ -49,7 +63,7 @@
 		Short: "A plain service that counts executions by idempotency key",
 		RunE:  func(cmd *cobra.Command, _ []string) error { return serve(cmd, s.Handler()) },
 	}
-	cmd.Flags().StringVar(&s.Name, "name", "service", "name in answers")
+	backendFlags(cmd, &s.Backend)
 	cmd.Flags().DurationVar(&s.Work, "work", 5*time.Millisecond, "time of one call")
 	return cmd
 }
@@ -58,12 +72,21 @@
 	e := &standin.Engine{}
 	cmd := &cobra.Command{
 		Use:   "engine",
-		Short: "A model engine that generates a fixed number of tokens",
+		Short: "A model engine that batches continuously",
 		RunE:  func(cmd *cobra.Command, _ []string) error { return serve(cmd, e.Handler()) },
 	}
-	cmd.Flags().StringVar(&e.Name, "name", "engine", "name of the engine")
-	cmd.Flags().IntVar(&e.Tokens, "tokens", 16, "tokens of an answer")
-	cmd.Flags().DurationVar(&e.Step, "step", 10*time.Millisecond, "time between two tokens")
+	backendFlags(cmd, &e.Backend)
+	flags := cmd.Flags()
+	flags.IntVar(&e.Tokens, "tokens", 16, "tokens of an answer")
+	flags.DurationVar(&e.Step, "step", 10*time.Millisecond, "time between two tokens of a call that runs alone")
+	flags.DurationVar(&e.PerCall, "per-call", 200*time.Microsecond, "time that each further running call adds to a step")
+	flags.DurationVar(&e.PerPrompt, "per-prompt", 10*time.Microsecond, "time to read a token of a prompt that is not cached")
+	flags.IntVar(&e.CacheTokens, "cache-tokens", 10_000, "memory of the prefix cache")
+	flags.DurationVar(&e.EventLag, "event-lag", time.Second, "delay of cache events")
+	flags.Float64Var(&e.EventLoss, "event-loss", 0, "part of the cache events that is lost")
+	flags.BoolVar(&e.Fenced, "fenced", false, "refuse an order with an older fencing number")
+	flags.StringVar(&e.Weights, "weights", "", "URL of the weight store; empty means that loading takes --load-time")
+	flags.DurationVar(&e.LoadTime, "load-time", 2*time.Second, "time that loading a version takes")
 	return cmd
 }
 
@@ -82,20 +105,76 @@
 	return cmd
 }
 
+func listCommand() *cobra.Command {
+	l := &standin.InstanceList{}
+	cmd := &cobra.Command{
+		Use:   "list",
+		Short: "The platform's lagging list of instances",
+		RunE:  func(cmd *cobra.Command, _ []string) error { return serve(cmd, l.Handler()) },
+	}
+	cmd.Flags().DurationVar(&l.Lag, "lag", 2*time.Second, "time after which a change shows")
+	return cmd
+}
+
+func weightsCommand() *cobra.Command {
+	var size int
+	var speed float64
+	cmd := &cobra.Command{
+		Use:   "weights",
+		Short: "The platform's weight store",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return serve(cmd, standin.NewWeightStore(size, speed).Handler())
+		},
+	}
+	cmd.Flags().IntVar(&size, "size", 4<<20, "bytes of a version's weights")
+	cmd.Flags().Float64Var(&speed, "rate", 4<<20, "bytes a second, over all readers")
+	return cmd
+}
+
+func balancerCommand() *cobra.Command {
+	var targets []string
+	cmd := &cobra.Command{
+		Use:   "balancer",
+		Short: "The platform's balancer over ready instances",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			address, err := cmd.Flags().GetString("listen")
+			if err != nil {
+				return err
+			}
+			b, err := standin.NewBalancer(address, targets)
+			if err != nil {
+				return err
+			}
+			return untilSignal(cmd, b.Address(), b.Close)
+		},
+	}
+	cmd.Flags().StringSliceVar(&targets, "target", nil, "entry address of an instance; repeat for each")
+	return cmd
+}
+
 // serve serves until SIGTERM or SIGINT. The first line of output is the address.
 func serve(cmd *cobra.Command, h http.Handler) error {
 	address, err := cmd.Flags().GetString("listen")
 	if err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(cmd.Context(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
 	s, err := standin.Listen(address, h)
 	if err != nil {
 		return err
 	}
-	fmt.Fprintln(cmd.OutOrStdout(), s.Address())
+	return untilSignal(cmd, s.Address(), func() error { return shutdown(s) })
+}
+
+// untilSignal prints a line and waits for SIGTERM or SIGINT.
+func untilSignal(cmd *cobra.Command, line string, stop func() error) error {
+	ctx, cancel := signal.NotifyContext(cmd.Context(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	fmt.Fprintln(cmd.OutOrStdout(), line)
 	<-ctx.Done()
+	return stop()
+}
+
+func shutdown(s *standin.Server) error {
 	ending, cancel := context.WithTimeout(context.Background(), stopDeadline)
 	defer cancel()
 	return s.Shutdown(ending)
--- a/internal/quickstart/quickstart.go
+++ b/internal/quickstart/quickstart.go
@@ -84,9 +84,9 @@
 
 func backend(pool, zone string) http.Handler {
 	if pool == "generate" {
-		return (&standin.Engine{Name: pool + "-" + zone, Tokens: 12, Step: 10 * time.Millisecond}).Handler()
+		return (&standin.Engine{Backend: standin.Backend{Name: pool + "-" + zone}, Tokens: 12, Step: 10 * time.Millisecond}).Handler()
 	}
-	return (&standin.Service{Name: pool + "-" + zone, Work: 5 * time.Millisecond}).Handler()
+	return (&standin.Service{Backend: standin.Backend{Name: pool + "-" + zone}, Work: 5 * time.Millisecond}).Handler()
 }
 
 func (q *quickstart) startInstances(ctx context.Context) error {
--- a/standin/faults.go
+++ b/standin/faults.go
@@ -10,10 +10,17 @@
 // whole, GET /faults returns them. F is a struct with JSON tags.
 type switchboard[F any] struct {
 	faults atomic.Pointer[F]
+	// changed is called with every new value; nil means nobody.
+	changed func(F)
 }
 
 // Set replaces the faults.
-func (s *switchboard[F]) Set(f F) { s.faults.Store(&f) }
+func (s *switchboard[F]) Set(f F) {
+	s.faults.Store(&f)
+	if s.changed != nil {
+		s.changed(f)
+	}
+}
 
 // Get returns the faults in force, at first the zero value.
 func (s *switchboard[F]) Get() F {
@@ -35,8 +42,8 @@
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
 		}
-		s.Set(f)
 		writeJSON(w, f)
+		s.Set(f)
 	})
 }
 
--- /dev/null
+++ b/standin/fleet.go
@@ -0,0 +1,57 @@
+package standin
+
+import (
+	"net/http"
+	"time"
+)
+
+// FleetMember describes one backend server of a fleet.
+type FleetMember struct {
+	Name    string `json:"name"`
+	Engine  bool   `json:"engine"`
+	Version string `json:"version,omitempty"`
+	// Capacity is the number of calls that run at once.
+	Capacity    int     `json:"capacity,omitempty"`
+	ReportLagMS int     `json:"report_lag_ms,omitempty"`
+	Cold        bool    `json:"cold,omitempty"`
+	ColdLimit   int     `json:"cold_limit,omitempty"`
+	WarmMS      int     `json:"warm_ms,omitempty"`
+	WarmCalls   int     `json:"warm_calls,omitempty"`
+	ColdSlow    float64 `json:"cold_slow,omitempty"`
+	// WorkMS is the time of a service's call.
+	WorkMS float64 `json:"work_ms,omitempty"`
+	// Tokens, StepMS, PerCallMS and PerPromptMS describe an engine.
+	Tokens      int     `json:"tokens,omitempty"`
+	StepMS      float64 `json:"step_ms,omitempty"`
+	PerCallMS   float64 `json:"per_call_ms,omitempty"`
+	PerPromptMS float64 `json:"per_prompt_ms,omitempty"`
+	CacheTokens int     `json:"cache_tokens,omitempty"`
+	Fenced      bool    `json:"fenced,omitempty"`
+	Weights     string  `json:"weights,omitempty"`
+	LoadMS      int     `json:"load_ms,omitempty"`
+}
+
+// Handler makes the backend server and returns its HTTP interface.
+func (m FleetMember) Handler() http.Handler {
+	if !m.Engine {
+		s := &Service{Work: duration(m.WorkMS)}
+		m.fill(&s.Backend)
+		return s.Handler()
+	}
+	e := &Engine{
+		Tokens: m.Tokens, Step: duration(m.StepMS), PerCall: duration(m.PerCallMS), PerPrompt: duration(m.PerPromptMS),
+		CacheTokens: m.CacheTokens, Fenced: m.Fenced, Weights: m.Weights, LoadTime: duration(float64(m.LoadMS)),
+	}
+	m.fill(&e.Backend)
+	return e.Handler()
+}
+
+func (m FleetMember) fill(b *Backend) {
+	b.Name, b.Version, b.Capacity = m.Name, m.Version, m.Capacity
+	b.ReportLag = duration(float64(m.ReportLagMS))
+	b.Warmth = Warmth{
+		Cold: m.Cold, ColdLimit: m.ColdLimit, Time: duration(float64(m.WarmMS)), Calls: m.WarmCalls, Slow: m.ColdSlow,
+	}
+}
+
+func duration(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
--- a/standin/server.go
+++ b/standin/server.go
@@ -15,6 +15,11 @@
 	http     *http.Server
 }
 
+// connectionTracker is a handler that tracks its connections.
+type connectionTracker interface {
+	wrap(net.Listener) net.Listener
+}
+
 // Listen starts to serve a handler. Port 0 takes a free port.
 func Listen(address string, h http.Handler) (*Server, error) {
 	l, err := net.Listen("tcp", address)
@@ -22,6 +27,9 @@
 		return nil, errors.Wrap(err, "stand-in")
 	}
 	s := &Server{listener: l, http: &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second}}
+	if t, ok := h.(connectionTracker); ok {
+		l = t.wrap(l)
+	}
 	go func() { _ = s.http.Serve(l) }()
 	return s, nil
 }
--- a/standin/service.go
+++ b/standin/service.go
@@ -2,91 +2,86 @@
 
 import (
 	"encoding/json"
-	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"sync"
 	"time"
-)
 
-// Headers of the protocol between savoryfold and backend servers.
-const (
-	headerCallID   = "Savoryfold-Call-Id"
-	headerEngineMS = "Savoryfold-Engine-Ms"
-	headerTokens   = "Savoryfold-Tokens"
-	headerKey      = "Idempotency-Key"
+	"github.com/savoryfold/savoryfold/internal/httpapi"
 )
 
+// defaultServiceCapacity is the number of calls that a service runs at once.
+const defaultServiceCapacity = 64
+
 // Service is a plain service, such as an encoder or a rebate ledger. It
 // counts the executions of each idempotency key.
 type Service struct {
-	Name string
+	Backend
 	// Work is the time of one call.
 	Work time.Duration
 
-	mu         sync.Mutex
-	executions map[string]int // by idempotency key; guarded by mu
-	calls      int            // guarded by mu
+	once  sync.Once
+	slots chan struct{}
 }
 
 // Handler returns the service's HTTP interface.
 func (s *Service) Handler() http.Handler {
+	s.once.Do(func() {
+		if s.Capacity == 0 {
+			s.Capacity = defaultServiceCapacity
+		}
+		s.slots = make(chan struct{}, s.Capacity)
+	})
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /", s.call)
-	mux.HandleFunc("GET /executions", s.serveExecutions)
-	return mux
+	mux.HandleFunc("GET /executions", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.Executions()) })
+	return s.handler(mux, s.run)
 }
 
-// call runs one stage call. The answer names the service and repeats the
-// request's own "n", so that a test can tell answers apart.
-func (s *Service) call(w http.ResponseWriter, r *http.Request) {
-	start := time.Now()
-	var input struct {
-		Request json.RawMessage `json:"request"`
+// run runs one stage call. The answer names the service and repeats the
+// caller's request, so that a test can tell answers apart.
+func (s *Service) run(w http.ResponseWriter, r *http.Request, c *activeCall) bool {
+	if !s.labour(r, c) {
+		panic(http.ErrAbortHandler)
 	}
-	body, err := io.ReadAll(r.Body)
-	if err == nil {
-		err = json.Unmarshal(body, &input)
+	if c.fail {
+		http.Error(w, "failed", http.StatusInternalServerError)
+		return false
 	}
-	w.Header().Set(headerCallID, r.Header.Get(headerCallID))
-	if err != nil {
-		http.Error(w, "no JSON", http.StatusBadRequest)
-		return
+	body, _ := json.Marshal(map[string]any{"by": s.Name, "echo": c.input.Request})
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	h.Set(httpapi.HeaderEngineMS, strconv.FormatFloat(milliseconds(time.Since(c.start)), 'f', 3, 64))
+	h.Set(httpapi.HeaderTokens, strconv.Itoa(len(c.input.Request)/4))
+	s.setLoad(h)
+	if c.cut {
+		_, _ = w.Write(body[:len(body)/2])
+		panic(http.ErrAbortHandler)
 	}
-	s.execute(r.Header.Get(headerKey))
-	time.Sleep(s.Work)
-	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set(headerEngineMS, fmt.Sprintf("%.3f", float64(time.Since(start))/float64(time.Millisecond)))
-	w.Header().Set(headerTokens, strconv.Itoa(len(input.Request)/4))
-	_ = json.NewEncoder(w).Encode(map[string]any{"by": s.Name, "echo": input.Request})
+	_, _ = w.Write(body)
+	return true
 }
 
-func (s *Service) execute(key string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.calls++
-	if key == "" {
-		return
+// labour takes the time of the work. It reports whether the work was finished.
+func (s *Service) labour(r *http.Request, c *activeCall) bool {
+	select {
+	case s.slots <- struct{}{}:
+	case <-r.Context().Done():
+		return false
 	}
-	if s.executions == nil {
-		s.executions = make(map[string]int)
+	defer func() { <-s.slots }()
+	s.work(c, 1)
+	defer s.work(c, -1)
+	work := s.Work
+	if ms := c.input.work.WorkMS; ms > 0 {
+		work = time.Duration(ms * float64(time.Millisecond))
 	}
-	s.executions[key]++
-}
-
-// Executions returns how often each idempotency key ran.
-func (s *Service) Executions() map[string]int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	out := make(map[string]int, len(s.executions))
-	for k, n := range s.executions {
-		out[k] = n
+	timer := time.NewTimer(time.Duration(float64(work) * s.slowness(c)))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return !s.gone(c)
+	case <-r.Context().Done():
+		return false
 	}
-	return out
-}
-
-func (s *Service) serveExecutions(w http.ResponseWriter, _ *http.Request) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(s.Executions())
 }
--- /dev/null
+++ b/standin/standin_test.go
@@ -0,0 +1,177 @@
+package standin
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/savoryfold/savoryfold/internal/httpapi"
+)
+
+const lastLimit = 20 * time.Second
+
+func listen(t *testing.T, h http.Handler) string {
+	t.Helper()
+	s, err := Listen("127.0.0.1:0", h)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = s.Close() })
+	return "http://" + s.Address()
+}
+
+// request makes a stage call whose request is the JSON text.
+func request(ctx context.Context, url, text string) *http.Request {
+	req, _ := http.NewRequestWithContext(ctx, http.MethodPost, url+"/v1/call", strings.NewReader(`{"request":`+text+`}`))
+	req.Header.Set(httpapi.HeaderCallID, "call-1")
+	return req
+}
+
+func do(req *http.Request) (int, string, error) {
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, "", err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(body), err
+}
+
+func eventually(condition func() bool) bool {
+	for end := time.Now().Add(lastLimit); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if condition() {
+			return true
+		}
+	}
+	return false
+}
+
+func TestEngine(t *testing.T) {
+	ctx := context.Background()
+	Convey("Given an engine", t, func() {
+		e := &Engine{Backend: Backend{Version: "v1", Capacity: 2}, Tokens: 4, Step: time.Millisecond, CacheTokens: 100}
+		url := listen(t, e.Handler())
+		Convey("a whole answer is a function of request and version", func() {
+			_, body, err := do(request(ctx, url, `{"n":1}`))
+			So(err, ShouldBeNil)
+			So(body, ShouldEqual, `{"text":"`+Text([]byte(`{"n":1}`), "v1", 4)+`"}`)
+			So(Text([]byte(`{"n":1}`), "v1", 4), ShouldNotEqual, Text([]byte(`{"n":2}`), "v1", 4))
+		})
+		Convey("a stream goes on after Last-Event-ID", func() {
+			req := request(ctx, url, `{"n":1}`)
+			req.Header.Set("Accept", "text/event-stream")
+			req.Header.Set("Last-Event-ID", "2")
+			_, body, err := do(req)
+			So(err, ShouldBeNil)
+			So(body, ShouldStartWith, "id: 3\ndata: "+Token([]byte(`{"n":1}`), "v1", 2))
+			So(body, ShouldContainSubstring, "event: done")
+			So(e.Stats().Resumed, ShouldEqual, 1)
+		})
+		Convey("closing the connection cancels the call", func() {
+			ctx, cancel := context.WithCancel(ctx)
+			req := request(ctx, url, `{"tokens":100000}`)
+			req.Header.Set("Accept", "text/event-stream")
+			resp, err := http.DefaultClient.Do(req)
+			So(err, ShouldBeNil)
+			_, _ = bufio.NewReader(resp.Body).ReadString('\n')
+			cancel()
+			So(eventually(func() bool { return e.Stats().Cancelled == 1 && e.Stats().Concurrent == 0 }), ShouldBeTrue)
+		})
+		Convey("the prefix cache is limited and tells what it holds", func() {
+			So(e.cache.use("a", 60), ShouldEqual, 0)
+			So(e.cache.use("a", 60), ShouldEqual, 60)
+			So(e.cache.use("b", 60), ShouldEqual, 0)
+			So(e.cache.use("a", 60), ShouldEqual, 0)
+			resp, err := http.Get(url + "/v1/cache-events?from=2")
+			So(err, ShouldBeNil)
+			defer resp.Body.Close()
+			var events CacheEvents
+			So(json.NewDecoder(resp.Body).Decode(&events), ShouldBeNil)
+			So(events.Next, ShouldEqual, 6)
+			So(events.Events[0].Op, ShouldEqual, CacheEvicted)
+		})
+		Convey("a fenced engine refuses an older order, and loads a version", func() {
+			e.Fenced = true
+			status, _, err := do(order(url, Order{Fence: 5, Version: "v2"}))
+			So(err, ShouldBeNil)
+			So(status, ShouldEqual, http.StatusOK)
+			status, _, _ = do(order(url, Order{Fence: 4, Version: "v1"}))
+			So(status, ShouldEqual, http.StatusConflict)
+			So(eventually(func() bool { return e.freshReport().Version == "v2" }), ShouldBeTrue)
+		})
+		Convey("a version is bad on one route only", func() {
+			e.Set(Faults{Bad: []BadVersion{{Version: "v1", Route: "notice"}}})
+			status, _, _ := do(request(ctx, url, `{"route":"notice"}`))
+			So(status, ShouldEqual, http.StatusInternalServerError)
+			status, _, _ = do(request(ctx, url, `{"route":"roster"}`))
+			So(status, ShouldEqual, http.StatusOK)
+		})
+	})
+}
+
+func order(url string, o Order) *http.Request {
+	body, _ := json.Marshal(o)
+	req, _ := http.NewRequest(http.MethodPost, url+"/v1/orders", bytes.NewReader(body))
+	return req
+}
+
+func TestBackendFaults(t *testing.T) {
+	ctx := context.Background()
+	Convey("Given a cold service that bears one call", t, func() {
+		warmth := Warmth{Cold: true, ColdLimit: 1, Time: time.Hour, Calls: 1000}
+		s := &Service{Backend: Backend{Name: "ledger", Capacity: 4, Warmth: warmth}, Work: time.Millisecond}
+		url := listen(t, s.Handler())
+		boot := s.freshReport().Boot
+		Convey("one call at a time is served and logged", func() {
+			req := request(ctx, url, `{"n":7}`)
+			req.Header.Set(httpapi.HeaderIdempotencyKey, "k")
+			_, body, err := do(req)
+			So(err, ShouldBeNil)
+			So(body, ShouldContainSubstring, `"n":7`)
+			So(s.Executions(), ShouldResemble, map[string]int{"k": 1})
+			So(eventually(func() bool { return s.Calls()[0].OK }), ShouldBeTrue)
+			So(s.Stats().MaxCold, ShouldEqual, 1)
+		})
+		Convey("two at a time make it fall over", func() {
+			ctx, cancel := context.WithTimeout(ctx, lastLimit)
+			defer cancel()
+			failed := make(chan error, 1)
+			go func() {
+				_, _, err := do(request(ctx, url, `{"work_ms":60000}`))
+				failed <- err
+			}()
+			So(eventually(func() bool { return s.Stats().Concurrent == 1 }), ShouldBeTrue)
+			_, _, err := do(request(ctx, url, `{}`))
+			So(err, ShouldNotBeNil)
+			So(<-failed, ShouldNotBeNil)
+			So(s.Stats().Overfed, ShouldEqual, 1)
+			So(s.freshReport().Boot, ShouldNotEqual, boot)
+		})
+		Convey("connections go silent while new ones work", func() {
+			_, _, err := do(request(ctx, url, `{}`))
+			So(err, ShouldBeNil)
+			s.Set(Faults{Silent: true})
+			silent, cancel := context.WithTimeout(ctx, 50*time.Millisecond)
+			defer cancel()
+			_, _, err = do(request(silent, url, `{}`))
+			So(err, ShouldNotBeNil)
+			http.DefaultClient.CloseIdleConnections()
+			_, _, err = do(request(ctx, url, `{}`))
+			So(err, ShouldBeNil)
+		})
+		Convey("a request with the marker crashes it", func() {
+			s.Set(Faults{CrashOn: "poison", DownMS: 1})
+			_, _, err := do(request(ctx, url, `{"text":"poison"}`))
+			So(err, ShouldNotBeNil)
+			So(s.Stats().Restarts, ShouldEqual, 1)
+		})
+	})
+}
