--- a/cmd/savoryfoldctl/main.go
+++ b/cmd/savoryfoldctl/main.go
@@ -49,6 +49,6 @@
 		SilenceUsage:  true,
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return exitError{err, exitUsage} })
-	root.AddCommand(quickstartCommand(), checkCommand())
+	root.AddCommand(quickstartCommand(), checkCommand(), loadCommand())
 	return root
 }
--- /dev/null
+++ b/internal/load/load_test.go
@@ -0,0 +1,73 @@
+package load
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/savoryfold/savoryfold/internal/httpapi"
+)
+
+func TestRun(t *testing.T) {
+	Convey("Every request is sent once and counted by its outcome", t, func() {
+		server := httptest.NewServer(http.HandlerFunc(answer))
+		defer server.Close()
+		body := func(n int) string { return strconv.Itoa(n) }
+		mix := []Share{
+			{Route: "whole", Account: "a", Weight: 3, Body: body, Keyed: true},
+			{Route: "refused", Account: "b", Weight: 1, Body: body},
+			{Route: "cut", Account: "b", Weight: 1, Body: body, Stream: true},
+			{Route: "wrong", Account: "b", Weight: 1, Body: body},
+		}
+		report, err := Run(context.Background(), Config{
+			Targets: []string{server.Listener.Addr().String()}, Seed: 1,
+			Phases: []Phase{{Name: "p", Rate: 500, Duration: 400 * time.Millisecond, Mix: mix}},
+			Check: func(r *Result) error {
+				if r.Share.Route == "wrong" {
+					return errors.New("not its own answer")
+				}
+				return nil
+			},
+		})
+		So(err, ShouldBeNil)
+		for route, outcome := range map[string]string{"whole": "served", "refused": "not-run", "cut": OutcomeCut, "wrong": OutcomeWrong} {
+			g := report.Routes[route]
+			So(g.Sent, ShouldBeGreaterThan, 0)
+			So(g.Outcomes, ShouldResemble, map[string]int{outcome: g.Sent})
+		}
+		So(report.Total.Attained, ShouldEqual, report.Routes["whole"].Sent)
+		So(report.Total.Sent, ShouldEqual, report.Phases["p"].Sent)
+	})
+	Convey("The schedule is a function of the seed", t, func() {
+		phase := Phase{Name: "p", Rate: 100, Duration: time.Second, Mix: []Share{{Weight: 1, Body: strconv.Itoa}}}
+		one, err := schedule(Config{Targets: []string{"x"}, Seed: 7, Phases: []Phase{phase}})
+		So(err, ShouldBeNil)
+		two, _ := schedule(Config{Targets: []string{"x"}, Seed: 7, Phases: []Phase{phase}})
+		So(len(one), ShouldEqual, len(two))
+		So(one[len(one)-1].at, ShouldEqual, two[len(two)-1].at)
+	})
+}
+
+// answer plays an instance.
+func answer(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.ReadAll(r.Body)
+	switch strings.TrimPrefix(r.URL.Path, "/v1/routes/") {
+	case "refused":
+		w.Header().Set(httpapi.HeaderOutcome, "not-run")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case "cut":
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = io.WriteString(w, "id: 1\ndata: token\n\n")
+	default:
+		w.Header().Set(httpapi.HeaderOutcome, "served")
+		_, _ = io.WriteString(w, "{}")
+	}
+}
--- /dev/null
+++ b/test/relay/relay.go
@@ -0,0 +1,236 @@
+// Package relay passes TCP connections and UDP datagrams on and injects
+// faults, for tests. A Link has one listening address and one target.
+package relay
+
+import (
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	bufferBytes = 64 << 10
+	dialTimeout = 5 * time.Second
+	udpIdle     = time.Minute
+)
+
+// Fault is the state of a link.
+type Fault struct {
+	// Delay is added to each direction.
+	Delay time.Duration
+	// Cut refuses new connections and drops datagrams; existing connections
+	// are reset.
+	Cut bool
+	// Blackhole accepts connections and swallows everything, both ways.
+	Blackhole bool
+	// LoseForward and LoseBack swallow one direction.
+	LoseForward, LoseBack bool
+}
+
+// link is what TCP and UDP links share.
+type link struct {
+	fault  atomic.Pointer[Fault]
+	target atomic.Pointer[string]
+	lost   atomic.Int64
+	done   chan struct{}
+	once   sync.Once
+	wait   sync.WaitGroup
+}
+
+// Lost counts the datagrams and parts of streams that were swallowed.
+func (l *link) Lost() int { return int(l.lost.Load()) }
+
+// Set replaces the faults of the link.
+func (l *link) Set(f Fault) { l.fault.Store(&f) }
+
+// Retarget changes where new connections and datagrams go.
+func (l *link) Retarget(address string) { l.target.Store(&address) }
+
+func (l *link) get() Fault { return *l.fault.Load() }
+
+func (l *link) init(target string) {
+	l.done = make(chan struct{})
+	l.Set(Fault{})
+	l.Retarget(target)
+}
+
+// swallows reports whether a direction loses its bytes now.
+func (f Fault) swallows(forward bool) bool {
+	return f.Blackhole || (forward && f.LoseForward) || (!forward && f.LoseBack)
+}
+
+// pause waits for a time and reports whether the link lives on.
+func (l *link) pause(d time.Duration) bool {
+	if d <= 0 {
+		return true
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-l.done:
+		return false
+	}
+}
+
+// TCP is a link for TCP connections.
+type TCP struct {
+	link
+	listener net.Listener
+	mu       sync.Mutex
+	pairs    map[*pair]struct{} // guarded by mu
+}
+
+// NewTCP starts a link from a free local port to a target.
+func NewTCP(target string) (*TCP, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, errors.Wrap(err, "relay")
+	}
+	t := &TCP{listener: l, pairs: make(map[*pair]struct{})}
+	t.init(target)
+	t.wait.Go(t.accept)
+	return t, nil
+}
+
+// Address returns the address that the link listens on.
+func (t *TCP) Address() string { return t.listener.Addr().String() }
+
+// Set replaces the faults of the link; a cut resets what is open.
+func (t *TCP) Set(f Fault) {
+	t.link.Set(f)
+	if f.Cut {
+		t.each((*pair).reset)
+	}
+}
+
+// Silence lets the connections that exist now go silent for good, while new
+// ones work.
+func (t *TCP) Silence() { t.each(func(p *pair) { p.silent.Store(true) }) }
+
+// Connections counts the open connections.
+func (t *TCP) Connections() int {
+	n := 0
+	t.each(func(*pair) { n++ })
+	return n
+}
+
+func (t *TCP) each(f func(*pair)) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for p := range t.pairs {
+		f(p)
+	}
+}
+
+// Close ends the link with all its connections.
+func (t *TCP) Close() {
+	t.once.Do(func() { close(t.done) })
+	_ = t.listener.Close()
+	t.each((*pair).reset)
+	t.wait.Wait()
+}
+
+func (t *TCP) accept() {
+	for {
+		conn, err := t.listener.Accept()
+		if err != nil {
+			return
+		}
+		if t.get().Cut {
+			reset(conn)
+			continue
+		}
+		t.wait.Go(func() { t.join(conn) })
+	}
+}
+
+// pair is one relayed connection.
+type pair struct {
+	near, far net.Conn
+	silent    atomic.Bool
+}
+
+func (p *pair) reset() {
+	reset(p.near)
+	reset(p.far)
+}
+
+func reset(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
+func (t *TCP) join(near net.Conn) {
+	defer near.Close()
+	far, err := net.DialTimeout("tcp", *t.target.Load(), dialTimeout)
+	if err != nil {
+		reset(near)
+		return
+	}
+	defer far.Close()
+	p := &pair{near: near, far: far}
+	t.mu.Lock()
+	t.pairs[p] = struct{}{}
+	t.mu.Unlock()
+	select {
+	case <-t.done:
+		p.reset()
+	default:
+	}
+	var both sync.WaitGroup
+	both.Go(func() { t.copy(p, far, near, true) })
+	both.Go(func() { t.copy(p, near, far, false) })
+	both.Wait()
+	t.mu.Lock()
+	delete(t.pairs, p)
+	t.mu.Unlock()
+}
+
+// chunk is a part of a stream that leaves the relay at a time.
+type chunk struct {
+	data []byte
+	due  time.Time
+}
+
+// copy passes one direction on. Reading and writing overlap, so that a delay
+// does not limit the rate.
+func (t *TCP) copy(p *pair, to, from net.Conn, forward bool) {
+	chunks := make(chan chunk, 1024)
+	var writer sync.WaitGroup
+	writer.Go(func() { t.write(p, to, chunks, forward) })
+	for {
+		buf := make([]byte, bufferBytes)
+		n, err := from.Read(buf)
+		if n > 0 {
+			chunks <- chunk{buf[:n], time.Now().Add(t.get().Delay)}
+		}
+		if err != nil {
+			break
+		}
+	}
+	close(chunks)
+	writer.Wait()
+	if tcp, ok := to.(*net.TCPConn); ok && !p.silent.Load() {
+		_ = tcp.CloseWrite()
+	}
+}
+
+func (t *TCP) write(p *pair, to net.Conn, chunks <-chan chunk, forward bool) {
+	broken := false
+	for c := range chunks {
+		if !t.pause(time.Until(c.due)) || broken || p.silent.Load() || t.get().swallows(forward) {
+			t.lost.Add(1)
+			continue
+		}
+		if _, err := to.Write(c.data); err != nil {
+			broken = true
+		}
+	}
+}
--- /dev/null
+++ b/test/relay/relay_test.go
@@ -0,0 +1,80 @@
+package relay
+
+import (
+	"bufio"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+func TestTCP(t *testing.T) {
+	Convey("Given a server behind a link", t, func() {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) }))
+		Reset(server.Close)
+		link, err := NewTCP(server.Listener.Addr().String())
+		So(err, ShouldBeNil)
+		Reset(link.Close)
+		transport := &http.Transport{}
+		client := &http.Client{Transport: transport, Timeout: 10 * time.Second}
+		get := func() error {
+			resp, err := client.Get("http://" + link.Address())
+			if err == nil {
+				resp.Body.Close()
+			}
+			return err
+		}
+		So(get(), ShouldBeNil)
+		Convey("a cut refuses and heals", func() {
+			link.Set(Fault{Cut: true})
+			So(get(), ShouldNotBeNil)
+			link.Set(Fault{})
+			So(get(), ShouldBeNil)
+		})
+		Convey("silence meets the connections that exist, not new ones", func() {
+			link.Silence()
+			client.Timeout = 100 * time.Millisecond
+			So(get(), ShouldNotBeNil)
+			transport.CloseIdleConnections()
+			client.Timeout = 10 * time.Second
+			So(get(), ShouldBeNil)
+		})
+		Convey("a blackhole answers nothing", func() {
+			link.Set(Fault{Blackhole: true})
+			client.Timeout = 100 * time.Millisecond
+			So(get(), ShouldNotBeNil)
+		})
+	})
+}
+
+func TestUDP(t *testing.T) {
+	Convey("Datagrams pass both ways unless one way is lost", t, func() {
+		server, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+		So(err, ShouldBeNil)
+		Reset(func() { server.Close() })
+		link, err := NewUDP(server.LocalAddr().String())
+		So(err, ShouldBeNil)
+		Reset(link.Close)
+		client, err := net.Dial("udp", link.Address())
+		So(err, ShouldBeNil)
+		Reset(func() { client.Close() })
+		_, _ = client.Write([]byte("lost\n"))
+		buf := make([]byte, 16)
+		n, from, err := server.ReadFromUDP(buf)
+		So(err, ShouldBeNil)
+		So(string(buf[:n]), ShouldEqual, "lost\n")
+		link.Set(Fault{LoseBack: true})
+		_, _ = server.WriteToUDP([]byte("gone\n"), from)
+		for end := time.Now().Add(10 * time.Second); link.Lost() == 0 && time.Now().Before(end); {
+			time.Sleep(time.Millisecond)
+		}
+		link.Set(Fault{})
+		_, _ = server.WriteToUDP([]byte("back\n"), from)
+		line, err := bufio.NewReader(client).ReadString('\n')
+		So(err, ShouldBeNil)
+		So(line, ShouldEqual, "back\n")
+	})
+}
