Hedge slow calls on routes that ask for it

Cause: a route that weighs attainment over cost had no way to spend on a slow server before it fails.

Ruled out: a fixed hedge delay, which is too early for slow pools and too late for fast ones; a hedge that waits in the queue, since it would take the slot of a first call.

Change: three times the server's expected call time after a call was sent, a second one goes to another server if a slot is free and the retry budget allows; the first whole answer counts, the other call is cancelled, both are booked.

Conclusion: off unless the route says hedge = true; the test sees two calls, one answer, no slot left taken.

--- /dev/null
+++ b/kernel/hedge.go
@@ -0,0 +1,93 @@
+package kernel
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/savoryfold/savoryfold/policy"
+)
+
+// A hedge is sent once a call has taken this many times its expected time, and
+// not before the least delay.
+const (
+	hedgeFactor   = 3
+	hedgeMinDelay = 5 * time.Millisecond
+)
+
+// hedged makes a call and, if it is slow and the retry budget allows, a second
+// one on another server. The first whole answer counts; the other call is
+// cancelled. Both are booked.
+func (s *stageRun) hedged(ctx context.Context, server *Server) sentCall {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	results := make(chan sentCall, 2)
+	go func() { results <- s.send(ctx, server) }()
+	if done, ok := s.awaitHedgeDelay(results, server); ok {
+		s.note(done)
+		return done
+	}
+	second := s.hedgeServer(server)
+	if second == nil {
+		done := <-results
+		s.note(done)
+		return done
+	}
+	s.host.Counter(`hedges{pool="` + s.stage.Pool + `"}`).Inc(1)
+	go func() { results <- s.send(ctx, second) }()
+	return s.firstWhole(results, cancel)
+}
+
+// awaitHedgeDelay waits for the first call, and reports whether it finished
+// before a hedge is due.
+func (s *stageRun) awaitHedgeDelay(results <-chan sentCall, server *Server) (sentCall, bool) {
+	delay := max(hedgeMinDelay, hedgeFactor*time.Duration(server.expected.Load()))
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case done := <-results:
+		return done, true
+	case <-timer.C:
+		return sentCall{}, false
+	}
+}
+
+// hedgeServer takes a call slot on another server, if the retry budget allows
+// and one is free now.
+func (s *stageRun) hedgeServer(first *Server) *Server {
+	if s.suspect() || s.pool.waiters.busy() {
+		return nil
+	}
+	other := *s.want
+	other.tried = append([]string{first.ID}, s.want.tried...)
+	second := s.pool.try(&other)
+	if second == nil {
+		return nil
+	}
+	decision := s.host.Decisions.Retry.Decide(time.Now(), policy.Attempt{
+		Number: 1, Pool: s.stage.Pool, Account: s.account.Name, Idempotent: true, Sent: true,
+		Deadline: s.deadline, Expected: time.Duration(second.expected.Load()),
+		CostWeight: s.route.CostWeight, Random: rand.Uint64(),
+	})
+	if second.ID == first.ID || !decision.Retry {
+		s.pool.release(second)
+		return nil
+	}
+	return second
+}
+
+// firstWhole returns the first of two calls that has a whole answer, or the
+// last if none has. The other one is cancelled.
+func (s *stageRun) firstWhole(results <-chan sentCall, cancel context.CancelFunc) sentCall {
+	first := <-results
+	if first.answer.Result == CallOK {
+		cancel()
+	}
+	second := <-results
+	s.note(first)
+	s.note(second)
+	if first.answer.Result == CallOK {
+		return first
+	}
+	return second
+}
--- a/kernel/serve_test.go
+++ b/kernel/serve_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -28,6 +29,12 @@
 b.pool = p
 b.idempotent = false
 
+[route hedged]
+deadline = 20s
+stages = a
+a.pool = p
+hedge = true
+
 [route stream]
 deadline = 2s
 stages = g
@@ -46,9 +53,14 @@
 	calls   []StageCall
 	answer  func(n int, c *StageCall) StageAnswer
 	renewed bool
+	// before runs at the start of each call.
+	before func(ctx context.Context)
 }
 
-func (f *fakeTransport) Call(_ context.Context, c *StageCall) StageAnswer {
+func (f *fakeTransport) Call(ctx context.Context, c *StageCall) StageAnswer {
+	if f.before != nil {
+		f.before(ctx)
+	}
 	f.mu.Lock()
 	f.calls = append(f.calls, *c)
 	n := len(f.calls)
@@ -249,6 +261,34 @@
 	})
 }
 
+func TestHedge(t *testing.T) {
+	Convey("A slow call is hedged on another server, and the loser is cancelled", t, func() {
+		var started atomic.Int32
+		transport := &fakeTransport{}
+		transport.before = func(ctx context.Context) {
+			if started.Add(1) == 1 {
+				<-ctx.Done() // the first call never answers by itself
+			}
+		}
+		transport.answer = func(n int, _ *StageCall) StageAnswer {
+			if n == 1 {
+				return okAnswer(`"second"`) // the hedge answers first
+			}
+			return StageAnswer{Result: CallCancelled}
+		}
+		h := serveHost(t, transport)
+		result := h.Serve(context.Background(), &Request{Account: "alto", Route: "hedged", Body: []byte(`{}`)})
+		So(result.Outcome.Kind, ShouldEqual, Served)
+		So(string(result.Answer.Body), ShouldEqual, `"second"`)
+		So(result.Costs[0].Calls, ShouldEqual, 2)
+		So(result.Costs[0].WastedMS, ShouldBeGreaterThan, 0)
+		So(transport.calls[0].Server.Name, ShouldNotEqual, transport.calls[1].Server.Name)
+		for _, s := range h.Snapshot().Pool("p").Servers {
+			So(s.inFlight.Load(), ShouldEqual, 0)
+		}
+	})
+}
+
 func TestOlderTablesAreNotPutInForce(t *testing.T) {
 	Convey("Tables of an older revision are ignored", t, func() {
 		h := serveHost(t, &fakeTransport{})
--- a/kernel/stage.go
+++ b/kernel/stage.go
@@ -50,12 +50,12 @@
 			s.pool.release(server)
 			return s.fail(ReasonDeadline, "the claim no longer allows stage "+s.stage.Name)
 		}
-		answer := s.attempt(ctx, server)
-		if answer.Result == CallOK {
-			s.done(answer)
+		call := s.attempt(ctx, server)
+		if call.answer.Result == CallOK {
+			s.done(call.answer)
 			return Outcome{}
 		}
-		if out := s.afterFailure(ctx, attempt, answer, server); out.Kind != "" {
+		if out := s.afterFailure(ctx, attempt, call.answer, call.server); out.Kind != "" {
 			return out
 		}
 	}
@@ -151,20 +151,39 @@
 	return g != nil && g.Suspect(time.Now(), s.fingerprint)
 }
 
-// attempt makes one call on a server and gives its call slot back.
-func (s *stageRun) attempt(ctx context.Context, server *Server) StageAnswer {
+// sentCall is a finished call of a stage.
+type sentCall struct {
+	server *Server
+	answer StageAnswer
+	sample policy.CallSample
+}
+
+// attempt makes one call, or two of which the first answer counts if the route
+// hedges. It returns the call that decides.
+func (s *stageRun) attempt(ctx context.Context, server *Server) sentCall {
+	if s.route.Hedge && s.stage.Idempotent && !s.stage.Stream {
+		return s.hedged(ctx, server)
+	}
+	done := s.send(ctx, server)
+	s.note(done)
+	return done
+}
+
+// send makes one call on a server and gives its call slot back.
+func (s *stageRun) send(ctx context.Context, server *Server) sentCall {
 	defer s.pool.release(server)
 	defer s.host.suspects.m.CompareAndDelete(server.ID, s.fingerprint)
-	s.call.ID = uuid.NewString()
-	s.call.Server = server.Config
-	s.call.FirstByte = s.firstByte()
-	sample := policy.CallSample{Class: string(s.route.Size), InFlight: int(server.inFlight.Load())}
+	call := *s.call
+	call.ID = uuid.NewString()
+	call.Server = server.Config
+	call.FirstByte = s.firstByte()
+	done := sentCall{server: server}
+	done.sample = policy.CallSample{Class: string(s.route.Size), InFlight: int(server.inFlight.Load())}
 	start := time.Now()
-	answer := s.host.Transport.Call(ctx, s.call)
-	sample.Latency = time.Since(start)
-	sample.OK = answer.Result == CallOK
-	s.note(server, answer, sample)
-	return answer
+	done.answer = s.host.Transport.Call(ctx, &call)
+	done.sample.Latency = time.Since(start)
+	done.sample.OK = done.answer.Result == CallOK
+	return done
 }
 
 // firstByte bounds the wait for an answer's first byte. An idempotent stage
@@ -178,15 +197,17 @@
 }
 
 // note books a finished call to costs, counters and the server's state.
-func (s *stageRun) note(server *Server, answer StageAnswer, sample policy.CallSample) {
+func (s *stageRun) note(done sentCall) {
+	answer := done.answer
 	if answer.Result.Sent() && answer.EngineMS == 0 {
-		answer.EngineMS = milliseconds(sample.Latency)
+		answer.EngineMS = milliseconds(done.sample.Latency)
 	}
 	s.cost.Calls++
-	s.cost.Server = server.Config.Name
 	s.cost.EngineMS += answer.EngineMS
 	s.cost.Tokens += answer.Tokens
-	if answer.Result != CallOK {
+	if answer.Result == CallOK {
+		s.cost.Server = done.server.Config.Name
+	} else {
 		s.cost.WastedMS += answer.EngineMS
 	}
 	if answer.Result.Sent() {
@@ -194,7 +215,7 @@
 		s.sentOnce = s.sentOnce || !s.stage.Idempotent
 	}
 	s.host.Counter(`stage_calls{pool="` + s.stage.Pool + `",result="` + answer.Result.String() + `"}`).Inc(1)
-	s.teach(server, answer, sample)
+	s.teach(done.server, answer, done.sample)
 }
 
 // teach takes what a call showed of its server into the views on which
