Add the standard placement, queue and admission

Cause: round robin sent every third call to a server three times as slow; first come first served let one greedy account and large requests fill the queue; with every request admitted, twice the capacity left little served in time.

Change: placement.standard (own zone, two choices by expected completion, prefix affinity with bounded load), queue.standard (weighted fair by cost of accounts, then size classes, then earliest deadline), admission.standard (predicted time to finish, shares of accounts under pressure, Retry-After). A pool remembers that it is full until a slot may have come free.

--- a/kernel/fleet.go
+++ b/kernel/fleet.go
@@ -28,7 +28,7 @@
 	for name, pc := range t.Pools {
 		state := oldPools[name]
 		if state == nil {
-			state = &poolState{waiters: newWaiters(h.Decisions.Queues)}
+			state = newPoolState(h.Decisions.Queues)
 		}
 		f.pools[name] = state
 		servers := make([]*Server, 0, len(pc.Servers))
@@ -64,9 +64,6 @@
 	settle := h.Settings.Duration("instance", "settle")
 	roster := f.sharers.update(now, liveSharers(h), settle)
 	for _, p := range snap.pools {
-		for _, s := range p.Servers {
-			s.refresh(now, h.Decisions.Limits, h.ID(), roster)
-		}
-		p.waiters.dispatch()
+		p.refresh(now, roster)
 	}
 }
--- a/kernel/lend.go
+++ b/kernel/lend.go
@@ -16,7 +16,7 @@
 	}
 	return func() {
 		s.inFlight.Add(-1)
-		p.waiters.dispatch()
+		p.slotFreed()
 	}, true
 }
 
--- a/kernel/pool.go
+++ b/kernel/pool.go
@@ -4,7 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
-	"time"
+	"sync/atomic"
 
 	"github.com/savoryfold/savoryfold/config"
 	"github.com/savoryfold/savoryfold/policy"
@@ -19,15 +19,12 @@
 	ids     []uint64 // hashes of the servers' identities, by index
 	host    *Host
 	tables  *config.Tables
+	// full is the count of freed slots at which a call that any server would do
+	// for found no slot.
+	full atomic.Int64
 	*poolState
 }
 
-// poolState is the runtime state of a pool, which lives over revisions.
-type poolState struct {
-	waiters *waiters
-	reasons reasons
-}
-
 // want is what a stage call asks of a pool.
 type want struct {
 	ticket  policy.Ticket
@@ -36,6 +33,9 @@
 	tried   []string // IDs of servers that failed the stage already
 }
 
+// anyServer reports whether every server would do.
+func (w *want) anyServer() bool { return w.version == "" && len(w.tried) == 0 }
+
 // newPool makes a pool of a snapshot, without its servers' allowances.
 func newPool(h *Host, t *config.Tables, c *config.Pool, state *poolState, servers []*Server) *Pool {
 	p := &Pool{Config: c, Servers: servers, host: h, tables: t, poolState: state}
@@ -43,6 +43,7 @@
 		return p.distance(a) - p.distance(b)
 	})
 	for _, s := range p.Servers {
+		s.pool = state
 		p.locals += 1 - p.distance(s)
 		p.ids = append(p.ids, s.hash)
 	}
@@ -74,11 +75,19 @@
 
 // try takes a call slot if one is free now.
 func (p *Pool) try(w *want) *Server {
+	freed := p.freed.Load()
+	if p.full.Load() == freed && w.anyServer() {
+		return nil
+	}
 	v := p.view(w)
 	defer v.free()
 	for range len(p.Servers) + 1 {
 		choice := p.choose(w, v)
 		if choice.Index == policy.NoServer {
+			p.reasons.count(choice.Reason)
+			if w.anyServer() {
+				p.full.Store(freed)
+			}
 			return nil
 		}
 		if s := p.Servers[choice.Index]; s.acquire() {
@@ -106,7 +115,7 @@
 // release gives a call slot back and lets waiting calls have it.
 func (p *Pool) release(s *Server) {
 	s.release()
-	p.waiters.dispatch()
+	p.slotFreed()
 }
 
 // hasServer reports whether any server of the pool may get calls of a version.
@@ -115,22 +124,3 @@
 	defer v.free()
 	return slices.ContainsFunc(p.Servers, v.usable)
 }
-
-// forecast is what admission knows of a stage on this pool.
-func (p *Pool) forecast(stage config.Stage) policy.StageForecast {
-	f := policy.StageForecast{Pool: p.Config.Name, Waiting: p.waiters.len(), CostWeight: stage.CostWeight}
-	var expected, known int64
-	for _, s := range p.Servers {
-		f.InFlight += int(s.inFlight.Load())
-		f.Capacity += int(s.allowance.Load())
-		if e := s.expected.Load(); e > 0 {
-			expected += e
-			known++
-		}
-	}
-	if known > 0 {
-		f.Service = time.Duration(expected / known)
-		f.ServiceHigh = f.Service
-	}
-	return f
-}
--- /dev/null
+++ b/kernel/pool_state.go
@@ -0,0 +1,99 @@
+package kernel
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/savoryfold/savoryfold/config"
+	"github.com/savoryfold/savoryfold/policy"
+)
+
+// agingWeight is the weight with which an idle server's smoothed call time
+// moves to the pool's at each refresh: 1/64. Without it a server that was slow
+// once would not be tried again.
+const agingWeight = 64
+
+// poolState is the runtime state of a pool, which lives over revisions.
+type poolState struct {
+	waiters *waiters
+	reasons reasons
+	// freed counts the times at which a call slot may have come free.
+	freed atomic.Int64
+	// capacity is the sum of the usable servers' allowances at the last refresh.
+	capacity atomic.Int64
+
+	mu      sync.Mutex
+	hold    policy.ServiceTime                 // over all size classes; guarded by mu
+	classes [policy.Classes]policy.ServiceTime // guarded by mu
+}
+
+func newPoolState(q policy.Queues) *poolState {
+	s := &poolState{waiters: newWaiters(q)}
+	s.freed.Store(1)
+	return s
+}
+
+// observe takes the time of a call.
+func (s *poolState) observe(sample policy.CallSample) {
+	if !sample.OK {
+		return
+	}
+	s.mu.Lock()
+	s.hold.Observe(sample.Latency)
+	s.classes[policy.Class(sample.Class)].Observe(sample.Latency)
+	s.mu.Unlock()
+}
+
+// ticket completes a ticket of a stage with what a call is expected to take.
+func (p *Pool) ticket(stage config.Stage, t policy.Ticket) policy.Ticket {
+	p.mu.Lock()
+	t.Expected = p.classes[policy.Class(t.Class)].Mean()
+	p.mu.Unlock()
+	t.Cost = milliseconds(t.Expected) * stage.CostWeight
+	return t
+}
+
+// forecast is what admission knows of a stage on this pool for a ticket.
+func (p *Pool) forecast(stage config.Stage, t policy.Ticket) policy.StageForecast {
+	f := policy.StageForecast{
+		Pool: p.Config.Name, CostWeight: stage.CostWeight,
+		Waiting: p.waiters.len(), Capacity: int(p.capacity.Load()),
+	}
+	for _, s := range p.Servers {
+		f.InFlight += int(s.inFlight.Load())
+	}
+	if p.waiters.busy() {
+		f.Ahead = p.waiters.ahead(p.ticket(stage, t))
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	class := &p.classes[policy.Class(t.Class)]
+	f.Service, f.ServiceHigh, f.Hold = class.Mean(), class.High(), p.hold.Mean()
+	return f
+}
+
+// refresh works out the servers' allowances and the pool's capacity.
+func (p *Pool) refresh(now time.Time, r roster) {
+	p.mu.Lock()
+	hold := p.hold.Mean()
+	p.mu.Unlock()
+	v := p.view(&want{})
+	defer v.free()
+	capacity := int64(0)
+	for _, s := range p.Servers {
+		s.refresh(now, p.host.Decisions.Limits, p.host.ID(), r)
+		s.age(hold)
+		if v.usable(s) {
+			capacity += s.allowance.Load()
+		}
+	}
+	p.capacity.Store(capacity)
+	p.slotFreed()
+}
+
+// slotFreed is called after a call slot may have come free.
+func (p *poolState) slotFreed() {
+	p.freed.Add(1)
+	p.waiters.dispatch()
+}
--- a/kernel/run.go
+++ b/kernel/run.go
@@ -130,7 +130,7 @@
 func (r *run) forecasts() []policy.StageForecast {
 	forecasts := make([]policy.StageForecast, 0, len(r.route.Stages))
 	for _, s := range r.route.Stages {
-		forecasts = append(forecasts, r.snap.Pool(s.Pool).forecast(s))
+		forecasts = append(forecasts, r.snap.Pool(s.Pool).forecast(s, r.blankTicket()))
 	}
 	return forecasts
 }
@@ -232,11 +232,16 @@
 }
 
 func (r *run) ticket(stage config.Stage, pool *Pool) policy.Ticket {
-	f := pool.forecast(stage)
+	t := r.blankTicket()
+	t.Arrived = time.Now()
+	return pool.ticket(stage, t)
+}
+
+// blankTicket is a ticket without what the stage brings.
+func (r *run) blankTicket() policy.Ticket {
 	return policy.Ticket{
 		Account: r.account.Name, Weight: r.account.Weight, Class: string(r.route.Size),
-		Priority: r.route.Priority, Deadline: r.deadline, Arrived: time.Now(),
-		Expected: f.Service, Cost: milliseconds(f.Service) * stage.CostWeight,
+		Priority: r.route.Priority, Deadline: r.deadline,
 	}
 }
 
--- a/kernel/server.go
+++ b/kernel/server.go
@@ -16,6 +16,7 @@
 // same address.
 type Server struct {
 	Config config.Server
+	pool   *poolState
 	*serverState
 }
 
@@ -30,6 +31,7 @@
 	sent      atomic.Int64 // calls sent since the last load report
 	done      atomic.Int64 // calls finished since the last load report
 	expected  atomic.Int64 // smoothed call time in nanoseconds
+	sampled   atomic.Bool  // a call ended since the last refresh
 	report    atomic.Pointer[policy.LoadReport]
 	limitNow  atomic.Int64 // the limit over all instances
 	allowance atomic.Int64 // this instance's share of the limit
@@ -133,7 +135,8 @@
 }
 
 // observe takes the result of a call into the server's state.
-func (s *serverState) observe(now time.Time, sample policy.CallSample) {
+func (s *Server) observe(now time.Time, sample policy.CallSample) {
+	s.pool.observe(sample)
 	if sample.OK {
 		s.smooth(sample.Latency)
 	}
@@ -144,6 +147,7 @@
 }
 
 func (s *serverState) smooth(latency time.Duration) {
+	s.sampled.Store(true)
 	old := s.expected.Load()
 	if old == 0 {
 		s.expected.Store(int64(latency))
@@ -152,6 +156,15 @@
 	s.expected.Store(old + (int64(latency)-old)/smoothing)
 }
 
+// age moves the smoothed call time of a server without calls to the pool's.
+func (s *serverState) age(hold time.Duration) {
+	old := s.expected.Load()
+	if s.sampled.Swap(false) || old == 0 || hold == 0 || s.inFlight.Load() > 0 {
+		return
+	}
+	s.expected.Store(old + (int64(hold)-old)/agingWeight)
+}
+
 // Report takes a load report of the server.
 func (s *serverState) Report(now time.Time, r policy.LoadReport) {
 	s.mu.Lock()
--- a/kernel/waiters.go
+++ b/kernel/waiters.go
@@ -43,6 +43,13 @@
 
 func (w *waiters) len() int { return int(w.count.Load()) }
 
+// ahead is the work of the waiting calls that would go before a new one.
+func (w *waiters) ahead(t policy.Ticket) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.queue.Ahead(t)
+}
+
 // join puts a call into the queue.
 func (w *waiters) join(now time.Time, p *Pool, want *want) *waitingCall {
 	w.mu.Lock()
--- a/kernel/waiters_test.go
+++ b/kernel/waiters_test.go
@@ -66,7 +66,7 @@
 			for _, s := range held[:3] {
 				s.release()
 			}
-			pool.waiters.dispatch()
+			pool.slotFreed()
 			for range 3 {
 				So(<-got, ShouldNotBeNil)
 			}
--- a/plugins/policies/policies.go
+++ b/plugins/policies/policies.go
@@ -8,11 +8,14 @@
 )
 
 func init() {
+	register("admission.standard", func() kernel.Module { return policy.NewStandardAdmission() })
 	register("admission.baseline", func() kernel.Module { return policy.AdmitAll{} })
+	register("placement.standard", func() kernel.Module { return policy.StandardPlacement{} })
 	register("placement.baseline", func() kernel.Module { return &policy.RoundRobin{} })
 	register("limits.standard", func() kernel.Module { return policy.AdaptiveLimits{} })
 	register("limits.baseline", func() kernel.Module { return policy.FixedLimits{} })
 	register("retry.baseline", func() kernel.Module { return policy.BlindRetries{} })
+	register("queue.standard", func() kernel.Module { return policy.FairQueues{} })
 	register("queue.baseline", func() kernel.Module { return policy.FIFOQueues{} })
 	register("rollout.baseline", func() kernel.Module { return policy.LinearRollout{} })
 }
--- a/policy/admission.go
+++ b/policy/admission.go
@@ -18,12 +18,18 @@
 // StageForecast is what is known of one stage that a request has yet to pass.
 type StageForecast struct {
 	Pool string
-	// Service is the expected time of the call itself.
+	// Service is the expected time of a call of the request's size class.
 	Service time.Duration
+	// Hold is the expected time for which a call of any size class holds its
+	// call slot.
+	Hold time.Duration
 	// ServiceHigh is a high quantile of the time of the call.
 	ServiceHigh time.Duration
 	// Waiting is the number of calls queued for the pool on this instance.
 	Waiting int
+	// Ahead is the work, as time in call slots, of the waiting calls that would
+	// go before the request's.
+	Ahead time.Duration
 	// InFlight and Capacity count this instance's calls and call slots.
 	InFlight, Capacity int
 	// CostWeight turns a millisecond of the stage into cost units.
--- /dev/null
+++ b/policy/admission_test.go
@@ -0,0 +1,149 @@
+package policy
+
+import (
+	"fmt"
+	"testing"
+	"time"
+	"unsafe"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// simTotals adds up accounts.
+func simTotals(accounts map[string]*simAccount, names ...string) (t simAccount) {
+	for _, name := range names {
+		a := accounts[name]
+		t.offered += a.offered
+		t.admitted += a.admitted
+		t.served += a.served
+		t.work += a.work
+		t.wasted += a.wasted
+	}
+	return t
+}
+
+var modest = []string{"a", "b", "c", "d"}
+
+// greedyLoad is load times the capacity of 80 small requests a second, most of
+// it from one account.
+func greedyLoad(load float64) []simSource {
+	const capacity = 80
+	sources := []simSource{{"greedy", "small", capacity * (load - 0.4), time.Second}}
+	for _, name := range modest {
+		sources = append(sources, simSource{name, "small", capacity * 0.1, time.Second})
+	}
+	return sources
+}
+
+func bothPolicies(seed uint64, sources []simSource) (standard, baseline map[string]*simAccount) {
+	const length = 60 * time.Second
+	standard = newSimulation(seed, NewStandardAdmission(), FairQueues{}, true).run(sources, length)
+	baseline = newSimulation(seed, AdmitAll{}, FIFOQueues{}, false).run(sources, length)
+	return standard, baseline
+}
+
+func part(n, of int) float64 { return float64(n) / float64(max(1, of)) }
+
+func (a simAccount) String() string {
+	return fmt.Sprintf("served %.3f of offered, %.3f of admitted, wasted %.3f of work",
+		part(a.served, a.offered), part(a.served, a.admitted), part(int(a.wasted), int(a.work)))
+}
+
+func TestAdmissionOverload(t *testing.T) {
+	all := append([]string{"greedy"}, modest...)
+	for seed := uint64(1); seed <= 3; seed++ {
+		atCapacity, _ := bothPolicies(seed, greedyLoad(1))
+		for _, load := range []float64{0.7, 2, 4} {
+			standard, baseline := bothPolicies(seed, greedyLoad(load))
+			s, b := simTotals(standard, all...), simTotals(baseline, all...)
+			m, bm := simTotals(standard, modest...), simTotals(baseline, modest...)
+			t.Logf("seed %d, load %.1f, all: standard %v; baseline %v", seed, load, s, b)
+			t.Logf("seed %d, load %.1f, four modest accounts: standard %v; baseline %v", seed, load, m, bm)
+			check := func(what string, got, want float64) {
+				if got < want {
+					t.Errorf("seed %d, load %.1f: %s %.3f, want at least %.3f", seed, load, what, got, want)
+				}
+			}
+			check("modest accounts served of offered", part(m.served, m.offered), 0.95)
+			if load < 1 {
+				check("served of offered", part(s.served, s.offered), 0.995)
+				continue
+			}
+			check("served of admitted", part(s.served, s.admitted), 0.95)
+			check("work not wasted", 1-part(int(s.wasted), int(s.work)), 0.95)
+			one := simTotals(atCapacity, all...)
+			check("goodput against load 1", part(s.served, one.served), 0.9)
+		}
+	}
+}
+
+func TestAdmissionSizeClasses(t *testing.T) {
+	sources := []simSource{
+		{"small", "small", 20, time.Second},
+		{"large", "large", 12, 5 * time.Second},
+	}
+	for seed := uint64(1); seed <= 3; seed++ {
+		standard, baseline := bothPolicies(seed, sources)
+		t.Logf("seed %d, small: standard %v; baseline %v", seed, standard["small"], baseline["small"])
+		t.Logf("seed %d, large: standard %v; baseline %v", seed, standard["large"], baseline["large"])
+		if got := part(standard["small"].served, standard["small"].offered); got < 0.95 {
+			t.Errorf("seed %d: small requests served %.3f of offered, want at least 0.95", seed, got)
+		}
+	}
+}
+
+func TestStandardAdmission(t *testing.T) {
+	request := Request{Account: "a", Weight: 1, Deadline: epoch.Add(time.Second), Cost: 100}
+	Convey("Given an admission", t, func() {
+		a := NewStandardAdmission()
+		stage := StageForecast{Service: 100 * time.Millisecond, ServiceHigh: 200 * time.Millisecond, Hold: 100 * time.Millisecond, InFlight: 4, Capacity: 4}
+		Convey("a request in time is admitted", func() {
+			d := a.Admit(epoch, request, []StageForecast{stage, stage})
+			So(d.Admit, ShouldBeTrue)
+			So(d.Predicted, ShouldBeBetween, 300*time.Millisecond, 500*time.Millisecond)
+		})
+		Convey("one that would miss its deadline is refused with a time to come back", func() {
+			stage.Ahead = 6 * time.Second
+			d := a.Admit(epoch, request, []StageForecast{stage})
+			So(d.Admit, ShouldBeFalse)
+			So(d.Reason, ShouldEqual, reasonTooLate)
+			So(d.RetryAfter, ShouldBeBetween, minRetryAfter, maxRetryAfter)
+		})
+		Convey("with queues, the account that uses most is refused first", func() {
+			for range 20 {
+				a.Admit(epoch, request, []StageForecast{stage})
+			}
+			other := request
+			other.Account = "b"
+			stage.Ahead = 2 * time.Second
+			So(a.Admit(epoch, other, []StageForecast{stage}).Admit, ShouldBeTrue)
+			d := a.Admit(epoch.Add(weighInterval), request, []StageForecast{stage})
+			So(d.Admit, ShouldBeFalse)
+			So(d.Reason, ShouldEqual, reasonOverFair)
+		})
+		Convey("idle accounts are forgotten", func() {
+			for i := range 570 {
+				r := request
+				r.Account = fmt.Sprint(i)
+				a.Admit(epoch, r, nil)
+				a.Finish(epoch, r, 100, true)
+			}
+			So(a.accounts, ShouldHaveLength, 570)
+			late := epoch.Add(5 * time.Minute)
+			last := request
+			last.Deadline = late.Add(time.Second)
+			a.Admit(late, last, nil)
+			a.Finish(late, last, 100, true)
+			So(a.accounts, ShouldHaveLength, 1)
+		})
+	})
+}
+
+func TestAccountSize(t *testing.T) {
+	use := unsafe.Sizeof(accountUse{})
+	waiting := unsafe.Sizeof(flow{})
+	t.Logf("state of one account: %d bytes in admission; %d bytes in each queue where it waits, and %d bytes a waiting call", use, waiting, unsafe.Sizeof(Ticket{}))
+	if use > 64 || waiting > 192 {
+		t.Errorf("state of one account takes %d and %d bytes, want at most 64 and 192", use, waiting)
+	}
+}
--- a/policy/queue.go
+++ b/policy/queue.go
@@ -47,6 +47,9 @@
 	// Serve offers slots to the calls in order until one takes its slot, and
 	// reports whether one did. A skipped call keeps its place.
 	Serve(now time.Time, offer func(Ticket) Offer) bool
+	// Ahead is the work, as time in call slots, of the waiting calls that would
+	// go before a new call.
+	Ahead(t Ticket) time.Duration
 	// Remove takes out a call that gave up.
 	Remove(id uint64)
 	Len() int
@@ -80,6 +83,14 @@
 	return false
 }
 
+func (q *fifo) Ahead(Ticket) time.Duration {
+	var work time.Duration
+	for _, t := range q.tickets {
+		work += t.Expected
+	}
+	return work
+}
+
 func (q *fifo) Remove(id uint64) {
 	q.tickets = slices.DeleteFunc(q.tickets, func(t Ticket) bool { return t.ID == id })
 }
--- /dev/null
+++ b/policy/testing_test.go
@@ -0,0 +1,9 @@
+package policy
+
+import "slices"
+
+// quantileOf returns a quantile of values.
+func quantileOf(values []float64, q float64) float64 {
+	sorted := slices.Sorted(slices.Values(values))
+	return sorted[int(q*float64(len(sorted)-1))]
+}
