--- a/kernel/fleet.go
+++ b/kernel/fleet.go
@@ -33,21 +33,37 @@
 		f.pools[name] = state
 		servers := make([]*Server, 0, len(pc.Servers))
 		for _, sc := range pc.Servers {
-			s := f.server(h, oldServers, sc, pc, now)
-			s.barred.Store(sc.Leaving || t.ZoneOut(sc.Zone))
-			servers = append(servers, s)
+			servers = append(servers, f.server(h, oldServers, sc, pc, now))
 		}
 		snap.pools[name] = newPool(h, t, pc, state, servers)
 	}
-	for key, s := range oldServers {
-		if f.servers[key] == nil {
-			s.barred.Store(true)
-		}
-	}
 	f.refresh(h, snap, now)
 	return snap
 }
 
+// bar keeps new calls from servers that left the tables, are leaving or stand
+// in a zone that was taken out, also calls of requests on older snapshots. It
+// runs once the snapshot is in force, so that a request that finds all servers
+// of its own snapshot barred finds the new ones. The caller holds mu.
+func (f *fleet) bar(snap, old *Snapshot) {
+	for _, p := range snap.pools {
+		for _, s := range p.Servers {
+			s.barred.Store(s.Config.Leaving || snap.Tables.ZoneOut(s.Config.Zone))
+		}
+	}
+	if old == nil {
+		return
+	}
+	for _, p := range old.pools {
+		for _, s := range p.Servers {
+			key := serverKey{s.Config.Pool, s.Config.Name, s.Config.Address}
+			if f.servers[key] != s.serverState {
+				s.barred.Store(true)
+			}
+		}
+	}
+}
+
 func (f *fleet) server(h *Host, old map[serverKey]*serverState, c config.Server, pool *config.Pool, now time.Time) *Server {
 	key := serverKey{c.Pool, c.Name, c.Address}
 	s := old[key]
--- a/kernel/pool.go
+++ b/kernel/pool.go
@@ -124,3 +124,21 @@
 	defer v.free()
 	return slices.ContainsFunc(p.Servers, v.usable)
 }
+
+// inForce reports whether the pool belongs to the snapshot in force.
+func (p *Pool) inForce() bool { return p.host.Snapshot().Pool(p.Config.Name) == p }
+
+// successor returns the pool itself, or the pool in force of the same name once
+// no server of this one may get the call: operators may have moved all of its
+// servers while the request was on its way. It reports whether the returned
+// pool has a server for the call.
+func (p *Pool) successor(w *want) (*Pool, bool) {
+	for !p.hasServer(w.version) {
+		now := p.host.Snapshot().Pool(p.Config.Name)
+		if now == nil || now == p || now.poolState != p.poolState {
+			return p, false
+		}
+		p = now
+	}
+	return p, true
+}
--- a/kernel/waiters.go
+++ b/kernel/waiters.go
@@ -29,7 +29,7 @@
 // waitingCall is one call that waits.
 type waitingCall struct {
 	id      uint64
-	pool    *Pool
+	pool    *Pool // guarded by waiters.mu
 	want    *want
 	granted chan *Server // holds one slot at most
 }
@@ -87,24 +87,33 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	var refused []string // versions whose servers are full
+	var refused []refusal
 	offer := func(t policy.Ticket) policy.Offer { return w.offer(t, &refused) }
 	for w.queue.Serve(time.Now(), offer) {
 	}
 }
 
+// refusal names the servers that are full: those of a version in a pool.
+type refusal struct {
+	pool    *Pool
+	version string
+}
+
 // offer grants a call a slot if one fits. The caller holds mu.
-func (w *waiters) offer(t policy.Ticket, refused *[]string) policy.Offer {
+func (w *waiters) offer(t policy.Ticket, refused *[]refusal) policy.Offer {
 	c := w.calls[t.ID]
-	if slices.Contains(*refused, c.want.version) {
+	c.pool, _ = c.pool.successor(c.want)
+	r := refusal{c.pool, c.want.version}
+	if slices.Contains(*refused, r) {
 		return policy.OfferSkipped
 	}
 	s := c.pool.try(c.want)
 	if s == nil {
-		if c.want.version == "" || !c.pool.Config.Versioned {
+		// The usable servers of an older snapshot are among those in force.
+		if c.pool.inForce() && (c.want.version == "" || !c.pool.Config.Versioned) {
 			return policy.OfferEnded
 		}
-		*refused = append(*refused, c.want.version)
+		*refused = append(*refused, r)
 		return policy.OfferSkipped
 	}
 	delete(w.calls, c.id)
@@ -113,6 +122,13 @@
 	return policy.OfferTaken
 }
 
+// poolOf returns the pool that a waiting call uses now.
+func (w *waiters) poolOf(c *waitingCall) *Pool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return c.pool
+}
+
 // wait waits until the call has a slot. It returns nil when the context ends,
 // or as soon as the call can no longer be done by its deadline.
 func (w *waiters) wait(ctx context.Context, p *Pool, want *want) *Server {
@@ -150,10 +166,11 @@
 
 // borrow tries to borrow a slot for a waiting call.
 func (w *waiters) borrow(ctx context.Context, c *waitingCall) *Server {
-	s := c.pool.borrow(ctx, c.want)
+	pool := w.poolOf(c)
+	s := pool.borrow(ctx, c.want)
 	if s == nil || w.leave(c) {
 		return s
 	}
-	c.pool.release(s)
+	pool.release(s)
 	return <-c.granted
 }
--- a/plugins/policies/policies.go
+++ b/plugins/policies/policies.go
@@ -16,6 +16,7 @@
 	register("limits.baseline", func() kernel.Module { return policy.FixedLimits{} })
 	register("retry.baseline", func() kernel.Module { return policy.BlindRetries{} })
 	register("queue.standard", func() kernel.Module { return policy.FairQueues{} })
+	register("retry.standard", func() kernel.Module { return &policy.BudgetedRetries{} })
 	register("queue.baseline", func() kernel.Module { return policy.FIFOQueues{} })
 	register("rollout.baseline", func() kernel.Module { return policy.LinearRollout{} })
 }
--- a/policy/limit_adaptive.go
+++ b/policy/limit_adaptive.go
@@ -98,12 +98,18 @@
 
 // Observe implements ServerLimit.
 func (l *adaptiveLimit) Observe(now time.Time, s CallSample) {
+	class := &l.classes[classIndex(s.Class)]
+	if s.Cut {
+		if class.cut(s.Latency) {
+			l.chill(now, true)
+		}
+		return
+	}
 	if !s.OK {
 		l.failed(now)
 		return
 	}
 	l.failures = 0
-	class := &l.classes[classIndex(s.Class)]
 	switch class.add(now, s.Latency) {
 	case latencyJump:
 		l.chill(now, true)
