--- a/kernel/snapshot.go
+++ b/kernel/snapshot.go
@@ -34,7 +34,7 @@
 	h.snapshot.Store(snap)
 	h.fleet.bar(snap, old)
 	for _, p := range snap.pools {
-		p.waiters.dispatch()
+		p.slotFreed()
 	}
 	h.Gauge("config_revision").Update(int64(t.Revision))
 	h.Logger.Info("tables in force", "revision", t.Revision, "routes", len(t.Routes), "pools", len(t.Pools))
--- a/kernel/stage.go
+++ b/kernel/stage.go
@@ -78,12 +78,9 @@
 }
 
 func (s *stageRun) ticket() policy.Ticket {
-	f := s.pool.forecast(s.stage)
-	return policy.Ticket{
-		Account: s.account.Name, Weight: s.account.Weight, Class: string(s.route.Size),
-		Priority: s.route.Priority, Deadline: s.deadline, Arrived: time.Now(),
-		Expected: f.Service, Cost: milliseconds(f.Service) * s.stage.CostWeight,
-	}
+	t := s.blankTicket()
+	t.Arrived = time.Now()
+	return s.pool.ticket(s.stage, t)
 }
 
 func (s *stageRun) newCall() *StageCall {
@@ -183,6 +180,7 @@
 	done.answer = s.host.Transport.Call(ctx, &call)
 	done.sample.Latency = time.Since(start)
 	done.sample.OK = done.answer.Result == CallOK
+	done.sample.Cut = done.answer.Result == CallDeadline
 	return done
 }
 
--- a/policy/limit.go
+++ b/policy/limit.go
@@ -16,6 +16,9 @@
 	// Class is the request's size class, whose latencies are compared.
 	Class string
 	OK    bool
+	// Cut is true if the request's deadline ended the call, so that Latency is
+	// less than the call would have taken.
+	Cut bool
 	// InFlight counts this instance's calls when the call was sent, Allowance is
 	// its share of the limit.
 	InFlight, Allowance int
--- a/policy/limit_latency.go
+++ b/policy/limit_latency.go
@@ -77,6 +77,20 @@
 	return latencyNormal
 }
 
+// cut takes a call that took at least the latency, and reports whether it is
+// the last of a jump.
+func (c *classLatency) cut(latency time.Duration) bool {
+	if c.samples < latencyFirst || float64(latency) <= jumpRatio*c.floor {
+		return false
+	}
+	c.slow++
+	if c.slow < jumpRun {
+		return false
+	}
+	c.slow = 0
+	return true
+}
+
 // begin takes one of the first samples, from which the floor is set.
 func (c *classLatency) begin(now time.Time, x float64) {
 	c.samples++
--- a/policy/limit_test.go
+++ b/policy/limit_test.go
@@ -146,6 +146,16 @@
 			}
 			So(l.Limit(now), ShouldEqual, 2)
 		})
+		Convey("calls that their deadlines cut short say nothing, those cut late make a jump", func() {
+			for range 20 {
+				l.Observe(now, CallSample{Latency: fast, Cut: true})
+			}
+			So(l.Limit(now), ShouldEqual, 32)
+			for range jumpRun {
+				l.Observe(now, CallSample{Latency: 10 * fast, Cut: true})
+			}
+			So(l.Limit(now), ShouldEqual, 2)
+		})
 		Convey("a higher latency lowers the limit step by step", func() {
 			now = feed(l, now, 30, 3*fast)
 			So(l.Cold(now), ShouldBeFalse)
