Renew the certificates of entry and administration without a stop

Cause: the certificate files were read once at the start, so that a renewal meant replacing every instance.

Ruled out: a signal to read them anew, which operators would have to send to each instance.

Both servers use it and refuse one file without the other.

--- a/plugins/admin/admin.go
+++ b/plugins/admin/admin.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/savoryfold/savoryfold/config"
+	"github.com/savoryfold/savoryfold/internal/httpapi"
 	"github.com/savoryfold/savoryfold/kernel"
 )
 
@@ -54,15 +55,16 @@
 		IdleTimeout:       time.Minute,
 		ErrorLog:          slog.NewLogLogger(h.Logger.Handler(), slog.LevelDebug),
 	}
+	tlsConfig, err := httpapi.ServerTLS(h.Settings.String(section, "tls_cert"), h.Settings.String(section, "tls_key"))
+	if err != nil {
+		return errors.Wrap(err, "[admin]")
+	}
+	a.server.TLSConfig = tlsConfig
 	return nil
 }
 
 // Validate implements kernel.Validator.
 func (a *Admin) Validate() error {
-	s := a.host.Settings
-	if (s.String(section, "tls_cert") == "") != (s.String(section, "tls_key") == "") {
-		return errors.New("[admin] tls_cert and tls_key go together")
-	}
 	for _, op := range a.operators {
 		if len(op.tokenHash) != 64 {
 			return errors.Errorf("[operator %s] token_sha256: want 64 hexadecimal digits", op.name)
@@ -88,10 +90,9 @@
 }
 
 func (a *Admin) serve(l net.Listener) {
-	cert, key := a.host.Settings.String(section, "tls_cert"), a.host.Settings.String(section, "tls_key")
 	var err error
-	if cert != "" {
-		err = a.server.ServeTLS(l, cert, key)
+	if a.server.TLSConfig != nil {
+		err = a.server.ServeTLS(l, "", "")
 	} else {
 		err = a.server.Serve(l)
 	}
--- a/plugins/entryhttp/entryhttp.go
+++ b/plugins/entryhttp/entryhttp.go
@@ -71,15 +71,11 @@
 		MaxHeaderBytes:    16 << 10,
 		ErrorLog:          slog.NewLogLogger(h.Logger.Handler(), slog.LevelDebug),
 	}
-	return nil
-}
-
-// Validate implements kernel.Validator.
-func (e *Entry) Validate() error {
-	cert, key := e.host.Settings.String(section, "tls_cert"), e.host.Settings.String(section, "tls_key")
-	if (cert == "") != (key == "") {
-		return errors.New("[entry] tls_cert and tls_key go together")
+	tlsConfig, err := httpapi.ServerTLS(s.String(section, "tls_cert"), s.String(section, "tls_key"))
+	if err != nil {
+		return errors.Wrap(err, "[entry]")
 	}
+	e.server.TLSConfig = tlsConfig
 	return nil
 }
 
@@ -96,10 +92,9 @@
 }
 
 func (e *Entry) serve(l net.Listener) {
-	cert, key := e.host.Settings.String(section, "tls_cert"), e.host.Settings.String(section, "tls_key")
 	var err error
-	if cert != "" {
-		err = e.server.ServeTLS(l, cert, key)
+	if e.server.TLSConfig != nil {
+		err = e.server.ServeTLS(l, "", "")
 	} else {
 		err = e.server.Serve(l)
 	}
