--- a/kernel/serve_test.go
+++ b/kernel/serve_test.go
@@ -2,20 +2,18 @@
 
 import (
 	"context"
-	"io"
-	"log/slog"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
-	"github.com/rcrowley/go-metrics"
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/savoryfold/savoryfold/config"
 	"github.com/savoryfold/savoryfold/policy"
 )
 
-const testTables = `[account alto]
+const serveTables = `[account alto]
 key_sha256 = 0000000000000000000000000000000000000000000000000000000000000001
 
 [route plain]
@@ -31,6 +29,12 @@
 b.pool = p
 b.idempotent = false
 
+[route hedged]
+deadline = 20s
+stages = a
+a.pool = p
+hedge = true
+
 [route stream]
 deadline = 2s
 stages = g
@@ -49,9 +53,14 @@
 	calls   []StageCall
 	answer  func(n int, c *StageCall) StageAnswer
 	renewed bool
+	// before runs at the start of each call.
+	before func(ctx context.Context)
 }
 
-func (f *fakeTransport) Call(_ context.Context, c *StageCall) StageAnswer {
+func (f *fakeTransport) Call(ctx context.Context, c *StageCall) StageAnswer {
+	if f.before != nil {
+		f.before(ctx)
+	}
 	f.mu.Lock()
 	f.calls = append(f.calls, *c)
 	n := len(f.calls)
@@ -77,25 +86,15 @@
 func (f *fakeClaims) Complete(context.Context, Answer)               { f.ended += "complete" }
 func (f *fakeClaims) Doubt()                                         { f.ended += "doubt" }
 
-func testHost(t *testing.T, transport Transport) *Host {
+// serveHost is a host with baseline decisions, a transport and tables.
+func serveHost(t *testing.T, transport Transport) *Host {
 	t.Helper()
-	schema := &config.Schema{}
-	schema.Add(config.Key{Section: "instance", Name: "id"}, config.Key{Section: "instance", Name: "zone"})
-	settings, err := schema.Load("test.ini", []byte("[instance]\nid = hobart-1\nzone = hobart\n"))
-	if err != nil {
-		t.Fatal(err)
-	}
-	h := &Host{
-		Settings:  settings,
-		Logger:    slog.New(slog.NewTextHandler(io.Discard, nil)),
-		Metrics:   metrics.NewRegistry(),
-		Transport: transport,
-		Decisions: Decisions{
-			Admission: policy.AdmitAll{}, Placement: &policy.RoundRobin{}, Limits: policy.FixedLimits{},
-			Retry: policy.BlindRetries{}, Queues: policy.FIFOQueues{}, Rollout: policy.LinearRollout{},
-		},
-	}
-	tables, err := config.ParseTables("tables.ini", []byte(testTables))
+	h := testHost(t, "hobart-1", Decisions{
+		Admission: policy.AdmitAll{}, Placement: &policy.RoundRobin{}, Limits: policy.FixedLimits{},
+		Retry: policy.BlindRetries{}, Queues: policy.FIFOQueues{}, Rollout: policy.LinearRollout{},
+	})
+	h.Transport = transport
+	tables, err := config.ParseTables("tables.ini", []byte(serveTables))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -159,7 +158,7 @@
 	for _, c := range cases {
 		Convey("Outcome: "+c.name, t, func() {
 			transport := &fakeTransport{answer: c.answer}
-			h := testHost(t, transport)
+			h := serveHost(t, transport)
 			claims := &fakeClaims{}
 			h.Claims = claims
 			result := h.Serve(context.Background(), &Request{Account: "alto", Route: c.route, Key: "k", Body: []byte(`{}`)})
@@ -178,7 +177,7 @@
 			}
 			return okAnswer(`1`)
 		}}
-		h := testHost(t, transport)
+		h := serveHost(t, transport)
 		h.Serve(context.Background(), &Request{Account: "alto", Route: "plain", Body: []byte(`{}`)})
 		servers := map[string]bool{}
 		ids := map[string]bool{}
@@ -194,7 +193,7 @@
 func TestClaimThatNoLongerAllowsDispatch(t *testing.T) {
 	Convey("A claim that forbids dispatch is released and nothing is sent to the stage", t, func() {
 		transport := &fakeTransport{answer: func(int, *StageCall) StageAnswer { return okAnswer(`1`) }}
-		h := testHost(t, transport)
+		h := serveHost(t, transport)
 		claims := &fakeClaims{deny: true}
 		h.Claims = claims
 		result := h.Serve(context.Background(), &Request{Account: "alto", Route: "once", Key: "k", Body: []byte(`{}`)})
@@ -206,7 +205,7 @@
 
 func TestRefusedRequests(t *testing.T) {
 	transport := &fakeTransport{answer: func(int, *StageCall) StageAnswer { return okAnswer(`1`) }}
-	h := testHost(t, transport)
+	h := serveHost(t, transport)
 	cases := []struct {
 		name string
 		req  Request
@@ -247,7 +246,7 @@
 			}
 			return okAnswer(`{"text":"` + c.Events.Text() + `"}`)
 		}}
-		h := testHost(t, transport)
+		h := serveHost(t, transport)
 		caller := &recorder{}
 		result := h.Serve(context.Background(), &Request{Account: "alto", Route: "stream", Body: []byte(`{}`), Events: caller})
 		So(result.Outcome.Kind, ShouldEqual, Served)
@@ -262,9 +261,37 @@
 	})
 }
 
+func TestHedge(t *testing.T) {
+	Convey("A slow call is hedged on another server, and the loser is cancelled", t, func() {
+		var started atomic.Int32
+		transport := &fakeTransport{}
+		transport.before = func(ctx context.Context) {
+			if started.Add(1) == 1 {
+				<-ctx.Done() // the first call never answers by itself
+			}
+		}
+		transport.answer = func(n int, _ *StageCall) StageAnswer {
+			if n == 1 {
+				return okAnswer(`"second"`) // the hedge answers first
+			}
+			return StageAnswer{Result: CallCancelled}
+		}
+		h := serveHost(t, transport)
+		result := h.Serve(context.Background(), &Request{Account: "alto", Route: "hedged", Body: []byte(`{}`)})
+		So(result.Outcome.Kind, ShouldEqual, Served)
+		So(string(result.Answer.Body), ShouldEqual, `"second"`)
+		So(result.Costs[0].Calls, ShouldEqual, 2)
+		So(result.Costs[0].WastedMS, ShouldBeGreaterThan, 0)
+		So(transport.calls[0].Server.Name, ShouldNotEqual, transport.calls[1].Server.Name)
+		for _, s := range h.Snapshot().Pool("p").Servers {
+			So(s.inFlight.Load(), ShouldEqual, 0)
+		}
+	})
+}
+
 func TestOlderTablesAreNotPutInForce(t *testing.T) {
 	Convey("Tables of an older revision are ignored", t, func() {
-		h := testHost(t, &fakeTransport{})
+		h := serveHost(t, &fakeTransport{})
 		older := config.Empty()
 		So(h.SetTables(older), ShouldBeFalse)
 		So(h.Snapshot().Tables.Revision, ShouldEqual, 1)
--- a/plugins/configsource/log_test.go
+++ b/plugins/configsource/log_test.go
@@ -54,12 +54,7 @@
 }
 
 func (c *cluster) start(id string) *instance {
-	schema := &config.Schema{}
-	schema.Add(config.Key{Section: "instance", Name: "id"}, config.Key{Section: "instance", Name: "zone"})
-	for _, info := range kernel.Modules() {
-		schema.Add(info.Settings...)
-	}
-	settings, err := schema.Load("t.ini", []byte("[instance]\nid = "+id+"\nzone = hobart\n[config]\nrestate_every = 100ms\nedit_timeout = 10s\npeer_patience = 50ms\n"))
+	settings, err := kernel.Schema().Load("t.ini", []byte("[instance]\nid = "+id+"\nzone = hobart\n[config]\nrestate_every = 100ms\nedit_timeout = 10s\npeer_patience = 50ms\n"))
 	if err != nil {
 		c.t.Fatal(err)
 	}
