Move versions by evidence, and take bad ones back

Cause: the only rollout was the baseline, whose share grows with time whatever is seen.

Change: StandardRollout: steps from 3%, each after its time and after enough good calls of the new version on the route; evidence under load before 40% for a part of the time; cheaper and repeatable routes first. The brake compares failures and slow calls with the old version's, over the last 20 s and the whole move, at any load and under load, by the log-likelihood ratio. MoveTracker gathers the evidence. Versions.Observe takes a policy.MoveCall, which tells whether the server was cold.

A good version finishes at 70% of the time.

A failed try: with one slow threshold for each load, a version three times as slow was seen only after 125 s, since the old version had no unloaded calls to compare with; its quantile under load now stands in.

Seen to fail with the mechanism off: the recent span, the slow test, the steps' evidence, the tolerance (a good version is taken back), the higher threshold for cold servers (a good version that starts cold is taken back).

Conclusion: go test ./policy passes.

--- a/kernel/interfaces.go
+++ b/kernel/interfaces.go
@@ -264,9 +264,9 @@
 	// Pick returns the version for a request, or "" for any. The number is
 	// drawn at random once for the request.
 	Pick(now time.Time, route *config.Route, random uint64) string
-	// Observe takes the result of a stage call on a versioned pool. Load is the
-	// part of the server's limit in use when the call was sent.
-	Observe(now time.Time, route, version string, ok bool, latency time.Duration, load float64)
+	// Observe takes the result of a stage call on a versioned pool. The module
+	// sets New of the call itself.
+	Observe(now time.Time, route, version string, call policy.MoveCall)
 }
 
 // CrashGuard recognises requests that crash the servers that run them. A
--- a/kernel/stage.go
+++ b/kernel/stage.go
@@ -229,8 +229,10 @@
 	}
 	server.observe(now, sample)
 	if v := s.host.Versions; v != nil && s.pool.Config.Versioned {
-		load := float64(sample.InFlight) / float64(max(1, server.allowance.Load()))
-		v.Observe(now, s.route.Name, server.Config.Version, sample.OK, sample.Latency, load)
+		v.Observe(now, s.route.Name, server.Config.Version, policy.MoveCall{
+			OK: sample.OK, Latency: sample.Latency, Cold: server.cold.Load(),
+			Load: float64(sample.InFlight) / float64(max(1, server.allowance.Load())),
+		})
 	}
 	if g := s.host.CrashGuard; g != nil && answer.Result == CallBroken {
 		g.Broken(now, s.fingerprint, server.ID)
--- a/plugins/policies/policies.go
+++ b/plugins/policies/policies.go
@@ -18,6 +18,7 @@
 	register("queue.standard", func() kernel.Module { return policy.FairQueues{} })
 	register("retry.standard", func() kernel.Module { return &policy.BudgetedRetries{} })
 	register("queue.baseline", func() kernel.Module { return policy.FIFOQueues{} })
+	register("rollout.standard", func() kernel.Module { return policy.StandardRollout{} })
 	register("rollout.baseline", func() kernel.Module { return policy.LinearRollout{} })
 }
 
