Eject backend servers that fail, half of a pool at most

Cause: a server that fails at once looks idle, so placement by load prefers it.

Ruled out: ejection by refusals or by calls that their deadline cut; both come with overload and would shrink a pool when it is needed most.

Change: ejection.standard (five failures in a row, or half of ten calls and more within ten seconds; two seconds, doubled each time up to a minute), with at most half of the usable servers of the pool and of each version left out. A borrowed slot is given back by the end of its lease, the earliest first, so that a long call never goes on under a lease that has ended.

--- a/kernel/fleet.go
+++ b/kernel/fleet.go
@@ -68,7 +68,7 @@
 	key := serverKey{c.Pool, c.Name, c.Address}
 	s := old[key]
 	if s == nil {
-		s = newServerState(c, pool, h.Decisions.Limits, now)
+		s = newServerState(c, pool, &h.Decisions, now)
 	}
 	s.configure(pool)
 	f.servers[key] = s
--- a/kernel/host.go
+++ b/kernel/host.go
@@ -23,9 +23,18 @@
 	Limits    policy.Limits
 	Retry     policy.Retry
 	Queues    policy.Queues
+	Ejections policy.Ejections
 	Rollout   policy.Rollout
 }
 
+// ejections returns the selected module, or the baseline if there is none.
+func (d *Decisions) ejections() policy.Ejections {
+	if d.Ejections == nil {
+		return policy.NoEjections{}
+	}
+	return d.Ejections
+}
+
 // Host is what modules get: settings, logs, counters, and one another by the
 // interfaces of this package. A field is nil if no module fills it; all are set
 // before the first module is provisioned and do not change.
@@ -88,6 +97,7 @@
 	set(&h.Decisions.Limits, m)
 	set(&h.Decisions.Retry, m)
 	set(&h.Decisions.Queues, m)
+	set(&h.Decisions.Ejections, m)
 	set(&h.Decisions.Rollout, m)
 	set(&h.Transport, m)
 	set(&h.Log, m)
--- a/kernel/lend.go
+++ b/kernel/lend.go
@@ -92,7 +92,8 @@
 	if !ok {
 		return nil
 	}
-	s.acquireBorrowed(release)
+	until, _ := ctx.Deadline()
+	s.acquireBorrowed(slotLoan{until, release})
 	p.reasons.count(reasonBorrowed)
 	return s
 }
--- a/kernel/pool_state.go
+++ b/kernel/pool_state.go
@@ -23,6 +23,9 @@
 	// capacity is the sum of the usable servers' allowances at the last refresh.
 	capacity atomic.Int64
 
+	current atomic.Pointer[Pool] // of the newest snapshot
+	ejectMu sync.Mutex           // serializes ejections
+
 	mu      sync.Mutex
 	hold    policy.ServiceTime                 // over all size classes; guarded by mu
 	classes [policy.Classes]policy.ServiceTime // guarded by mu
@@ -78,6 +81,7 @@
 	p.mu.Lock()
 	hold := p.hold.Mean()
 	p.mu.Unlock()
+	p.current.Store(p)
 	v := p.view(&want{})
 	defer v.free()
 	capacity := int64(0)
--- a/kernel/server.go
+++ b/kernel/server.go
@@ -1,6 +1,7 @@
 package kernel
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -39,10 +40,17 @@
 	barred    atomic.Bool  // out of the tables in force, leaving, or in a zone that is out
 	ejected   atomic.Int64 // Unix nanoseconds until which the server is ejected
 
-	mu    sync.Mutex
-	limit policy.ServerLimit // guarded by mu
-	place place              // guarded by mu
-	loans []func()           // give borrowed slots back; guarded by mu
+	mu      sync.Mutex
+	limit   policy.ServerLimit // guarded by mu
+	ejector policy.Ejector     // guarded by mu
+	place   place              // guarded by mu
+	loans   []slotLoan         // the one that ends first is the first; guarded by mu
+}
+
+// slotLoan is a call slot on loan from another instance.
+type slotLoan struct {
+	until   time.Time // when the lender takes it for given back
+	release func()
 }
 
 // place is an instance's place among the sharers of a server's limit.
@@ -56,10 +64,11 @@
 // Weight of a new sample in the smoothed call time: 1/8.
 const smoothing = 8
 
-func newServerState(c config.Server, pool *config.Pool, limits policy.Limits, now time.Time) *serverState {
+func newServerState(c config.Server, pool *config.Pool, d *Decisions, now time.Time) *serverState {
 	s := &serverState{ID: c.Pool + "/" + c.Name}
 	s.hash = xxhash.Sum64String(s.ID)
-	s.limit = limits.New(now, limitConfig(pool))
+	s.limit = d.Limits.New(now, limitConfig(pool))
+	s.ejector = d.ejections().NewEjector()
 	return s
 }
 
@@ -101,9 +110,10 @@
 }
 
 // acquireBorrowed takes a call slot that another instance lends.
-func (s *serverState) acquireBorrowed(release func()) {
+func (s *serverState) acquireBorrowed(l slotLoan) {
 	s.mu.Lock()
-	s.loans = append(s.loans, release)
+	at, _ := slices.BinarySearchFunc(s.loans, l, func(a, b slotLoan) int { return a.until.Compare(b.until) })
+	s.loans = slices.Insert(s.loans, at, l)
 	s.mu.Unlock()
 	s.borrowed.Add(1)
 	s.inFlight.Add(1)
@@ -119,19 +129,19 @@
 	}
 }
 
-// repay ends one loan.
+// repay ends the loan that would end first. Calls are not tied to slots, so the
+// calls that go on keep the loans that last longest.
 func (s *serverState) repay() {
 	s.mu.Lock()
-	last := len(s.loans) - 1
-	if last < 0 {
+	if len(s.loans) == 0 {
 		s.mu.Unlock()
 		return
 	}
-	release := s.loans[last]
-	s.loans = s.loans[:last]
+	first := s.loans[0]
+	s.loans = slices.Delete(s.loans, 0, 1)
 	s.borrowed.Add(-1)
 	s.mu.Unlock()
-	release()
+	first.release()
 }
 
 // observe takes the result of a call into the server's state.
@@ -144,6 +154,7 @@
 	s.mu.Lock()
 	s.limit.Observe(now, sample)
 	s.mu.Unlock()
+	s.judge(now, sample)
 }
 
 func (s *serverState) smooth(latency time.Duration) {
--- a/kernel/settings.go
+++ b/kernel/settings.go
@@ -14,6 +14,7 @@
 	{"limits", "standard", "limits the calls on each backend server"},
 	{"retry", "standard", "decides on calls after a failure"},
 	{"queue", "standard", "orders waiting calls"},
+	{"ejection", "standard", "leaves out backend servers that fail"},
 	{"rollout", "standard", "moves traffic between versions"},
 	{"claims", "log", "lets a request that may not be repeated run at most once"},
 	{"membership", "gossip", "knows the other instances"},
--- a/kernel/sharers_test.go
+++ b/kernel/sharers_test.go
@@ -99,7 +99,8 @@
 		So(ok, ShouldBeTrue)
 		So(h.IdleSlots("encode/s0"), ShouldEqual, 1)
 		repaid := 0
-		server.acquireBorrowed(func() { repaid++ })
+		server.acquireBorrowed(slotLoan{testEpoch.Add(time.Hour), func() { t.Error("the longer loan ended first") }})
+		server.acquireBorrowed(slotLoan{testEpoch, func() { repaid++ }})
 		So(h.IdleSlots("encode/s0"), ShouldEqual, 1)
 		server.release()
 		So(repaid, ShouldEqual, 1)
--- a/kernel/stage.go
+++ b/kernel/stage.go
@@ -160,6 +160,7 @@
 	answer := s.host.Transport.Call(ctx, s.call)
 	sample.Latency = time.Since(start)
 	sample.OK = answer.Result == CallOK
+	sample.Refused = answer.Result == CallRefused
 	sample.Cut = answer.Result == CallDeadline
 	s.note(server, answer, sample)
 	return answer
--- a/kernel/testing_test.go
+++ b/kernel/testing_test.go
@@ -27,6 +27,7 @@
 	return Decisions{
 		Admission: policy.AdmitAll{}, Placement: &policy.RoundRobin{}, Limits: policy.AdaptiveLimits{},
 		Retry: policy.BlindRetries{}, Queues: policy.FIFOQueues{}, Rollout: policy.LinearRollout{},
+		Ejections: policy.OutlierEjections{},
 	}
 }
 
--- a/plugins/policies/policies.go
+++ b/plugins/policies/policies.go
@@ -18,6 +18,8 @@
 	register("queue.standard", func() kernel.Module { return policy.FairQueues{} })
 	register("retry.standard", func() kernel.Module { return &policy.BudgetedRetries{} })
 	register("queue.baseline", func() kernel.Module { return policy.FIFOQueues{} })
+	register("ejection.standard", func() kernel.Module { return policy.OutlierEjections{} })
+	register("ejection.baseline", func() kernel.Module { return policy.NoEjections{} })
 	register("rollout.baseline", func() kernel.Module { return policy.LinearRollout{} })
 }
 
--- a/policy/limit.go
+++ b/policy/limit.go
@@ -19,6 +19,8 @@
 	// Cut is true if the request's deadline ended the call, so that Latency is
 	// less than the call would have taken.
 	Cut bool
+	// Refused is true if the server answered that it did not run the call.
+	Refused bool
 	// InFlight counts this instance's calls when the call was sent, Allowance is
 	// its share of the limit.
 	InFlight, Allowance int
