Find the counters of a request without building their names

Cause: each request built about ten metric names, and a new histogram sample of 1028 values that was thrown away when the histogram existed.

Change: metrics of the path of a request are found by family and label values in a map that is read without a lock.

--- /dev/null
+++ b/kernel/counters.go
@@ -0,0 +1,94 @@
+package kernel
+
+import (
+	"maps"
+	"strings"
+	"sync"
+	"sync/atomic"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// metricFamily is a set of metrics with the same name that differ in the values
+// of their labels.
+type metricFamily struct {
+	name   string
+	labels []string // two at most
+}
+
+// The metrics of the path of a request.
+var (
+	requestsFamily        = &metricFamily{"requests", []string{"route", "outcome"}}
+	requestSecondsFamily  = &metricFamily{"request_seconds", []string{"route"}}
+	stageEngineFamily     = &metricFamily{"stage_engine_us", []string{"route", "stage"}}
+	stageWastedFamily     = &metricFamily{"stage_wasted_us", []string{"route", "stage"}}
+	stageTokensFamily     = &metricFamily{"stage_tokens", []string{"route", "stage"}}
+	stageCallsFamily      = &metricFamily{"stage_calls", []string{"pool", "result"}}
+	retriesFamily         = &metricFamily{"retries", []string{"pool"}}
+	retriesRefusedFamily  = &metricFamily{"retries_refused", []string{"pool", "reason"}}
+	silentFamily          = &metricFamily{"connections_silent", []string{"pool"}}
+	serversSilentFamily   = &metricFamily{"servers_silent", []string{"pool"}}
+	admissionDeniedFamily = &metricFamily{"admission_refused", []string{"reason"}}
+)
+
+// metricKey names one metric of a family.
+type metricKey struct {
+	family        *metricFamily
+	first, second string
+}
+
+// String returns the metric's name with its labels in Prometheus form.
+func (k metricKey) String() string {
+	var b strings.Builder
+	b.WriteString(k.family.name)
+	separator := "{"
+	for i, label := range k.family.labels {
+		b.WriteString(separator + label + `="` + [...]string{k.first, k.second}[i] + `"`)
+		separator = ","
+	}
+	b.WriteString("}")
+	return b.String()
+}
+
+// metricCache finds metrics without building their names. Reads take no lock;
+// a metric used for the first time makes a new map.
+type metricCache[M any] struct {
+	byKey atomic.Pointer[map[metricKey]M]
+	mu    sync.Mutex
+}
+
+// get returns the metric, made by its name if it is new.
+func (c *metricCache[M]) get(h *Host, k metricKey, create func(h *Host, name string) M) M {
+	if m := c.byKey.Load(); m != nil {
+		if v, ok := (*m)[k]; ok {
+			return v
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	next := make(map[metricKey]M)
+	if m := c.byKey.Load(); m != nil {
+		maps.Copy(next, *m)
+	}
+	if _, ok := next[k]; !ok {
+		next[k] = create(h, k.String())
+	}
+	c.byKey.Store(&next)
+	return next[k]
+}
+
+// requestMetrics holds the metrics of the path of a request.
+type requestMetrics struct {
+	counters   metricCache[metrics.Counter]
+	histograms metricCache[metrics.Histogram]
+}
+
+// add adds to a counter of a family.
+func (h *Host) add(f *metricFamily, first, second string, n int64) {
+	h.requestMetrics.counters.get(h, metricKey{f, first, second}, (*Host).Counter).Inc(n)
+}
+
+// took adds a duration, in nanoseconds, to a histogram of a family.
+func (h *Host) took(f *metricFamily, first string, ns int64) {
+	h.requestMetrics.histograms.get(h, metricKey{family: f, first: first}, (*Host).Histogram).Update(ns)
+}
--- a/kernel/host.go
+++ b/kernel/host.go
@@ -64,7 +64,9 @@
 	snapshot atomic.Pointer[Snapshot]
 	onTables []func(*config.Tables)
 	fleet    fleet
-	suspects suspects
+
+	requestMetrics requestMetrics
+	suspects       suspects
 }
 
 // ID returns the instance's name.
--- a/kernel/run.go
+++ b/kernel/run.go
@@ -70,7 +70,7 @@
 	admission := r.host.Decisions.Admission
 	decision := admission.Admit(now, preq, forecasts)
 	if !decision.Admit {
-		r.host.Counter(`admission_refused{reason="` + string(decision.Reason) + `"}`).Inc(1)
+		r.host.add(admissionDeniedFamily, string(decision.Reason), "", 1)
 		return Result{Outcome: Outcome{Kind: NotRun, Reason: ReasonOverload, Detail: string(decision.Reason), RetryAfter: decision.RetryAfter}}
 	}
 	result := r.admitted(ctx)
@@ -251,16 +251,15 @@
 	if r.route != nil {
 		route = r.route.Name
 	}
-	h.Counter(`requests{route="` + route + `",outcome="` + string(result.Outcome.Kind) + `"}`).Inc(1)
-	h.Histogram(`request_seconds{route="` + route + `"}`).Update(int64(took))
+	h.add(requestsFamily, route, string(result.Outcome.Kind), 1)
+	h.took(requestSecondsFamily, route, int64(took))
 	for _, c := range result.Costs {
 		wasted := c.WastedMS
 		if result.Outcome.Kind != Served {
 			wasted = c.EngineMS
 		}
-		labels := `{route="` + route + `",stage="` + c.Stage + `"}`
-		h.Counter("stage_engine_us" + labels).Inc(int64(c.EngineMS * 1000))
-		h.Counter("stage_wasted_us" + labels).Inc(int64(wasted * 1000))
-		h.Counter("stage_tokens" + labels).Inc(int64(c.Tokens))
+		h.add(stageEngineFamily, route, c.Stage, int64(c.EngineMS*1000))
+		h.add(stageWastedFamily, route, c.Stage, int64(wasted*1000))
+		h.add(stageTokensFamily, route, c.Stage, int64(c.Tokens))
 	}
 }
--- a/kernel/stage.go
+++ b/kernel/stage.go
@@ -192,7 +192,7 @@
 		s.sent = true
 		s.sentOnce = s.sentOnce || !s.stage.Idempotent
 	}
-	s.host.Counter(`stage_calls{pool="` + s.stage.Pool + `",result="` + answer.Result.String() + `"}`).Inc(1)
+	s.host.add(stageCallsFamily, s.stage.Pool, answer.Result.String(), 1)
 	s.teach(server, answer, sample)
 }
 
@@ -237,10 +237,10 @@
 	s.keepVersion(server)
 	decision := s.host.Decisions.Retry.Decide(time.Now(), s.retryAttempt(attempt, answer, server))
 	if !decision.Retry {
-		s.host.Counter(`retries_refused{pool="` + s.stage.Pool + `",reason="` + string(decision.Reason) + `"}`).Inc(1)
+		s.host.add(retriesRefusedFamily, s.stage.Pool, string(decision.Reason), 1)
 		return s.fail(ReasonStageFailed, "stage "+s.stage.Name+": "+answer.Result.String())
 	}
-	s.host.Counter(`retries{pool="` + s.stage.Pool + `"}`).Inc(1)
+	s.host.add(retriesFamily, s.stage.Pool, "", 1)
 	if !sleep(ctx, decision.Delay) {
 		return s.fail(ReasonDeadline, "the deadline passed before another call of stage "+s.stage.Name)
 	}
@@ -268,10 +268,10 @@
 // counts as a failure of the server.
 func (s *stageRun) afterSilence(ctx context.Context, server *Server) {
 	if s.host.Transport.Renew(ctx, server.Config) {
-		s.host.Counter(`connections_silent{pool="` + s.stage.Pool + `"}`).Inc(1)
+		s.host.add(silentFamily, s.stage.Pool, "", 1)
 		return
 	}
-	s.host.Counter(`servers_silent{pool="` + s.stage.Pool + `"}`).Inc(1)
+	s.host.add(serversSilentFamily, s.stage.Pool, "", 1)
 	server.observe(time.Now(), policy.CallSample{Class: string(s.route.Size)})
 }
 
