--- a/kernel/counters.go
+++ b/kernel/counters.go
@@ -26,6 +26,7 @@
 	stageCallsFamily      = &metricFamily{"stage_calls", []string{"pool", "result"}}
 	retriesFamily         = &metricFamily{"retries", []string{"pool"}}
 	retriesRefusedFamily  = &metricFamily{"retries_refused", []string{"pool", "reason"}}
+	hedgesFamily          = &metricFamily{"hedges", []string{"pool"}}
 	silentFamily          = &metricFamily{"connections_silent", []string{"pool"}}
 	serversSilentFamily   = &metricFamily{"servers_silent", []string{"pool"}}
 	admissionDeniedFamily = &metricFamily{"admission_refused", []string{"reason"}}
