Add membership by authenticated heartbeats over gnet

Cause: instances know only themselves, so that limits, claims and moves cannot be shared.

Change: the module membership.gossip runs the pure state machine of policy/member*.go over UDP: at most six heartbeats a round within the availability zone, delegates by rendezvous between zones, summaries that refresh a whole zone, incarnations that refute verdicts. Digests spread with the heartbeats (policy/memberdigest.go). Datagrams carry a truncated HMAC-SHA256, a replay window and a time window; secrets rotate from a file.

Ruled out: verdicts on members of other zones, which flap when only some zones are cut off from each other; one summary turn for all members, which always told the same member of the same zone; suspects within a zone's hash, which left them suspect after a heal. The last two were seen by the simulation. A first form of the test took two starts of an instance for one; the key now holds the boot.

--- a/kernel/interfaces.go
+++ b/kernel/interfaces.go
@@ -206,6 +206,12 @@
 	Sink(kind string, f func(from Member, payload []byte))
 }
 
+// AgedDigests is what a Digests may also offer: sinks that are told how long
+// ago the origin said the digest.
+type AgedDigests interface {
+	SinkAged(kind string, f func(from Member, age time.Duration, payload []byte))
+}
+
 // ClaimRequest asks for the right to run a request that may run at most once.
 type ClaimRequest struct {
 	Account, Route, Key string
--- /dev/null
+++ b/peer/datagram.go
@@ -0,0 +1,159 @@
+package peer
+
+import (
+	"crypto/hmac"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"github.com/savoryfold/savoryfold/policy"
+)
+
+// Sizes of a datagram in bytes.
+const (
+	// MaxDatagram keeps datagrams below the path MTU.
+	MaxDatagram     = 1200
+	datagramVersion = 1
+	macSize         = 16
+	prefixSize      = 1 + macSize
+	// MaxName bounds the names of instances and availability zones.
+	MaxName = 64
+	// maxElements bounds the lists of a datagram.
+	maxElements = 512
+	maxNesting  = 6
+)
+
+// Errors of datagrams.
+var (
+	ErrDatagramForm   = errors.New("datagram has a wrong form")
+	ErrDatagramForged = errors.New("datagram is not signed with a known secret")
+	ErrDatagramSize   = errors.New("datagram is larger than 1200 bytes")
+)
+
+// Header identifies a datagram.
+type Header struct {
+	_        struct{} `cbor:",toarray"`
+	Sender   string
+	Boot     uint64
+	Sequence uint64
+	SentMS   int64
+	Kind     policy.MemberSendKind
+}
+
+// Datagram is what one instance sends to another over UDP.
+type Datagram struct {
+	_       struct{} `cbor:",toarray"`
+	Header  Header
+	Message policy.MemberMessage
+	Digests []policy.Digest
+}
+
+var (
+	encoder = mustEncoder()
+	decoder = mustDecoder()
+)
+
+func mustEncoder() cbor.EncMode {
+	m, err := cbor.CoreDetEncOptions().EncMode()
+	if err != nil {
+		panic("peer: " + err.Error())
+	}
+	return m
+}
+
+func mustDecoder() cbor.DecMode {
+	m, err := cbor.DecOptions{
+		DupMapKey: cbor.DupMapKeyEnforcedAPF, IndefLength: cbor.IndefLengthForbidden,
+		MaxArrayElements: maxElements, MaxMapPairs: maxElements, MaxNestedLevels: maxNesting,
+		TagsMd: cbor.TagsForbidden,
+	}.DecMode()
+	if err != nil {
+		panic("peer: " + err.Error())
+	}
+	return m
+}
+
+// Encode signs a datagram with the first secret.
+func (d *Datagram) Encode(s Secrets) ([]byte, error) {
+	if len(s) == 0 {
+		return nil, ErrDatagramForged
+	}
+	body, err := encoder.Marshal(d)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode datagram")
+	}
+	out := make([]byte, prefixSize, prefixSize+len(body))
+	out[0] = datagramVersion
+	out = append(out, body...)
+	if len(out) > MaxDatagram {
+		return nil, ErrDatagramSize
+	}
+	copy(out[1:prefixSize], sum(s[0], out[:1], body))
+	return out, nil
+}
+
+// Decode checks and reads a datagram. The signature is checked before anything
+// else is read.
+func Decode(raw []byte, s Secrets) (*Datagram, error) {
+	if len(raw) <= prefixSize || len(raw) > MaxDatagram || raw[0] != datagramVersion {
+		return nil, ErrDatagramForm
+	}
+	body := raw[prefixSize:]
+	if !verify(s, raw[1:prefixSize], raw[:1], body) {
+		return nil, ErrDatagramForged
+	}
+	d := &Datagram{}
+	if err := decoder.Unmarshal(body, d); err != nil {
+		return nil, ErrDatagramForm
+	}
+	if !d.valid() {
+		return nil, ErrDatagramForm
+	}
+	return d, nil
+}
+
+// verify checks a truncated HMAC against every secret in constant time.
+func verify(s Secrets, mac []byte, parts ...[]byte) bool {
+	ok := false
+	for _, secret := range s {
+		if hmac.Equal(mac, sum(secret, parts...)[:len(mac)]) {
+			ok = true
+		}
+	}
+	return ok
+}
+
+// valid checks what the decoder cannot.
+func (d *Datagram) valid() bool {
+	self := &d.Message.Self
+	if d.Header.Sender != self.ID || d.Header.Boot != self.Boot || self.Verdict != 0 || d.Header.Kind >= policy.SendKinds {
+		return false
+	}
+	if !validRecord(self) {
+		return false
+	}
+	for i := range d.Message.Records {
+		if !validRecord(&d.Message.Records[i]) {
+			return false
+		}
+	}
+	for _, z := range d.Message.Zones {
+		if !validName(z.Zone) {
+			return false
+		}
+	}
+	for _, digest := range d.Digests {
+		if !validName(digest.Origin) || !validName(digest.Kind) {
+			return false
+		}
+	}
+	return true
+}
+
+func validRecord(r *policy.MemberRecord) bool {
+	return validName(r.ID) && validName(r.Zone) && len(r.GossipAddress) <= MaxName && len(r.PeerAddress) <= MaxName &&
+		r.Status >= policy.MemberStarting && r.Status <= policy.MemberGone && r.Status != policy.MemberSuspect &&
+		(r.Verdict == 0 || r.Verdict == policy.MemberSuspect || r.Verdict == policy.MemberGone)
+}
+
+func validName(name string) bool { return name != "" && len(name) <= MaxName }
--- /dev/null
+++ b/peer/packer.go
@@ -0,0 +1,66 @@
+package peer
+
+import "github.com/savoryfold/savoryfold/policy"
+
+// Sizes in bytes that the packer plans with.
+const (
+	// baseSize covers the prefix, the header and the own record.
+	baseSize     = prefixSize + 200 + 4*MaxName
+	recordSize   = 60
+	summarySize  = 40
+	digestSlack  = 24
+	packLimit    = MaxDatagram - 16
+	smallestRoom = 64
+)
+
+// Split divides a message into parts that each fit into a datagram. All but
+// the last carry only records.
+func Split(m *policy.MemberMessage) []*policy.MemberMessage {
+	if size(m) <= packLimit {
+		return []*policy.MemberMessage{m}
+	}
+	var parts []*policy.MemberMessage
+	part := &policy.MemberMessage{Self: m.Self}
+	room := packLimit - baseSize
+	for i := range m.Records {
+		n := sizeOfRecord(&m.Records[i])
+		if n > room {
+			parts = append(parts, part)
+			part = &policy.MemberMessage{Self: m.Self}
+			room = packLimit - baseSize
+		}
+		part.Records = append(part.Records, m.Records[i])
+		room -= n
+	}
+	parts = append(parts, part)
+	last := &policy.MemberMessage{Self: m.Self, Zones: m.Zones, Wants: m.Wants}
+	return append(parts, last)
+}
+
+// Room is the number of bytes that a message leaves for digests.
+func Room(m *policy.MemberMessage) int {
+	room := packLimit - size(m)
+	if room < smallestRoom {
+		return 0
+	}
+	return room - digestSlack
+}
+
+// size bounds the encoded size of a message from above.
+func size(m *policy.MemberMessage) int {
+	n := prefixSize + 48 + len(m.Self.ID) + sizeOfRecord(&m.Self)
+	for i := range m.Records {
+		n += sizeOfRecord(&m.Records[i])
+	}
+	for _, z := range m.Zones {
+		n += summarySize + len(z.Zone)
+	}
+	for _, w := range m.Wants {
+		n += 2 + len(w)
+	}
+	return n
+}
+
+func sizeOfRecord(r *policy.MemberRecord) int {
+	return recordSize + len(r.ID) + len(r.Zone) + len(r.GossipAddress) + len(r.PeerAddress)
+}
--- a/plugins/membership/static.go
+++ b/plugins/membership/static.go
@@ -1,7 +1,8 @@
 // Package membership knows the other instances.
 //
-// The module "membership.static" is the baseline: the instance knows only
-// itself.
+// The module "membership.gossip" learns of them by heartbeats over UDP, and
+// spreads digests with the heartbeats. The module "membership.static" is the
+// baseline: the instance knows only itself.
 package membership
 
 import (
--- /dev/null
+++ b/plugins/membership/view.go
@@ -0,0 +1,109 @@
+package membership
+
+import (
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/savoryfold/savoryfold/kernel"
+	"github.com/savoryfold/savoryfold/policy"
+)
+
+// viewMark tells whether a view differs from the one that watchers saw last.
+type viewMark struct {
+	version   uint64
+	revisions uint64
+}
+
+var memberStates = map[policy.MemberStatus]kernel.MemberState{
+	policy.MemberStarting: kernel.MemberStarting,
+	policy.MemberReady:    kernel.MemberReady,
+	policy.MemberLeaving:  kernel.MemberLeaving,
+	policy.MemberSuspect:  kernel.MemberSuspect,
+	policy.MemberGone:     kernel.MemberGone,
+}
+
+// View implements kernel.Membership.
+func (g *Gossip) View() *kernel.MemberView { return g.view.Load() }
+
+// Subscribe implements kernel.Membership.
+func (g *Gossip) Subscribe(f func(*kernel.MemberView)) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.watchers = append(g.watchers, f)
+}
+
+// showView puts the table's view in force. The caller holds mu.
+func (g *Gossip) showView(now time.Time) {
+	infos := g.table.View(now)
+	v := &kernel.MemberView{Members: make([]kernel.Member, 0, len(infos)+1)}
+	v.Self = member(policy.MemberInfo{Record: g.table.Self(), Status: g.table.Self().Status, Heard: now})
+	v.Members = append(v.Members, v.Self)
+	for _, info := range infos {
+		v.Members = append(v.Members, member(info))
+	}
+	slices.SortFunc(v.Members, func(a, b kernel.Member) int { return strings.Compare(a.ID, b.ID) })
+	g.view.Store(v)
+}
+
+func member(info policy.MemberInfo) kernel.Member {
+	r := info.Record
+	return kernel.Member{
+		ID: r.ID, Boot: strconv.FormatUint(r.Boot, 16), Zone: r.Zone, State: memberStates[info.Status],
+		Incarnation: r.Incarnation, GossipAddress: r.GossipAddress, PeerAddress: r.PeerAddress,
+		ConfigRevision: r.Revision, LastSeen: info.Heard,
+	}
+}
+
+// publish shows a view that changed and tells the watchers.
+func (g *Gossip) publish(now time.Time) {
+	g.mu.Lock()
+	mark := viewMark{version: g.table.Version(), revisions: g.table.Revisions()}
+	changed := mark != g.notified
+	g.notified = mark
+	if changed || now.Sub(g.view.Load().Self.LastSeen) >= time.Second {
+		g.showView(now)
+	}
+	watchers := g.watchers
+	g.mu.Unlock()
+	if !changed {
+		return
+	}
+	g.countMembers()
+	v := g.view.Load()
+	for _, f := range watchers {
+		f(v)
+	}
+}
+
+// countMembers shows the number of members of each state.
+func (g *Gossip) countMembers() {
+	counts := make(map[kernel.MemberState]int64)
+	for _, m := range g.view.Load().Members {
+		counts[m.State]++
+	}
+	for _, state := range memberStates {
+		g.host.Gauge(`members{state="` + string(state) + `"}`).Update(counts[state])
+	}
+}
+
+// gossipDump is the module's part of the instance's dump.
+type gossipDump struct {
+	Members   []kernel.Member `json:"members"`
+	Digests   []string        `json:"digests"`
+	Conflicts uint64          `json:"conflicts"`
+	Secrets   int             `json:"secrets"`
+}
+
+// Dump implements kernel.Dumper.
+func (g *Gossip) Dump() any {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	d := gossipDump{Members: g.view.Load().Members, Conflicts: g.table.Conflicts, Secrets: len(g.keyring.Secrets())}
+	for kind := range g.sources {
+		d.Digests = append(d.Digests, kind)
+	}
+	slices.Sort(d.Digests)
+	return d
+}
--- /dev/null
+++ b/policy/member_test.go
@@ -0,0 +1,208 @@
+package policy
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+)
+
+func TestMemberTableConverges(t *testing.T) {
+	Convey("Given 12 instances in three availability zones that are each other's seeds", t, func() {
+		s := newMemberSim(7, 3, 4)
+		s.run(5 * time.Second)
+		Convey("all know all", func() {
+			So(s.disagreement(), ShouldBeEmpty)
+		})
+		Convey("one that dies is suspect, then gone everywhere, and its new start is seen", func() {
+			dead := s.nodes[5]
+			dead.down = true
+			s.run(4 * time.Second)
+			So(statusAt(s, s.nodes[4], dead.id), ShouldEqual, MemberSuspect)
+			s.run(16 * time.Second)
+			So(s.disagreement(), ShouldBeEmpty)
+			s.start(dead)
+			s.run(5 * time.Second)
+			So(s.disagreement(), ShouldBeEmpty)
+		})
+		Convey("one that says farewell is gone at once in its zone", func() {
+			leaving := s.nodes[2]
+			s.post(leaving, leaving.table.Farewell(s.now))
+			leaving.down = true
+			s.run(time.Second)
+			So(statusAt(s, s.nodes[0], leaving.id), ShouldEqual, MemberGone)
+			s.run(3 * time.Second)
+			So(s.disagreement(), ShouldBeEmpty)
+		})
+		Convey("a leaving member is never shown as suspect", func() {
+			leaving := s.nodes[2]
+			leaving.table.Announce(MemberLeaving, "")
+			s.run(2 * time.Second)
+			leaving.down = true
+			s.run(4 * time.Second)
+			So(statusAt(s, s.nodes[0], leaving.id), ShouldEqual, MemberLeaving)
+		})
+		Convey("an availability zone that is cut off is gone on both sides and comes back", func() {
+			s.cut = func(from, to *simNode) bool { return (from.zone == "zone01") != (to.zone == "zone01") }
+			s.run(30 * time.Second)
+			So(statusAt(s, s.nodes[0], s.nodes[4].id), ShouldEqual, MemberGone)
+			So(statusAt(s, s.nodes[4], s.nodes[0].id), ShouldEqual, MemberGone)
+			So(statusAt(s, s.nodes[4], s.nodes[5].id), ShouldEqual, MemberReady)
+			s.cut = nil
+			s.run(10 * time.Second)
+			So(s.disagreement(), ShouldBeEmpty)
+		})
+		Convey("one whose process was paused does not hold the pause against the others", func() {
+			paused := s.nodes[3]
+			paused.down = true
+			s.run(20 * time.Second)
+			paused.down = false
+			s.post(paused, paused.table.Tick(s.now))
+			So(statusAt(s, paused, s.nodes[0].id), ShouldEqual, MemberReady)
+			s.run(5 * time.Second)
+			So(s.disagreement(), ShouldBeEmpty)
+		})
+		Convey("revisions of the tables are seen everywhere", func() {
+			for _, n := range s.nodes {
+				n.table.SetRevision(41)
+			}
+			s.run(4 * time.Second)
+			for _, info := range s.nodes[0].table.View(s.now) {
+				So(info.Record.Revision, ShouldEqual, 41)
+			}
+		})
+	})
+}
+
+func statusAt(s *memberSim, at *simNode, id string) MemberStatus {
+	for _, info := range at.table.View(s.now) {
+		if info.Record.ID == id {
+			return info.Status
+		}
+	}
+	return 0
+}
+
+func TestMemberTableOrdersRecords(t *testing.T) {
+	now := simStart
+	table := func() *MemberTable {
+		self := MemberRecord{ID: "a", Zone: "z", Boot: 10, Status: MemberReady, GossipAddress: "a:1"}
+		return NewMemberTable(self, simConfig(), now)
+	}
+	b := func(boot, incarnation uint64, status, verdict MemberStatus) *MemberMessage {
+		return &MemberMessage{
+			Self:    MemberRecord{ID: "c", Zone: "z", Boot: 1, Incarnation: 1, Status: MemberReady, GossipAddress: "c:1"},
+			Records: []MemberRecord{{ID: "b", Zone: "z", Boot: boot, Incarnation: incarnation, Status: status, Verdict: verdict, GossipAddress: "b:1"}},
+		}
+	}
+	cases := []struct {
+		name   string
+		known  *MemberMessage
+		heard  *MemberMessage
+		after  time.Duration
+		status MemberStatus
+	}{
+		{"a higher incarnation wins", b(1, 1, MemberReady, 0), b(1, 2, MemberLeaving, 0), 0, MemberLeaving},
+		{"a lower incarnation loses", b(1, 2, MemberReady, 0), b(1, 1, MemberLeaving, 0), 0, MemberReady},
+		{"a newer boot wins over a higher incarnation", b(1, 9, MemberLeaving, 0), b(2, 1, MemberReady, 0), 0, MemberReady},
+		{"an older boot loses", b(2, 1, MemberReady, 0), b(1, 9, MemberLeaving, 0), 0, MemberReady},
+		{"a verdict loses against fresh evidence", b(1, 1, MemberReady, 0), b(1, 1, MemberReady, MemberGone), 0, MemberReady},
+		{"a verdict wins after a silence", b(1, 1, MemberReady, 0), b(1, 1, MemberReady, MemberGone), 3 * time.Second, MemberGone},
+		{"a refutation wins over the verdict", b(1, 1, MemberReady, MemberSuspect), b(1, 2, MemberReady, 0), 0, MemberReady},
+		{"a member that is gone is not taken from hearsay", b(1, 1, MemberReady, MemberGone), b(1, 1, MemberReady, MemberGone), 0, 0},
+	}
+	for _, c := range cases {
+		Convey(c.name, t, func() {
+			a := table()
+			a.Receive(now, c.known)
+			a.Receive(now.Add(c.after), c.heard)
+			var status MemberStatus
+			for _, info := range a.View(now.Add(c.after)) {
+				if info.Record.ID == "b" {
+					status = info.Status
+				}
+			}
+			So(status, ShouldEqual, c.status)
+		})
+	}
+	Convey("a verdict on the instance itself is refuted, and a newer boot of its name is passed", t, func() {
+		a := table()
+		verdict := b(1, 1, MemberReady, 0)
+		verdict.Records[0] = a.Self()
+		verdict.Records[0].Verdict = MemberGone
+		a.Receive(now, verdict)
+		So(a.Self().Incarnation, ShouldEqual, 2)
+		verdict.Records[0].Boot = 99
+		a.Receive(now, verdict)
+		So(a.Self().Boot, ShouldEqual, 100)
+		So(a.Conflicts, ShouldEqual, 1)
+	})
+}
+
+// TestMemberTableUnderFaults draws schedules of partitions, loss and restarts,
+// and checks that the views agree once the network is whole again.
+func TestMemberTableUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		zones := rapid.IntRange(1, 4).Draw(t, "zones")
+		perZone := rapid.IntRange(1, 4).Draw(t, "per zone")
+		s := newMemberSim(rapid.Uint64().Draw(t, "seed"), zones, perZone)
+		highest := make(map[string]MemberRecord)
+		for range rapid.IntRange(1, 5).Draw(t, "steps") {
+			s.loss = rapid.Float64Range(0, 0.4).Draw(t, "loss")
+			side := rapid.Uint16().Draw(t, "side of each instance")
+			s.cut = func(from, to *simNode) bool { return s.side(from, side) != s.side(to, side) }
+			n := s.nodes[rapid.IntRange(0, len(s.nodes)-1).Draw(t, "instance")]
+			switch rapid.SampledFrom([]string{"none", "kill", "pause", "start"}).Draw(t, "fault") {
+			case "kill":
+				n.down = true
+			case "pause":
+				n.down = !n.down
+			case "start":
+				s.start(n)
+			}
+			rounds := rapid.IntRange(1, 80).Draw(t, "rounds")
+			for range rounds {
+				s.round()
+				s.checkInvariants(t, highest)
+			}
+		}
+		s.loss, s.cut = 0, nil
+		s.run(60 * time.Second)
+		if wrong := s.disagreement(); wrong != "" {
+			t.Fatalf("60 s after the heal: %s", wrong)
+		}
+	})
+}
+
+func (s *memberSim) side(n *simNode, sides uint16) bool {
+	for i, o := range s.nodes {
+		if o == n {
+			return sides>>i&1 == 1
+		}
+	}
+	return false
+}
+
+// checkInvariants checks that no instance sees itself as gone, and that what an
+// instance holds of another never goes back.
+func (s *memberSim) checkInvariants(t *rapid.T, highest map[string]MemberRecord) {
+	for _, n := range s.nodes {
+		self := n.table.Self()
+		if n.down {
+			continue
+		}
+		if self.Status == MemberGone || self.Verdict != 0 {
+			t.Fatalf("%s is %s in its own table", n.id, self.Status)
+		}
+		for _, info := range n.table.View(s.now) {
+			key := fmt.Sprint(n.id, self.Boot, info.Record.ID)
+			old, ok := highest[key]
+			if ok && info.Record.compare(&old) < 0 {
+				t.Fatalf("%s went back to an older record of %s", n.id, info.Record.ID)
+			}
+			highest[key] = info.Record
+		}
+	}
+}
