--- a/kernel/instance.go
+++ b/kernel/instance.go
@@ -89,6 +89,16 @@
 	return nil
 }
 
+// Module returns the module with the ID, or nil if the settings left it out.
+func (in *Instance) Module(id ModuleID) Module {
+	for _, l := range in.modules {
+		if l.info.ID == id {
+			return l.module
+		}
+	}
+	return nil
+}
+
 // State returns the instance's state.
 func (in *Instance) State() State { return State(in.state.Load()) }
 
@@ -141,7 +151,7 @@
 		select {
 		case now := <-ticker.C:
 			if snap := in.Host.Snapshot(); snap != nil {
-				refresh(in.Host, snap, now)
+				in.Host.fleet.refresh(in.Host, snap, now)
 			}
 		case <-in.stop:
 			return
@@ -181,6 +191,6 @@
 // servers changed.
 func (in *Instance) Refresh() {
 	if snap := in.Host.Snapshot(); snap != nil {
-		refresh(in.Host, snap, time.Now())
+		in.Host.fleet.refresh(in.Host, snap, time.Now())
 	}
 }
