--- a/kernel/testing_test.go
+++ b/kernel/testing_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/savoryfold/savoryfold/config"
 	"github.com/savoryfold/savoryfold/policy"
+	_ "github.com/savoryfold/savoryfold/test/rapidseed" // property tests repeat themselves
 )
 
 // testHost is a host of an instance in the zone hobart, without modules but the
--- a/peer/datagram_test.go
+++ b/peer/datagram_test.go
@@ -12,6 +12,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/savoryfold/savoryfold/policy"
+	_ "github.com/savoryfold/savoryfold/test/rapidseed" // property tests repeat themselves
 )
 
 const (
--- a/policy/testing_test.go
+++ b/policy/testing_test.go
@@ -1,6 +1,10 @@
 package policy
 
-import "slices"
+import (
+	"slices"
+
+	_ "github.com/savoryfold/savoryfold/test/rapidseed" // property tests repeat themselves
+)
 
 // quantileOf returns a quantile of values.
 func quantileOf(values []float64, q float64) float64 {
