--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -30,6 +30,7 @@
 	Calls      int     `json:"calls"`
 	EngineMS   float64 `json:"engine_ms"`
 	WastedMS   float64 `json:"wasted_ms"`
+	WaitMS     float64 `json:"wait_ms"`
 	UnservedMS float64 `json:"unserved_ms"`
 	// Latency is that of the served requests, First to the first event.
 	Latency Quantiles  `json:"latency"`
@@ -126,6 +127,7 @@
 		g.Calls += c.Calls
 		g.EngineMS += c.EngineMS
 		g.WastedMS += c.WastedMS
+		g.WaitMS += c.WaitMS
 		if x.Outcome != OutcomeServed {
 			g.UnservedMS += c.EngineMS
 		}
--- /dev/null
+++ b/test/experiment/connections.go
@@ -0,0 +1,97 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/savoryfold/savoryfold/internal/load"
+	"github.com/savoryfold/savoryfold/standin"
+)
+
+// silent lets the open connections of half of the servers go silent, twice.
+func silent(ctx context.Context, e *env) error {
+	if err := e.launch(ctx, ordinary()); err != nil {
+		return err
+	}
+	silence := func() {
+		for _, name := range []string{"generate-hobart1", "generate-launceston1", "generate-burnie1", "encode-hobart"} {
+			e.cluster.Links[name].Silence()
+		}
+	}
+	first := at(ctx, 4*time.Second, silence)
+	second := at(ctx, 11*time.Second, silence)
+	r, err := e.drive(ctx, load.Config{Check: check, Phases: []load.Phase{
+		{Name: "silent", Rate: 0.5 * capacity(engineCount), Duration: 18 * time.Second, Mix: everyone()},
+	}})
+	first()
+	second()
+	if err != nil {
+		return err
+	}
+	e.figure("attainment", attainment(r.Total), "part")
+	e.figure("attainment within 3 s of a silence", attainedBetween(r, 4*time.Second, 7*time.Second), "part")
+	e.atLeast("attainment from 3 s after a silence", attainedBetween(r, 7*time.Second, 11*time.Second), 0.995, "part")
+	e.atLeast("attainment from 3 s after another silence", attainedBetween(r, 14*time.Second, 18*time.Second), 0.995, "part")
+	e.figure("stage work wasted", ratio(r.Total.WastedMS, max(r.Total.EngineMS, 1)), "part")
+	e.figure("p99", r.Total.Latency.P99, "ms")
+	e.whole(r)
+	return nil
+}
+
+// stopExperiment replaces the instances one by one behind a balancer.
+func stopExperiment(ctx context.Context, e *env) error {
+	if err := e.launch(ctx, ordinary()); err != nil {
+		return err
+	}
+	balancer, err := standin.NewBalancer("127.0.0.1:0", e.entries())
+	if err != nil {
+		return err
+	}
+	defer balancer.Close()
+	replaced := make(chan error, 1)
+	rolling := at(ctx, 2*time.Second, func() { replaced <- e.replaceAll(ctx) })
+	r, err := e.drive(ctx, load.Config{Check: check, Targets: []string{balancer.Address()}, Phases: []load.Phase{
+		{Name: "stop", Rate: 0.5 * capacity(engineCount), Duration: 16 * time.Second, Mix: everyone()},
+	}})
+	rolling()
+	if err != nil {
+		return err
+	}
+	select {
+	case err = <-replaced:
+	default:
+		err = errors.New("the instances were not replaced in time")
+	}
+	e.judge("instances replaced, each with exit code 0", float64(len(e.cluster.Instances)), "instances", fmt.Sprint(err == nil), err == nil)
+	if err != nil {
+		fmt.Println(err)
+	}
+	e.figure("attainment", attainment(r.Total), "part")
+	e.figure("p99", r.Total.Latency.P99, "ms")
+	e.figure("requests refused", float64(r.Total.Outcomes["not-run"]), "requests")
+	e.atMost("requests begun and not finished", float64(r.Total.Outcomes["incomplete"]+r.Total.Outcomes["unknown"]), 0, "requests")
+	e.whole(r)
+	return nil
+}
+
+// replaceAll stops each instance gracefully and starts it again.
+func (e *env) replaceAll(ctx context.Context) error {
+	for _, in := range e.cluster.Instances {
+		in.Signal(syscall.SIGTERM)
+		if code := in.Wait(10 * time.Second); code != 0 {
+			return errors.Errorf("%s: exit code %d", in.ID, code)
+		}
+		if err := e.cluster.Restart(in); err != nil {
+			return err
+		}
+		if err := e.cluster.WaitReady(ctx); err != nil {
+			return err
+		}
+		time.Sleep(time.Second)
+	}
+	return nil
+}
--- /dev/null
+++ b/test/experiment/overhead.go
@@ -0,0 +1,106 @@
+package main
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
+	"github.com/savoryfold/savoryfold/internal/httpapi"
+	"github.com/savoryfold/savoryfold/internal/load"
+)
+
+// Shape of the measurement of the time that an instance adds.
+const (
+	overheadRounds = 1200
+	overheadWarmup = 100
+	overheadPause  = 2 * time.Millisecond
+)
+
+// overhead sends requests through an instance and the same stage calls
+// directly, in turn, one at a time.
+func overhead(ctx context.Context, e *env) error {
+	spec := ordinary()
+	spec.Routes["two-stage"] = "deadline = 1500ms\nstages = first, second\nfirst.pool = encode\nsecond.pool = encode\n"
+	if err := e.launch(ctx, spec); err != nil {
+		return err
+	}
+	client := load.NewClient()
+	defer client.Close()
+	bare := &bareClient{transport: &http.Transport{}}
+	defer bare.transport.CloseIdleConnections()
+	stages := []string{e.cluster.Links["encode-hobart"].Address(), e.cluster.Links["encode-launceston"].Address()}
+	share := small("one", 1)
+	share.Route = "two-stage"
+	through, direct := newMicroseconds(), newMicroseconds()
+	for n := range overheadRounds {
+		took, err := bare.run(ctx, stages, share.Body(n))
+		if err != nil {
+			return err
+		}
+		call := load.NewCall(n, "", &share)
+		call.Target = e.cluster.Instances[0].Entry
+		r := client.Send(ctx, call, time.Now())
+		if r.Outcome != load.OutcomeServed {
+			return errors.Errorf("request %d: %s %s", n, r.Outcome, r.Reason)
+		}
+		if n >= overheadWarmup {
+			_ = direct.RecordValue(took.Microseconds())
+			_ = through.RecordValue(r.End.Sub(r.Start).Microseconds())
+		}
+		time.Sleep(overheadPause)
+	}
+	for _, q := range []float64{50, 99} {
+		added := float64(through.ValueAtQuantile(q)-direct.ValueAtQuantile(q)) / 1000
+		e.figure(quantileName(q)+" of the bare stage calls", float64(direct.ValueAtQuantile(q))/1000, "ms")
+		e.figure(quantileName(q)+" through an instance", float64(through.ValueAtQuantile(q))/1000, "ms")
+		if q == 99 {
+			e.atMost("p99 added by an instance", added, 2, "ms")
+		} else {
+			e.figure("p50 added by an instance", added, "ms")
+		}
+	}
+	return nil
+}
+
+func newMicroseconds() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, time.Minute.Microseconds(), 3)
+}
+
+func quantileName(q float64) string {
+	if q == 50 {
+		return "p50"
+	}
+	return "p99"
+}
+
+// bareClient makes stage calls as an instance does.
+type bareClient struct{ transport *http.Transport }
+
+// run calls each stage in turn and returns the time of all.
+func (b *bareClient) run(ctx context.Context, stages []string, request string) (time.Duration, error) {
+	start := time.Now()
+	for _, address := range stages {
+		body := strings.NewReader(`{"request":` + request + `}`)
+		req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/v1/call", body)
+		if err != nil {
+			return 0, err
+		}
+		req.Header.Set(httpapi.HeaderCallID, uuid.NewString())
+		resp, err := b.transport.RoundTrip(req)
+		if err != nil {
+			return 0, errors.Wrap(err, "bare call")
+		}
+		_, err = io.Copy(io.Discard, resp.Body)
+		_ = resp.Body.Close()
+		if err != nil {
+			return 0, errors.Wrap(err, "bare call")
+		}
+	}
+	return time.Since(start), nil
+}
--- /dev/null
+++ b/test/experiment/overload.go
@@ -0,0 +1,73 @@
+package main
+
+import (
+	"context"
+	"time"
+
+	"github.com/savoryfold/savoryfold/internal/load"
+)
+
+// overload drives 0.7, 1 and 2 times the capacity, then 0.7 times again.
+func overload(ctx context.Context, e *env) error {
+	if err := e.launch(ctx, ordinary()); err != nil {
+		return err
+	}
+	full := capacity(engineCount)
+	r, err := e.drive(ctx, load.Config{Check: check, Phases: []load.Phase{
+		{Name: "0.7x", Rate: 0.7 * full, Duration: 5 * time.Second, Mix: everyone()},
+		{Name: "1x", Rate: full, Duration: 5 * time.Second, Mix: everyone()},
+		{Name: "2x", Rate: 2 * full, Duration: 6 * time.Second, Mix: everyone()},
+		{Name: "back", Rate: 0.7 * full, Duration: 5 * time.Second, Mix: everyone()},
+	}})
+	if err != nil {
+		return err
+	}
+	goodput := func(phase string, seconds float64) float64 { return float64(r.Phases[phase].Attained) / seconds }
+	e.figure("capacity", full, "requests/s")
+	e.atLeast("attainment at 0.7x", attainment(r.Phases["0.7x"]), 0.995, "part")
+	e.figure("goodput at 1x", goodput("1x", 5), "requests/s")
+	e.figure("goodput at 2x", goodput("2x", 6), "requests/s")
+	e.atLeast("goodput at 2x over 1x", ratio(goodput("2x", 6), goodput("1x", 5)), 0.9, "part")
+	e.atLeast("attainment of admitted at 2x", admittedAttainment(r.Phases["2x"]), 0.95, "part")
+	e.figure("refused early at 2x", ratio(float64(refused(r.Phases["2x"])), float64(r.Phases["2x"].Sent)), "part")
+	e.atMost("stage work on requests not served at 2x", 1-ratio(r.Phases["2x"].EngineMS-r.Phases["2x"].UnservedMS, r.Phases["2x"].EngineMS), 0.05, "part")
+	e.atLeast("attainment 3 s after the return", attainedBetween(r, 19*time.Second, 21*time.Second), 0.995, "part")
+	e.figure("p50 at 0.7x", r.Phases["0.7x"].Latency.P50, "ms")
+	e.figure("p99 at 0.7x", r.Phases["0.7x"].Latency.P99, "ms")
+	e.whole(r)
+	return nil
+}
+
+// peaks drives a morning of many small and an evening of few large requests,
+// then lets one account send far more than its part.
+func peaks(ctx context.Context, e *env) error {
+	if err := e.launch(ctx, ordinary()); err != nil {
+		return err
+	}
+	full := capacity(engineCount)
+	evening := []load.Share{large("one", 1), large("two", 1), streamed(large("three", 1)), small("four", 4), small("greedy", 1)}
+	// A large request takes as much of an engine as largeTokens/tokens small ones.
+	perRequest := (3*largeTokens/float64(tokens) + 5) / 8
+	burst := []load.Share{small("one", 1), small("two", 1), streamed(small("three", 1)), large("four", 0.1), small("greedy", 8)}
+	burstCost := (11 + 0.1*largeTokens/float64(tokens)) / 11.1
+	r, err := e.drive(ctx, load.Config{Check: check, Phases: []load.Phase{
+		{Name: "morning", Rate: 0.7 * full, Duration: 6 * time.Second, Mix: everyone()},
+		{Name: "evening", Rate: 0.7 * full / perRequest, Duration: 8 * time.Second, Mix: evening},
+		{Name: "greedy", Rate: 1.5 * full / burstCost, Duration: 6 * time.Second, Mix: burst},
+	}})
+	if err != nil {
+		return err
+	}
+	e.atLeast("attainment in the morning", attainment(r.Phases["morning"]), 0.995, "part")
+	e.atLeast("attainment in the evening", attainment(r.Phases["evening"]), 0.995, "part")
+	e.atLeast("attainment of admitted beside a greedy account", admittedAttainment(r.Phases["greedy"]), 0.95, "part")
+	for _, account := range []string{"one", "two", "three", "four"} {
+		e.atLeast("attainment of account "+account, attainment(r.Accounts[account]), 0.95, "part")
+	}
+	e.figure("attainment of account greedy", attainment(r.Accounts["greedy"]), "part")
+	e.figure("stage work per served request in the morning", r.Phases["morning"].EngineMS/float64(max(1, r.Phases["morning"].Outcomes[load.OutcomeServed])), "ms")
+	e.figure("p99 of large requests", r.Routes["season"].Latency.P99, "ms")
+	e.figure("p99 in the morning", r.Phases["morning"].Latency.P99, "ms")
+	e.whole(r)
+	return nil
+}
--- /dev/null
+++ b/test/experiment/page.go
@@ -0,0 +1,3 @@
+package main
+
+func writePage(string, []*env) error { return nil }
--- /dev/null
+++ b/test/experiment/shape.go
@@ -0,0 +1,122 @@
+package main
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/savoryfold/savoryfold/internal/load"
+	"github.com/savoryfold/savoryfold/standin"
+	"github.com/savoryfold/savoryfold/test/harness"
+)
+
+// The engines of the experiments.
+const (
+	tokens        = 10
+	engineBatch   = 8
+	stepMS        = 20.0
+	perCallMS     = 2.0
+	enginePerZone = 2
+	coldLimit     = 2
+	warmMS        = 4000
+	warmCalls     = 20
+	deadline      = 1500 * time.Millisecond
+	largeTokens   = 40
+	largeDeadline = 6 * time.Second
+)
+
+var zones = []string{"hobart", "launceston", "burnie"}
+
+// Pools of the experiments.
+const (
+	poolEncode   = "encode"
+	poolGenerate = "generate"
+)
+
+// capacity is the number of ordinary requests a second that a number of
+// engines finish with full batches.
+func capacity(engines int) float64 {
+	step := stepMS + perCallMS*(engineBatch-1)
+	return float64(engines) * engineBatch / (step * tokens / 1000)
+}
+
+// ordinary is a cluster with two stages: a service and an engine.
+func ordinary() harness.Spec {
+	s := harness.Spec{
+		Zones: zones,
+		Pools: map[string]string{
+			poolEncode:   "limit = 64\ncold_limit = 8\nfirst_byte = 500ms\n",
+			poolGenerate: fmt.Sprintf("limit = %d\ncold_limit = %d\nfirst_byte = 1s\nbetween_bytes = 500ms\n", engineBatch, coldLimit),
+		},
+		Routes: map[string]string{
+			"answer": route("small", deadline),
+			"season": route("large", largeDeadline),
+		},
+		Accounts: map[string]float64{"one": 1, "two": 1, "three": 1, "four": 1, "greedy": 1},
+	}
+	for _, zone := range zones {
+		service := standin.FleetMember{Name: "encode-" + zone, WorkMS: 4, ReportLagMS: 300}
+		s.Backends = append(s.Backends, harness.Backend{FleetMember: service, Pool: poolEncode, Zone: zone})
+		for i := range enginePerZone {
+			s.Backends = append(s.Backends, engine(fmt.Sprintf("generate-%s%d", zone, i+1), zone))
+		}
+	}
+	return s
+}
+
+func engine(name, zone string) harness.Backend {
+	return harness.Backend{Pool: poolGenerate, Zone: zone, FleetMember: standin.FleetMember{
+		Name: name, Engine: true, Version: "v1", Tokens: tokens, StepMS: stepMS, PerCallMS: perCallMS, PerPromptMS: 0.01,
+		Capacity: engineBatch, CacheTokens: 10_000, ReportLagMS: 300,
+		ColdLimit: coldLimit, WarmMS: warmMS, WarmCalls: warmCalls, ColdSlow: 2,
+	}}
+}
+
+func route(size string, d time.Duration) string {
+	return fmt.Sprintf("deadline = %s\nsize = %s\nstages = encode, generate\nencode.pool = %s\ngenerate.pool = %s\ngenerate.stream = true\n",
+		d, size, poolEncode, poolGenerate)
+}
+
+// small is a share of ordinary requests of an account.
+func small(account string, weight float64) load.Share {
+	return load.Share{
+		Route: "answer", Account: account, APIKey: account + "-key", Weight: weight, Deadline: deadline,
+		Body: func(n int) string { return fmt.Sprintf(`{"n":%d}`, n) },
+	}
+}
+
+// large is a share of requests with long answers.
+func large(account string, weight float64) load.Share {
+	s := small(account, weight)
+	s.Route, s.Deadline = "season", largeDeadline
+	s.Body = func(n int) string { return fmt.Sprintf(`{"n":%d,"tokens":%d}`, n, largeTokens) }
+	return s
+}
+
+// streamed asks for an event stream.
+func streamed(s load.Share) load.Share {
+	s.Stream = true
+	return s
+}
+
+// check judges that an answer is whole and that of its own request.
+func check(r *load.Result) error {
+	n := tokens
+	if r.Share.Route == "season" {
+		n = largeTokens
+	}
+	want := standin.Text([]byte(r.Body), "v1", n)
+	if !r.Share.Stream {
+		want = fmt.Sprintf(`{"text":%q}`, want)
+	}
+	if string(r.Answer) != want {
+		return fmt.Errorf("request %d got %q", r.N, r.Answer)
+	}
+	return nil
+}
+
+// everyone is a mix of equal shares of all accounts.
+func everyone() []load.Share {
+	return []load.Share{small("one", 1), streamed(small("two", 1)), small("three", 1), streamed(small("four", 1)), small("greedy", 1)}
+}
+
+const engineCount = enginePerZone * 3
