--- a/kernel/run.go
+++ b/kernel/run.go
@@ -160,11 +160,19 @@
 func (r *run) forecasts() []policy.StageForecast {
 	forecasts := make([]policy.StageForecast, 0, len(r.route.Stages))
 	for _, s := range r.route.Stages {
-		forecasts = append(forecasts, r.snap.Pool(s.Pool).forecast(s))
+		forecasts = append(forecasts, r.snap.Pool(s.Pool).forecast(s, r.blankTicket()))
 	}
 	return forecasts
 }
 
+// blankTicket is a ticket without what a stage brings.
+func (r *run) blankTicket() policy.Ticket {
+	return policy.Ticket{
+		Account: r.account.Name, Weight: r.account.Weight, Class: string(r.route.Size),
+		Priority: r.route.Priority, Deadline: r.deadline,
+	}
+}
+
 // cost is the weighted work done so far.
 func (r *run) cost() float64 {
 	var cost float64
