--- a/kernel/hedge.go
+++ b/kernel/hedge.go
@@ -33,7 +33,7 @@
 		s.note(done)
 		return done
 	}
-	s.host.Counter(`hedges{pool="` + s.stage.Pool + `"}`).Inc(1)
+	s.host.add(hedgesFamily, s.stage.Pool, "", 1)
 	go func() { results <- s.send(ctx, second) }()
 	return s.firstWhole(results, cancel)
 }
