--- a/kernel/interfaces.go
+++ b/kernel/interfaces.go
@@ -206,6 +206,12 @@
 	Sink(kind string, f func(from Member, payload []byte))
 }
 
+// AgedDigests is what a Digests may also offer: sinks that are told how long
+// ago the origin said the digest.
+type AgedDigests interface {
+	SinkAged(kind string, f func(from Member, age time.Duration, payload []byte))
+}
+
 // SlotBorrower takes call slots of other instances, for an instance whose own
 // share of the servers' limits is used up or 0.
 type SlotBorrower interface {
--- a/plugins/policies/policies.go
+++ b/plugins/policies/policies.go
@@ -19,6 +19,8 @@
 	register("retry.standard", func() kernel.Module { return &policy.BudgetedRetries{} })
 	register("queue.baseline", func() kernel.Module { return policy.FIFOQueues{} })
 	register("rollout.standard", func() kernel.Module { return policy.StandardRollout{} })
+	register("ejection.standard", func() kernel.Module { return policy.OutlierEjections{} })
+	register("ejection.baseline", func() kernel.Module { return policy.NoEjections{} })
 	register("rollout.baseline", func() kernel.Module { return policy.LinearRollout{} })
 }
 
