Put a changed limit in force at once, and drop calls whose rest is too long

Cause: a limit that fell reached the calls only at the next refresh, up to 200 ms later; a waiting call was kept although the stages after it could no longer be done in time; an instance without a share of a pool admitted every request.

Change: the share follows each result and report; tickets carry the expected time of the later stages; a pool's capacity counts one slot at least; the dump counts, by pool, why requests were refused for which it was the slowest.

Conclusion: go test ./kernel ./policy ./test/integration passes.

--- a/kernel/dump.go
+++ b/kernel/dump.go
@@ -26,7 +26,8 @@
 // PoolDump is a pool's state as dumped.
 type PoolDump struct {
 	Waiting int `json:"waiting"`
-	// Decisions counts placements and ends of waiting by their reason.
+	// Decisions counts, by their reason, placements, ends of waiting, ejections
+	// and refused requests for which this pool was the slowest.
 	Decisions map[policy.Reason]int64 `json:"decisions"`
 	Servers   []ServerDump            `json:"servers"`
 }
--- a/kernel/pool_state.go
+++ b/kernel/pool_state.go
@@ -20,7 +20,8 @@
 	reasons reasons
 	// freed counts the times at which a call slot may have come free.
 	freed atomic.Int64
-	// capacity is the sum of the usable servers' allowances at the last refresh.
+	// capacity is the sum of the usable servers' allowances at the last refresh,
+	// and at least 1 if there is a usable server.
 	capacity atomic.Int64
 
 	current atomic.Pointer[Pool] // of the newest snapshot
@@ -84,15 +85,17 @@
 	p.current.Store(p)
 	v := p.view(&want{})
 	defer v.free()
-	capacity := int64(0)
+	capacity, usable := int64(0), int64(0)
 	for _, s := range p.Servers {
-		s.refresh(now, p.host.Decisions.Limits, p.host.ID(), r)
+		s.refresh(now, p.host.ID(), r)
 		s.age(hold)
 		if v.usable(s) {
 			capacity += s.allowance.Load()
+			usable = 1
 		}
 	}
-	p.capacity.Store(capacity)
+	// An instance without a share borrows one slot at a time.
+	p.capacity.Store(max(capacity, usable))
 	p.slotFreed()
 }
 
--- a/kernel/run.go
+++ b/kernel/run.go
@@ -71,6 +71,7 @@
 	decision := admission.Admit(now, preq, forecasts)
 	if !decision.Admit {
 		r.host.add(admissionDeniedFamily, string(decision.Reason), "", 1)
+		r.snap.Pool(forecasts[decision.Slowest].Pool).reasons.count(decision.Reason)
 		return Result{Outcome: Outcome{Kind: NotRun, Reason: ReasonOverload, Detail: string(decision.Reason), RetryAfter: decision.RetryAfter}}
 	}
 	result := r.admitted(ctx)
--- a/kernel/server.go
+++ b/kernel/server.go
@@ -40,6 +40,8 @@
 	barred    atomic.Bool  // out of the tables in force, leaving, or in a zone that is out
 	ejected   atomic.Int64 // Unix nanoseconds until which the server is ejected
 
+	limits policy.Limits
+
 	mu      sync.Mutex
 	limit   policy.ServerLimit // guarded by mu
 	ejector policy.Ejector     // guarded by mu
@@ -59,6 +61,8 @@
 	zone    string
 	rank    int
 	members int
+	// withheld is true while the instance must not use its share yet.
+	withheld bool
 }
 
 // Weight of a new sample in the smoothed call time: 1/8.
@@ -67,6 +71,7 @@
 func newServerState(c config.Server, pool *config.Pool, d *Decisions, now time.Time) *serverState {
 	s := &serverState{ID: c.Pool + "/" + c.Name}
 	s.hash = xxhash.Sum64String(s.ID)
+	s.limits = d.Limits
 	s.limit = d.Limits.New(now, limitConfig(pool))
 	s.ejector = d.ejections().NewEjector()
 	return s
@@ -153,6 +158,7 @@
 	sample.Allowance = int(s.allowance.Load())
 	s.mu.Lock()
 	s.limit.Observe(now, sample)
+	s.apply(now)
 	s.mu.Unlock()
 	s.judge(now, sample)
 }
@@ -188,25 +194,33 @@
 	s.sent.Store(0)
 	s.done.Store(0)
 	s.limit.Report(now, r)
+	s.apply(now)
 }
 
 // refresh works out this instance's share of the limit.
-func (s *Server) refresh(now time.Time, limits policy.Limits, self string, r roster) {
+func (s *Server) refresh(now time.Time, self string, r roster) {
 	s.mu.Lock()
-	limit := s.limit.Limit(now)
-	cold := s.limit.Cold(now)
+	defer s.mu.Unlock()
 	p := &s.place
 	if p.epoch != r.epoch || p.zone != s.Config.Zone {
-		*p = place{r.epoch, s.Config.Zone, r.rank(self, s.Config.Zone, s.hash), len(r.list)}
+		*p = place{r.epoch, s.Config.Zone, r.rank(self, s.Config.Zone, s.hash), len(r.list), false}
 	}
-	rank, members := p.rank, p.members
-	s.mu.Unlock()
-	if r.withheld {
-		rank = members
+	p.withheld = r.withheld
+	s.apply(now)
+}
+
+// apply puts the limit of now in force, so that a server that turned cold gets
+// no more calls than it can bear from the moment at which that showed. The
+// caller holds mu.
+func (s *serverState) apply(now time.Time) {
+	limit := s.limit.Limit(now)
+	rank := s.place.rank
+	if s.place.withheld {
+		rank = s.place.members
 	}
-	s.cold.Store(cold)
+	s.cold.Store(s.limit.Cold(now))
 	s.limitNow.Store(int64(limit))
-	s.allowance.Store(int64(limits.Share(limit, rank, members)))
+	s.allowance.Store(int64(s.limits.Share(limit, rank, s.place.members)))
 }
 
 // candidate is what placement sees of the server.
--- a/kernel/stage.go
+++ b/kernel/stage.go
@@ -80,9 +80,20 @@
 func (s *stageRun) ticket() policy.Ticket {
 	t := s.blankTicket()
 	t.Arrived = time.Now()
+	t.Rest = s.rest(t)
 	return s.pool.ticket(s.stage, t)
 }
 
+// rest is the expected time of the stages after this one.
+func (s *stageRun) rest(t policy.Ticket) time.Duration {
+	var rest time.Duration
+	stages := s.route.Stages
+	for i := len(stages) - 1; stages[i].Name != s.stage.Name; i-- {
+		rest += s.snap.Pool(stages[i].Pool).ticket(stages[i], t).Expected
+	}
+	return rest
+}
+
 func (s *stageRun) newCall() *StageCall {
 	call := &StageCall{
 		Pool: s.pool.Config, Stage: s.stage, ContentType: "application/json",
--- a/policy/admission.go
+++ b/policy/admission.go
@@ -47,6 +47,8 @@
 	RetryAfter time.Duration
 	// Predicted is the predicted time to finish.
 	Predicted time.Duration
+	// Slowest is the index of the stage with the longest predicted time.
+	Slowest int
 }
 
 // Admission decides which requests start.
--- a/policy/admission_standard.go
+++ b/policy/admission_standard.go
@@ -63,7 +63,7 @@
 func (a *StandardAdmission) Admit(now time.Time, r Request, stages []StageForecast) AdmissionDecision {
 	p := predict(stages)
 	left := time.Duration(slackPart * float64(r.Deadline.Sub(now)))
-	d := AdmissionDecision{Admit: true, Reason: reasonInTime, Predicted: p.total()}
+	d := AdmissionDecision{Admit: true, Reason: reasonInTime, Predicted: p.total(), Slowest: p.slowest}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	use := a.account(now, r)
@@ -97,6 +97,7 @@
 type prediction struct {
 	wait    time.Duration // in queues
 	service time.Duration // in calls, a high quantile of their sum
+	slowest int           // index of the stage with the longest time
 }
 
 func (p prediction) total() time.Duration { return p.wait + p.service }
@@ -106,9 +107,14 @@
 func predict(stages []StageForecast) prediction {
 	var p prediction
 	var spread float64
+	var longest time.Duration
 	for i := range stages {
 		s := &stages[i]
-		p.wait += queueWait(s)
+		wait := queueWait(s)
+		if wait+s.ServiceHigh > longest {
+			longest, p.slowest = wait+s.ServiceHigh, i
+		}
+		p.wait += wait
 		p.service += s.Service
 		above := float64(max(0, s.ServiceHigh-s.Service))
 		spread += above * above
--- a/policy/queue.go
+++ b/policy/queue.go
@@ -18,14 +18,13 @@
 	// Expected is the expected time of the call, Cost its expected cost.
 	Expected time.Duration
 	Cost     float64
+	// Rest is the expected time of the stages after the call.
+	Rest time.Duration
 }
 
-// Latest is the latest time at which the call can start and be done by its
-// deadline.
-func (t Ticket) Latest() time.Time { return t.Deadline.Add(-t.Expected) }
-
-// Late reports whether the call can no longer be done by its deadline.
-func (t Ticket) Late(now time.Time) bool { return now.After(t.Latest()) }
+// Latest is the latest time at which the call can start so that it and the
+// stages after it are done by the deadline.
+func (t Ticket) Latest() time.Time { return t.Deadline.Add(-t.Expected - t.Rest) }
 
 // Offer is the answer to the offer of a call slot.
 type Offer int
--- a/policy/simulation_test.go
+++ b/policy/simulation_test.go
@@ -141,6 +141,9 @@
 	s.count++
 	id := s.count
 	t := st.ticket(id, r)
+	for _, later := range s.stages[r.stage+1:] {
+		t.Rest += later.classes[classIndex(r.Class)].Mean()
+	}
 	st.queue.Push(now, t)
 	st.waiting[id] = r
 	drop := r.Deadline
