Take a server on which calls hang for cold before they end

Cause: calls on a server that turned cold without notice say nothing until they end; at 3 s deadlines a second wave was sent before the first showed the fault.

Change: a server with running calls of which none ended for four times the high quantile of the pool's call time goes back to its cold limit.

Conclusion: no call is sent to the server once it stalls; the calls that were sent before still run into their deadlines.

--- a/kernel/eject_test.go
+++ b/kernel/eject_test.go
@@ -9,6 +9,25 @@
 	"github.com/savoryfold/savoryfold/policy"
 )
 
+func TestStalledServer(t *testing.T) {
+	Convey("A server on which calls hang is cold at once", t, func() {
+		h := testHost(t, "i0", standardDecisions())
+		h.SetTables(testTables(t, 1, 1, ""))
+		pool := h.Snapshot().Pool("encode")
+		s := pool.Servers[0]
+		now := time.Now()
+		s.Report(now, policy.LoadReport{Warm: 1, Boot: "a", At: now})
+		for range 100 {
+			s.observe(now, policy.CallSample{OK: true, Latency: time.Millisecond, InFlight: 4})
+		}
+		So(s.allowance.Load(), ShouldEqual, 4)
+		So(s.acquire(), ShouldBeTrue)
+		pool.refresh(now.Add(time.Hour), rosterOf(members(1)))
+		So(s.cold.Load(), ShouldBeTrue)
+		So(s.allowance.Load(), ShouldEqual, 2)
+	})
+}
+
 func TestEject(t *testing.T) {
 	Convey("When all servers of a pool fail, half of them stay", t, func() {
 		h := testHost(t, "i0", standardDecisions())
--- a/kernel/pool_state.go
+++ b/kernel/pool_state.go
@@ -81,13 +81,17 @@
 func (p *Pool) refresh(now time.Time, r roster) {
 	p.mu.Lock()
 	hold := p.hold.Mean()
+	var usual time.Duration
+	for i := range p.classes {
+		usual = max(usual, p.classes[i].High())
+	}
 	p.mu.Unlock()
 	p.current.Store(p)
 	v := p.view(&want{})
 	defer v.free()
 	capacity, usable := int64(0), int64(0)
 	for _, s := range p.Servers {
-		s.refresh(now, p.host.ID(), r)
+		s.refresh(now, p.host.ID(), r, usual)
 		s.age(hold)
 		if v.usable(s) {
 			capacity += s.allowance.Load()
--- a/kernel/server.go
+++ b/kernel/server.go
@@ -37,6 +37,7 @@
 	limitNow  atomic.Int64 // the limit over all instances
 	allowance atomic.Int64 // this instance's share of the limit
 	cold      atomic.Bool
+	progress  atomic.Int64 // Unix nanoseconds at which a call ended, or began on an idle server
 	barred    atomic.Bool  // out of the tables in force, leaving, or in a zone that is out
 	ejected   atomic.Int64 // Unix nanoseconds until which the server is ejected
 
@@ -109,6 +110,9 @@
 			return false
 		}
 		if s.inFlight.CompareAndSwap(n, n+1) {
+			if n == 0 {
+				s.progress.Store(time.Now().UnixNano())
+			}
 			return true
 		}
 	}
@@ -121,7 +125,9 @@
 	s.loans = slices.Insert(s.loans, at, l)
 	s.mu.Unlock()
 	s.borrowed.Add(1)
-	s.inFlight.Add(1)
+	if s.inFlight.Add(1) == 1 {
+		s.progress.Store(time.Now().UnixNano())
+	}
 	s.sent.Add(1)
 }
 
@@ -129,6 +135,7 @@
 func (s *serverState) release() {
 	s.inFlight.Add(-1)
 	s.done.Add(1)
+	s.progress.Store(time.Now().UnixNano())
 	if s.borrowed.Load() > 0 {
 		s.repay()
 	}
@@ -197,10 +204,15 @@
 	s.apply(now)
 }
 
-// refresh works out this instance's share of the limit.
-func (s *Server) refresh(now time.Time, self string, r roster) {
+// refresh works out this instance's share of the limit. A high quantile of the
+// time of the pool's calls tells whether the server is stalled.
+func (s *Server) refresh(now time.Time, self string, r roster, usual time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	since := time.Duration(now.UnixNano() - s.progress.Load())
+	if s.inFlight.Load() > 0 && policy.Stalled(since, usual) {
+		s.limit.Stalled(now)
+	}
 	p := &s.place
 	if p.epoch != r.epoch || p.zone != s.Config.Zone {
 		*p = place{r.epoch, s.Config.Zone, r.rank(self, s.Config.Zone, s.hash), len(r.list), false}
--- a/policy/limit.go
+++ b/policy/limit.go
@@ -54,6 +54,8 @@
 	Observe(now time.Time, s CallSample)
 	// Report takes a load report.
 	Report(now time.Time, r LoadReport)
+	// Stalled says that calls run and none ended for far longer than usual.
+	Stalled(now time.Time)
 }
 
 // Limits makes the limits of servers.
@@ -65,6 +67,12 @@
 	Share(limit, rank, members int) int
 }
 
+// Stalled reports whether a server with running calls is stalled, given the time
+// since a call ended and a high quantile of the time of a call.
+func Stalled(since, usual time.Duration) bool {
+	return usual > 0 && since > time.Duration(jumpRatio*float64(usual))
+}
+
 // FixedLimits is the baseline: each instance uses the full limit of a warm
 // server, whatever the server's state and the other instances do.
 type FixedLimits struct{}
@@ -82,3 +90,4 @@
 func (*fixedLimit) Cold(time.Time) bool           { return false }
 func (*fixedLimit) Observe(time.Time, CallSample) {}
 func (*fixedLimit) Report(time.Time, LoadReport)  {}
+func (*fixedLimit) Stalled(time.Time)             {}
--- a/policy/limit_adaptive.go
+++ b/policy/limit_adaptive.go
@@ -195,6 +195,14 @@
 	l.lastCut = now
 }
 
+// Stalled implements ServerLimit. Calls that hang say nothing until they end,
+// and each call sent meanwhile would hang too.
+func (l *adaptiveLimit) Stalled(now time.Time) {
+	if !l.cold {
+		l.chill(now, true)
+	}
+}
+
 // Report implements ServerLimit.
 func (l *adaptiveLimit) Report(now time.Time, r LoadReport) {
 	rebooted := l.reported && r.Boot != l.boot
