Count leaving instances in the shares of limits

Cause: an instance that leaves goes on with its requests for as long as they take, while the others took over its shares after the settle time.

Change: leaving members count as sharers until they are gone.

Conclusion: go test ./kernel ./test/integration passes.

--- a/kernel/fleet.go
+++ b/kernel/fleet.go
@@ -78,7 +78,7 @@
 // refresh works out the allowance of every server of a snapshot.
 func (f *fleet) refresh(h *Host, snap *Snapshot, now time.Time) {
 	settle := h.Settings.Duration("instance", "settle")
-	roster := f.sharers.update(now, liveSharers(h), settle)
+	roster := f.sharers.update(now, limitSharers(h), settle)
 	for _, p := range snap.pools {
 		p.refresh(now, roster)
 	}
--- a/kernel/sharers.go
+++ b/kernel/sharers.go
@@ -85,7 +85,7 @@
 	s.epoch++
 }
 
-// liveSharers returns the instances that share the servers' limits now.
+// liveSharers returns the instances that take requests now.
 func liveSharers(h *Host) []sharer {
 	live := []sharer{newSharer(h.ID(), h.Zone())}
 	if h.Membership == nil {
@@ -99,6 +99,21 @@
 	return live
 }
 
+// limitSharers returns the instances that use a part of the servers' limits now:
+// the live ones, and those that leave and finish their requests.
+func limitSharers(h *Host) []sharer {
+	sharers := liveSharers(h)
+	if h.Membership == nil {
+		return sharers
+	}
+	for _, m := range h.Membership.View().Members {
+		if m.State == MemberLeaving && m.ID != h.ID() {
+			sharers = append(sharers, newSharer(m.ID, m.Zone))
+		}
+	}
+	return sharers
+}
+
 func newSharer(id, zone string) sharer {
 	return sharer{id: id, zone: zone, hash: xxhash.Sum64String(id)}
 }
--- a/kernel/sharers_test.go
+++ b/kernel/sharers_test.go
@@ -24,6 +24,13 @@
 	return list
 }
 
+// fixedMembers is a membership that never changes.
+type fixedMembers []Member
+
+func (m fixedMembers) View() *MemberView         { return &MemberView{Self: m[0], Members: m} }
+func (fixedMembers) Subscribe(func(*MemberView)) {}
+func (fixedMembers) SetState(MemberState)        {}
+
 func rosterOf(list []sharer) roster {
 	var s sharers
 	return s.update(testEpoch, list, testSettle)
@@ -75,6 +82,12 @@
 		So(s.update(testEpoch.Add(testSettle/2), all[:2], testSettle).list, ShouldHaveLength, 3)
 		So(s.update(testEpoch.Add(testSettle), all[:2], testSettle).list, ShouldHaveLength, 2)
 	})
+	Convey("An instance that leaves keeps its share while it finishes its requests", t, func() {
+		h := testHost(t, "i0", standardDecisions())
+		h.Membership = fixedMembers{{ID: "i0", State: MemberReady}, {ID: "i1", State: MemberLeaving}, {ID: "i2", State: MemberGone}}
+		So(limitSharers(h), ShouldHaveLength, 2)
+		So(liveSharers(h), ShouldHaveLength, 1)
+	})
 	Convey("An instance that joins uses no share for the settle time", t, func() {
 		var s sharers
 		So(s.update(testEpoch, members(1), testSettle).withheld, ShouldBeFalse)
