Let the system choose the quickstart's ports at once

Cause: the quickstart asked for a free port, closed it and had an instance open it later; under the load of the other tests another process took one in between, and the quickstart waited 10 s for an instance that had ended.

Ruled out: a longer wait, as the instance had already ended.

Change: instances listen on port 0 and tell their address; the wait also ends when an instance does, with its error.

--- a/internal/quickstart/quickstart.go
+++ b/internal/quickstart/quickstart.go
@@ -19,6 +19,7 @@
 
 	"github.com/savoryfold/savoryfold/internal/httpapi"
 	"github.com/savoryfold/savoryfold/kernel"
+	"github.com/savoryfold/savoryfold/plugins/entryhttp"
 	_ "github.com/savoryfold/savoryfold/plugins/standard" // all plug-ins
 	"github.com/savoryfold/savoryfold/standin"
 )
@@ -26,6 +27,7 @@
 const (
 	apiKey      = "quickstart-key"
 	readyWait   = 10 * time.Second
+	readyCheck  = 5 * time.Millisecond
 	callTimeout = 5 * time.Second
 )
 
@@ -54,8 +56,7 @@
 	out       io.Writer
 	tables    strings.Builder
 	standins  []*standin.Server
-	instances []*kernel.Instance
-	stopped   []chan error
+	nodes     []*node
 	addresses []string
 }
 
@@ -95,25 +96,22 @@
 			return err
 		}
 	}
-	for _, address := range q.addresses {
-		if err := waitReady(ctx, address); err != nil {
+	for _, n := range q.nodes {
+		if err := n.waitReady(ctx); err != nil {
 			return err
 		}
+		q.addresses = append(q.addresses, n.in.Module("entryhttp").(*entryhttp.Entry).Address())
 	}
 	fmt.Fprintf(q.out, "three instances are ready: %s\n", strings.Join(q.addresses, ", "))
 	return nil
 }
 
 func (q *quickstart) startInstance(ctx context.Context, zone string) error {
-	address, err := freeAddress()
-	if err != nil {
-		return err
-	}
 	text := fmt.Sprintf(`[instance]
 id = %s-1
 zone = %s
 [entry]
-listen = %s
+listen = 127.0.0.1:0
 drain = 10ms
 [policy]
 configsource = file
@@ -121,7 +119,7 @@
 claims = memory
 [tables]
 file = %s
-`, zone, zone, address, filepath.Join(q.dir, "tables.ini"))
+`, zone, zone, filepath.Join(q.dir, "tables.ini"))
 	settings, err := kernel.Schema().Load("quickstart.ini", []byte(text))
 	if err != nil {
 		return err
@@ -130,44 +128,35 @@
 	if err != nil {
 		return err
 	}
-	done := make(chan error, 1)
-	go func() { done <- in.Run(ctx) }()
-	q.instances = append(q.instances, in)
-	q.stopped = append(q.stopped, done)
-	q.addresses = append(q.addresses, address)
+	n := &node{in: in, done: make(chan error, 1)}
+	go func() { n.done <- in.Run(ctx) }()
+	q.nodes = append(q.nodes, n)
 	return nil
 }
 
-// freeAddress asks the system for a free port.
-func freeAddress() (string, error) {
-	s, err := standin.Listen("127.0.0.1:0", http.NotFoundHandler())
-	if err != nil {
-		return "", err
-	}
-	defer s.Close()
-	return s.Address(), nil
+// node is one instance of the quickstart.
+type node struct {
+	in   *kernel.Instance
+	done chan error
 }
 
-func waitReady(ctx context.Context, address string) error {
+// waitReady waits until the instance takes requests.
+func (n *node) waitReady(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readyWait)
 	defer cancel()
-	for {
-		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/readyz", nil)
-		if err != nil {
-			return errors.Wrap(err, "quickstart")
+	ticker := time.NewTicker(readyCheck)
+	defer ticker.Stop()
+	for !n.in.Ready() {
+		select {
+		case err := <-n.done:
+			n.done <- err
+			return errors.Wrapf(err, "instance %s ended", n.in.Host.ID())
+		case <-ctx.Done():
+			return errors.Errorf("instance %s is not ready after %s", n.in.Host.ID(), readyWait)
+		case <-ticker.C:
 		}
-		resp, err := http.DefaultClient.Do(req)
-		if err == nil {
-			resp.Body.Close()
-			if resp.StatusCode == http.StatusOK {
-				return nil
-			}
-		}
-		if ctx.Err() != nil {
-			return errors.Errorf("instance at %s is not ready after %s", address, readyWait)
-		}
-		time.Sleep(20 * time.Millisecond)
 	}
+	return nil
 }
 
 // request sends one streamed request and prints its events as they come.
@@ -200,11 +189,11 @@
 }
 
 func (q *quickstart) stop() {
-	for _, in := range q.instances {
-		in.Shutdown()
+	for _, n := range q.nodes {
+		n.in.Shutdown()
 	}
-	for _, done := range q.stopped {
-		<-done
+	for _, n := range q.nodes {
+		<-n.done
 	}
 	for _, s := range q.standins {
 		_ = s.Close()
