Carry requests between instances over QUIC with mutual TLS

Cause: claims, slots and tables need requests between instances that tell a caller whether the other side may have acted.

Change: the module peerquic. With certificates both sides check authority and name; without, each makes a certificate for itself and proves the shared secret by an HMAC bound to the TLS session and the side. Errors are ErrPeerNotDelivered, ErrPeerUnknown or *PeerError. A stop waits until the other side has the answers. Certificates and secrets are read again when they change; connections of replaced ones are closed. peer.NewAuthority and Authority.Issue make certificates.

Ruled out: the end of the server's stream as the sign that an answer arrived; quic-go ends its context when the stream is closed, not when the data is acknowledged. The caller now ends its side after the answer.

--- a/peer/secrets.go
+++ b/peer/secrets.go
@@ -50,6 +50,7 @@
 // it changes, and keeps the secrets in force if the file is not right.
 type Keyring struct {
 	secrets atomic.Pointer[Secrets]
+	serial  atomic.Uint64
 	file    *FileWatch
 	mu      sync.Mutex
 }
@@ -73,6 +74,9 @@
 // Secrets returns the secrets in force.
 func (k *Keyring) Secrets() Secrets { return *k.secrets.Load() }
 
+// Serial grows with every reload.
+func (k *Keyring) Serial() uint64 { return k.serial.Load() }
+
 // Reload reads the file again if it changed and reports whether it did.
 func (k *Keyring) Reload(now time.Time) (bool, error) {
 	if k.file == nil {
@@ -96,5 +100,6 @@
 		return false, errors.New("secrets file holds no secret")
 	}
 	k.secrets.Store(&parsed)
+	k.serial.Add(1)
 	return true, nil
 }
--- a/plugins/membership/gossip.go
+++ b/plugins/membership/gossip.go
@@ -48,7 +48,7 @@
 			{Section: section, Name: "gone_after", Kind: config.Duration, Default: "8s", Doc: "silence after which an instance is gone"},
 			{Section: section, Name: "zone_delegates", Kind: config.Int, Default: "2", Doc: "instances that speak for their availability zone to each other zone"},
 		},
-		New: func() kernel.Module { return &Gossip{} },
+		New: func() kernel.Module { return newGossip() },
 	})
 }
 
@@ -86,15 +86,20 @@
 	spent    time.Duration
 }
 
+func newGossip() *Gossip {
+	return &Gossip{
+		inbox:   make(chan arrival, inboxSize),
+		guard:   peer.ReplayGuard{MaxSkew: maxSkew},
+		state:   policy.MemberStarting,
+		sources: make(map[string]func() []byte),
+		sinks:   make(map[string][]digestSink),
+	}
+}
+
 // Provision implements kernel.Provisioner.
 func (g *Gossip) Provision(h *kernel.Host) error {
 	g.host = h
 	g.count.init(h)
-	g.inbox = make(chan arrival, inboxSize)
-	g.sources = make(map[string]func() []byte)
-	g.sinks = make(map[string][]digestSink)
-	g.guard.MaxSkew = maxSkew
-	g.state = policy.MemberStarting
 	g.seeds = h.Settings.Words(section, "seeds")
 	g.client = &http.Client{Timeout: listTimeout, Transport: &http.Transport{}}
 	keyring, err := peer.NewKeyring(h.Settings.Words(section, "secrets"), h.Settings.String(section, "secrets_file"))
--- a/plugins/membership/gossip_test.go
+++ b/plugins/membership/gossip_test.go
@@ -24,6 +24,7 @@
 	lastLimit = 30 * time.Second
 )
 
+// gnet starts a pool when it is imported, which never ends.
 func TestMain(m *testing.M) {
 	goleak.VerifyTestMain(m,
 		goleak.IgnoreAnyFunction("github.com/panjf2000/ants/v2.(*poolCommon).purgeStaleWorkers"),
--- /dev/null
+++ b/plugins/peerquic/call.go
@@ -0,0 +1,136 @@
+package peerquic
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/quic-go/quic-go"
+
+	"github.com/savoryfold/savoryfold/kernel"
+	"github.com/savoryfold/savoryfold/peer"
+)
+
+// Call implements kernel.Peers.
+func (p *Peers) Call(ctx context.Context, member kernel.Member, method string, body []byte) ([]byte, error) {
+	if _, ok := ctx.Deadline(); !ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, p.callTimeout)
+		defer cancel()
+	}
+	start := time.Now()
+	answer, err := p.call(ctx, member, method, body)
+	label := `{method="` + method + `",result="` + resultName(err) + `"}`
+	p.host.Counter("peer_sent_requests" + label).Inc(1)
+	p.host.Counter(`peer_sent_bytes{method="` + method + `"}`).Inc(int64(len(body)))
+	p.host.Counter(`peer_call_nanoseconds{method="` + method + `"}`).Inc(int64(time.Since(start)))
+	return answer, err
+}
+
+func resultName(err error) string {
+	switch {
+	case err == nil:
+		return "ok"
+	case errors.Is(err, kernel.ErrPeerNotDelivered):
+		return "not-delivered"
+	case errors.Is(err, kernel.ErrPeerUnknown):
+		return "unknown"
+	}
+	return "error"
+}
+
+func (p *Peers) call(ctx context.Context, member kernel.Member, method string, body []byte) ([]byte, error) {
+	if member.ID == p.host.ID() {
+		return p.callSelf(ctx, method, body)
+	}
+	if p.transport == nil || member.PeerAddress == "" {
+		return nil, errors.WithMessage(kernel.ErrPeerNotDelivered, "no requests to "+member.ID)
+	}
+	deadline, _ := ctx.Deadline()
+	left := time.Until(deadline)
+	if left <= 0 {
+		return nil, errors.WithMessage(kernel.ErrPeerNotDelivered, "the deadline passed")
+	}
+	frame, err := peer.EncodeFrame(&peer.Request{Method: method, TimeLeftMS: uint32(min(left.Milliseconds()+1, 1<<31)), Body: body}, p.maxMessage)
+	if err != nil {
+		return nil, notDelivered(err)
+	}
+	l := p.link(member)
+	defer l.release()
+	conn, err := l.connect(ctx, p)
+	if err != nil {
+		return nil, notDelivered(err)
+	}
+	response, err := p.exchange(ctx, conn, frame)
+	if err != nil {
+		// The connection may have gone silent while a new one would work.
+		l.retire(conn)
+		return nil, err
+	}
+	return result(response, member.ID, method)
+}
+
+func result(r *peer.Response, member, method string) ([]byte, error) {
+	switch r.Code {
+	case peer.ResponseOK:
+		return r.Body, nil
+	case peer.ResponseNotRun:
+		return nil, errors.WithMessage(kernel.ErrPeerNotDelivered, r.Message)
+	}
+	return nil, &kernel.PeerError{Member: member, Method: method, Message: r.Message}
+}
+
+// callSelf answers a request to the instance itself.
+func (p *Peers) callSelf(ctx context.Context, method string, body []byte) ([]byte, error) {
+	handler := p.handler(method)
+	if handler == nil {
+		return nil, errors.WithMessage(kernel.ErrPeerNotDelivered, "unknown method")
+	}
+	answer, err := handler(ctx, p.host.ID(), body)
+	if err != nil {
+		return nil, &kernel.PeerError{Member: p.host.ID(), Method: method, Message: err.Error()}
+	}
+	return answer, nil
+}
+
+// exchange sends a request on a new stream and reads the answer. A request of
+// which the last byte was not handed over is never run, since the other side
+// runs only whole frames.
+func (p *Peers) exchange(ctx context.Context, conn *quic.Conn, frame []byte) (*peer.Response, error) {
+	stream, err := conn.OpenStreamSync(ctx)
+	if err != nil {
+		return nil, notDelivered(err)
+	}
+	stop := context.AfterFunc(ctx, func() {
+		stream.CancelRead(codeGiveUp)
+		stream.CancelWrite(codeGiveUp)
+	})
+	defer stop()
+	if n, err := stream.Write(frame); n < len(frame) {
+		stream.CancelWrite(codeGiveUp)
+		stream.CancelRead(codeGiveUp)
+		return nil, notDelivered(err)
+	}
+	response, err := peer.ReadFrame[peer.Response](stream, p.maxMessage)
+	if err != nil {
+		stream.CancelWrite(codeGiveUp)
+		stream.CancelRead(codeGiveUp)
+		return nil, errors.WithMessage(kernel.ErrPeerUnknown, err.Error())
+	}
+	// The end of the request tells the other side that the answer arrived.
+	_ = stream.Close()
+	awaitEnd(stream)
+	return response, nil
+}
+
+// awaitEnd reads the end of a stream, so that the stream is finished.
+func awaitEnd(stream *quic.Stream) {
+	if n, err := stream.Read(make([]byte, 1)); n > 0 || !errors.Is(err, io.EOF) {
+		stream.CancelRead(codeGiveUp)
+	}
+}
+
+func notDelivered(cause error) error {
+	return errors.WithMessage(kernel.ErrPeerNotDelivered, cause.Error())
+}
--- /dev/null
+++ b/plugins/peerquic/link.go
@@ -0,0 +1,173 @@
+package peerquic
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/quic-go/quic-go"
+
+	"github.com/savoryfold/savoryfold/kernel"
+	"github.com/savoryfold/savoryfold/peer"
+)
+
+// link is the connection to one member, opened when it is needed.
+type link struct {
+	member kernel.Member
+	// turn is held while a connection is opened.
+	turn chan struct{}
+
+	mu     sync.Mutex
+	conn   *quic.Conn // guarded by mu
+	serial uint64     // of the credentials when conn was opened; guarded by mu
+	calls  int        // guarded by mu
+	used   time.Time  // guarded by mu
+}
+
+// link returns the link to a member, a new one if the member started anew.
+func (p *Peers) link(m kernel.Member) *link {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l := p.links[m.ID]
+	if l != nil && (l.member.PeerAddress != m.PeerAddress || l.member.Boot != m.Boot) {
+		l.close("the instance started anew")
+		l = nil
+	}
+	if l == nil {
+		l = &link{member: m, turn: make(chan struct{}, 1)}
+		p.links[m.ID] = l
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.calls++
+	l.used = time.Now()
+	return l
+}
+
+func (l *link) release() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.calls--
+	l.used = time.Now()
+}
+
+// open returns the connection if it is alive.
+func (l *link) open() *quic.Conn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conn != nil && l.conn.Context().Err() == nil {
+		return l.conn
+	}
+	return nil
+}
+
+// connect returns the connection, opening it if need be.
+func (l *link) connect(ctx context.Context, p *Peers) (*quic.Conn, error) {
+	if conn := l.open(); conn != nil {
+		return conn, nil
+	}
+	select {
+	case l.turn <- struct{}{}:
+		defer func() { <-l.turn }()
+	case <-ctx.Done():
+		return nil, errors.Wrap(ctx.Err(), "connect")
+	}
+	if conn := l.open(); conn != nil {
+		return conn, nil
+	}
+	serial := p.serial()
+	conn, err := p.dial(ctx, l.member)
+	result := "ok"
+	if err != nil {
+		result = "failed"
+	}
+	p.host.Counter(`peer_connections{result="` + result + `"}`).Inc(1)
+	if err != nil {
+		return nil, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.conn, l.serial = conn, serial
+	return conn, nil
+}
+
+// dial opens a connection and, without certificates, proves the secret.
+func (p *Peers) dial(ctx context.Context, m kernel.Member) (*quic.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, p.dialTimeout)
+	defer cancel()
+	address, err := net.ResolveUDPAddr("udp", m.PeerAddress)
+	if err != nil {
+		return nil, errors.Wrap(err, "peer address")
+	}
+	conn, err := p.transport.Dial(ctx, address, p.credentials.ClientConfig(m.ID), quicConfig())
+	if err != nil {
+		return nil, errors.Wrap(err, "connect")
+	}
+	if !p.credentials.SelfMade() {
+		return conn, nil
+	}
+	if err := p.greet(ctx, conn, m.ID); err != nil {
+		_ = conn.CloseWithError(codeForbidden, "not accepted")
+		return nil, err
+	}
+	return conn, nil
+}
+
+// greet proves the secret to the other side and has it prove it in turn.
+func (p *Peers) greet(ctx context.Context, conn *quic.Conn, id string) error {
+	stream, err := conn.OpenStreamSync(ctx)
+	if err != nil {
+		return errors.Wrap(err, "connect")
+	}
+	deadline, _ := ctx.Deadline()
+	_ = stream.SetDeadline(deadline)
+	if err := p.sendHello(stream, conn, peer.Dialer); err != nil {
+		return errors.Wrap(err, "connect")
+	}
+	hello, err := peer.ReadFrame[peer.Hello](stream, maxHello)
+	if err != nil {
+		return errors.Wrap(err, "connect")
+	}
+	if err := hello.Verify(peer.Listener, conn.ConnectionState().TLS, p.keyring.Secrets()); err != nil {
+		return err
+	}
+	if hello.ID != id {
+		return errors.Errorf("connected to instance %q, want %q", hello.ID, id)
+	}
+	return stream.Close()
+}
+
+// retire lets go of a connection after a failure; calls that run on it may
+// still finish.
+func (l *link) retire(conn *quic.Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conn != conn {
+		return
+	}
+	l.conn = nil
+	if l.calls <= 1 {
+		_ = conn.CloseWithError(codeDone, "retired")
+		return
+	}
+	time.AfterFunc(silenceLimit, func() { _ = conn.CloseWithError(codeDone, "retired") })
+}
+
+// unwanted reports whether the link may be closed.
+func (l *link) unwanted(now time.Time, gone bool, serial uint64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	replaced := l.conn != nil && l.serial != serial
+	return l.calls == 0 && (gone || replaced || now.Sub(l.used) > idleLimit)
+}
+
+func (l *link) close(reason string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conn != nil {
+		_ = l.conn.CloseWithError(codeDone, reason)
+		l.conn = nil
+	}
+}
--- /dev/null
+++ b/plugins/peerquic/peerquic.go
@@ -0,0 +1,247 @@
+// Package peerquic carries requests between instances over QUIC with mutual
+// TLS.
+//
+// With certificates in the settings, both sides check that the other's is
+// issued by a trusted authority to the instance that it says it is. Without,
+// each process makes a certificate for itself, and both sides prove that they
+// know the secret that the instances share by an HMAC bound to the TLS session.
+// With neither, no requests are carried.
+package peerquic
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/quic-go/quic-go"
+
+	"github.com/savoryfold/savoryfold/config"
+	"github.com/savoryfold/savoryfold/kernel"
+	"github.com/savoryfold/savoryfold/peer"
+)
+
+const (
+	section           = "peer"
+	membershipSection = "membership"
+)
+
+// Times and sizes that no setting changes.
+const (
+	keepAlive      = 5 * time.Second
+	silenceLimit   = 15 * time.Second
+	idleLimit      = time.Minute // without a request
+	upkeepInterval = time.Second
+	helloTimeout   = 2 * time.Second
+	maxStreams     = 512
+	maxHello       = 256
+)
+
+func init() {
+	kernel.Register(kernel.ModuleInfo{
+		ID:    "peerquic",
+		Phase: kernel.PhaseMembership,
+		Settings: []config.Key{
+			{Section: section, Name: "tls_cert", Doc: "file with this instance's certificate, read again when it changes"},
+			{Section: section, Name: "tls_key", Doc: "file with the certificate's key"},
+			{Section: section, Name: "tls_ca", Doc: "file with the certificates of the trusted authorities"},
+			{Section: section, Name: "max_message", Kind: config.Size, Default: "4MiB", Doc: "largest request or answer between instances"},
+			{Section: section, Name: "dial_timeout", Kind: config.Duration, Default: "1s", Doc: "longest attempt to connect to another instance"},
+			{Section: section, Name: "call_timeout", Kind: config.Duration, Default: "5s", Doc: "deadline of a request that has none"},
+		},
+		New: func() kernel.Module {
+			return &Peers{handlers: make(map[string]kernel.PeerHandler), links: make(map[string]*link)}
+		},
+	})
+}
+
+// Peers implements kernel.Peers.
+type Peers struct {
+	host        *kernel.Host
+	keyring     *peer.Keyring
+	credentials *peer.Credentials
+	maxMessage  int
+	dialTimeout time.Duration
+	callTimeout time.Duration
+	socket      *net.UDPConn
+	transport   *quic.Transport
+	listener    *quic.Listener
+	life        context.Context
+	cancel      context.CancelFunc
+	running     sync.WaitGroup // loops and connections
+	requests    requestGate
+	handling    context.Context // ends when handlers are to give up
+	giveUp      context.CancelFunc
+
+	mu       sync.Mutex
+	handlers map[string]kernel.PeerHandler // guarded by mu
+	links    map[string]*link              // by member ID; guarded by mu
+	address  string                        // guarded by mu
+}
+
+// Provision implements kernel.Provisioner.
+func (p *Peers) Provision(h *kernel.Host) error {
+	p.host = h
+	s := h.Settings
+	p.maxMessage = int(s.Bytes(section, "max_message"))
+	p.dialTimeout = s.Duration(section, "dial_timeout")
+	p.callTimeout = s.Duration(section, "call_timeout")
+	keyring, err := peer.NewKeyring(s.Words(membershipSection, "secrets"), s.String(membershipSection, "secrets_file"))
+	if err != nil {
+		return err
+	}
+	p.keyring = keyring
+	files := peer.CredentialFiles{Cert: s.String(section, "tls_cert"), Key: s.String(section, "tls_key"), CA: s.String(section, "tls_ca")}
+	p.credentials, err = peer.NewCredentials(h.ID(), files)
+	return err
+}
+
+// Validate implements kernel.Validator.
+func (p *Peers) Validate() error {
+	if !p.listens() {
+		return nil
+	}
+	if p.credentials.SelfMade() && len(p.keyring.Secrets()) == 0 {
+		return errors.New("[membership] peer_listen needs certificates in [peer] or secrets in [membership]")
+	}
+	return nil
+}
+
+func (p *Peers) listens() bool {
+	return p.host.Settings.String(membershipSection, "peer_listen") != ""
+}
+
+// Start implements kernel.Starter.
+func (p *Peers) Start(context.Context) error {
+	if !p.listens() {
+		return nil
+	}
+	address, err := net.ResolveUDPAddr("udp", p.host.Settings.String(membershipSection, "peer_listen"))
+	if err != nil {
+		return errors.Wrap(err, "peer address")
+	}
+	if p.socket, err = net.ListenUDP("udp", address); err != nil {
+		return errors.Wrap(err, "peer socket")
+	}
+	p.transport = &quic.Transport{Conn: p.socket}
+	if p.listener, err = p.transport.Listen(p.credentials.ServerConfig(), quicConfig()); err != nil {
+		_ = p.socket.Close()
+		return errors.Wrap(err, "peer listener")
+	}
+	p.life, p.cancel = context.WithCancel(context.Background())
+	p.handling, p.giveUp = context.WithCancel(context.Background())
+	p.advertise(p.socket.LocalAddr().String())
+	p.running.Go(p.accept)
+	p.running.Go(p.upkeep)
+	return nil
+}
+
+func quicConfig() *quic.Config {
+	return &quic.Config{
+		HandshakeIdleTimeout: helloTimeout, MaxIdleTimeout: silenceLimit, KeepAlivePeriod: keepAlive,
+		MaxIncomingStreams: maxStreams, MaxIncomingUniStreams: -1,
+	}
+}
+
+func (p *Peers) advertise(actual string) {
+	address := p.host.Settings.String(membershipSection, "peer_advertise")
+	if address == "" {
+		address = actual
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.address = address
+}
+
+// PeerAddress is the address that other instances are told.
+func (p *Peers) PeerAddress() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.address
+}
+
+// Stop implements kernel.Stopper. Handlers that run finish until the context
+// ends; new requests are answered as not run.
+func (p *Peers) Stop(ctx context.Context) error {
+	if p.listener == nil {
+		return nil
+	}
+	err := p.requests.drain(ctx)
+	p.giveUp()
+	p.cancel()
+	p.mu.Lock()
+	links := p.links
+	p.links = make(map[string]*link)
+	p.mu.Unlock()
+	for _, l := range links {
+		l.close("instance stops")
+	}
+	_ = p.listener.Close()
+	_ = p.transport.Close()
+	_ = p.socket.Close()
+	p.running.Wait()
+	return err
+}
+
+// Handle implements kernel.Peers.
+func (p *Peers) Handle(method string, h kernel.PeerHandler) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.handlers[method] = h
+}
+
+func (p *Peers) handler(method string) kernel.PeerHandler {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.handlers[method]
+}
+
+// upkeep rereads credentials and closes connections that are no longer wanted.
+func (p *Peers) upkeep() {
+	ticker := time.NewTicker(upkeepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-p.life.Done():
+			return
+		case now := <-ticker.C:
+			p.reload(now)
+			p.closeUnwanted(now)
+		}
+	}
+}
+
+func (p *Peers) reload(now time.Time) {
+	for _, reload := range []func(time.Time) (bool, error){p.credentials.Reload, p.keyring.Reload} {
+		changed, err := reload(now)
+		switch {
+		case err != nil:
+			p.host.Counter("peer_credentials_failed").Inc(1)
+		case changed:
+			p.host.Logger.Info("peer credentials changed")
+		}
+	}
+}
+
+// closeUnwanted closes links that are idle, whose member is gone, or that were
+// opened under credentials that were replaced.
+func (p *Peers) closeUnwanted(now time.Time) {
+	gone := make(map[string]bool)
+	if p.host.Membership != nil {
+		for _, m := range p.host.Membership.View().Members {
+			gone[m.ID] = m.State == kernel.MemberGone
+		}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id, l := range p.links {
+		if l.unwanted(now, gone[id], p.serial()) {
+			delete(p.links, id)
+			l.close("not wanted")
+		}
+	}
+}
+
+// serial changes with the certificates and the secrets.
+func (p *Peers) serial() uint64 { return p.credentials.Serial() + p.keyring.Serial() }
--- /dev/null
+++ b/plugins/peerquic/peerquic_test.go
@@ -0,0 +1,224 @@
+package peerquic
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"go.uber.org/goleak"
+
+	"github.com/savoryfold/savoryfold/kernel"
+	"github.com/savoryfold/savoryfold/peer"
+	_ "github.com/savoryfold/savoryfold/plugins/membership" // its settings
+)
+
+const (
+	secretA   = "secret-a-0123456789"
+	secretB   = "secret-b-0123456789"
+	lastLimit = 30 * time.Second
+	validity  = time.Hour
+)
+
+// gnet, which the membership plug-in brings, starts a pool that never ends.
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m,
+		goleak.IgnoreAnyFunction("github.com/panjf2000/ants/v2.(*poolCommon).purgeStaleWorkers"),
+		goleak.IgnoreAnyFunction("github.com/panjf2000/ants/v2.(*poolCommon).ticktock"),
+	)
+}
+
+func start(id string, lines ...string) *Peers {
+	text := fmt.Sprintf("[instance]\nid = %s\nzone = z\n[membership]\npeer_listen = 127.0.0.1:0\n%s\n", id, strings.Join(lines, "\n"))
+	settings, err := kernel.Schema().Load("test.ini", []byte(text))
+	So(err, ShouldBeNil)
+	in, err := kernel.NewInstance(settings, slog.New(slog.DiscardHandler), &slog.LevelVar{})
+	So(err, ShouldBeNil)
+	p := in.Host.Peers.(*Peers)
+	p.Handle("echo", func(_ context.Context, from string, body []byte) ([]byte, error) {
+		return append([]byte(from+":"), body...), nil
+	})
+	p.Handle("fail", func(context.Context, string, []byte) ([]byte, error) { return nil, errors.New("no luck") })
+	So(p.Start(context.Background()), ShouldBeNil)
+	return p
+}
+
+func (p *Peers) member() kernel.Member {
+	return kernel.Member{ID: p.host.ID(), Boot: "1", PeerAddress: p.PeerAddress()}
+}
+
+func call(from, to *Peers, method string) (string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), lastLimit)
+	defer cancel()
+	answer, err := from.Call(ctx, to.member(), method, []byte("hello"))
+	return string(answer), err
+}
+
+func stopAll(ps ...*Peers) {
+	for _, p := range ps {
+		So(p.Stop(context.Background()), ShouldBeNil)
+	}
+}
+
+// writeKeys writes the files of an instance's certificate.
+func writeKeys(dir, id string, a *peer.Authority, ca []byte) string {
+	pair, err := a.Issue(id, validity)
+	So(err, ShouldBeNil)
+	files := map[string][]byte{"cert": pair.CertPEM, "key": pair.KeyPEM, "ca": ca}
+	lines := "[peer]\n"
+	for name, content := range files {
+		file := filepath.Join(dir, id+"."+name)
+		So(os.WriteFile(file, content, 0o600), ShouldBeNil)
+		lines += fmt.Sprintf("tls_%s = %s\n", name, file)
+	}
+	return lines
+}
+
+func TestPeersWithSecrets(t *testing.T) {
+	Convey("Given two instances with one secret", t, func() {
+		a, b := start("a", "secrets = "+secretA), start("b", "secrets = "+secretA)
+		Convey("requests are answered, and carry who asks", func() {
+			answer, err := call(a, b, "echo")
+			So(err, ShouldBeNil)
+			So(answer, ShouldEqual, "a:hello")
+			answer, err = call(a, a, "echo")
+			So(err, ShouldBeNil)
+			So(answer, ShouldEqual, "a:hello")
+			stopAll(a, b)
+		})
+		Convey("errors say whether the handler ran", func() {
+			_, err := call(a, b, "fail")
+			var failed *kernel.PeerError
+			So(errors.As(err, &failed), ShouldBeTrue)
+			So(failed.Message, ShouldEqual, "no luck")
+			_, err = call(a, b, "none")
+			So(errors.Is(err, kernel.ErrPeerNotDelivered), ShouldBeTrue)
+			to := b.member()
+			to.ID = "c"
+			_, err = a.Call(context.Background(), to, "echo", nil)
+			So(errors.Is(err, kernel.ErrPeerNotDelivered), ShouldBeTrue)
+			stopAll(b)
+			_, err = call(a, b, "echo")
+			So(errors.Is(err, kernel.ErrPeerNotDelivered), ShouldBeTrue)
+			stopAll(a)
+		})
+		Convey("a handler that outlives the caller's deadline is told, and the result is unknown", func() {
+			ended := make(chan error, 1)
+			b.Handle("slow", func(ctx context.Context, _ string, _ []byte) ([]byte, error) {
+				<-ctx.Done()
+				ended <- ctx.Err()
+				return nil, ctx.Err()
+			})
+			_, err := call(a, b, "echo") // so that the connection stands
+			So(err, ShouldBeNil)
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			_, err = a.Call(ctx, b.member(), "slow", nil)
+			var failed *kernel.PeerError
+			So(errors.Is(err, kernel.ErrPeerUnknown) || errors.As(err, &failed), ShouldBeTrue)
+			So(<-ended, ShouldNotBeNil)
+			stopAll(a, b)
+		})
+		Convey("a stop finishes requests that run, and refuses new ones as not run", func() {
+			entered, finish := make(chan struct{}), make(chan struct{})
+			b.Handle("slow", func(context.Context, string, []byte) ([]byte, error) {
+				close(entered)
+				<-finish
+				return []byte("whole"), nil
+			})
+			answers := make(chan string, 1)
+			go func() {
+				answer, err := call(a, b, "slow")
+				answers <- fmt.Sprint(answer, err)
+			}()
+			<-entered
+			stopped := make(chan error, 1)
+			go func() { stopped <- b.Stop(context.Background()) }()
+			for {
+				if _, err := call(a, b, "echo"); err != nil {
+					So(errors.Is(err, kernel.ErrPeerNotDelivered), ShouldBeTrue)
+					break
+				}
+			}
+			close(finish)
+			So(<-answers, ShouldEqual, "whole<nil>")
+			So(<-stopped, ShouldBeNil)
+			stopAll(a)
+		})
+	})
+	Convey("An instance with another secret is refused", t, func() {
+		a, b := start("a", "secrets = "+secretA), start("b", "secrets = "+secretB)
+		_, err := call(a, b, "echo")
+		So(errors.Is(err, kernel.ErrPeerNotDelivered), ShouldBeTrue)
+		So(b.host.Counter(`peer_refused{reason="credentials"}`).Count(), ShouldBeGreaterThan, 0)
+		stopAll(a, b)
+	})
+	Convey("Without peers to listen for, nothing is delivered", t, func() {
+		settings, err := kernel.Schema().Load("test.ini", []byte("[instance]\nid = a\nzone = z\n"))
+		So(err, ShouldBeNil)
+		in, err := kernel.NewInstance(settings, slog.New(slog.DiscardHandler), &slog.LevelVar{})
+		So(err, ShouldBeNil)
+		_, err = in.Host.Peers.Call(context.Background(), kernel.Member{ID: "b", PeerAddress: "127.0.0.1:1"}, "echo", nil)
+		So(errors.Is(err, kernel.ErrPeerNotDelivered), ShouldBeTrue)
+	})
+}
+
+func TestPeersWithCertificates(t *testing.T) {
+	Convey("Given an authority", t, func() {
+		dir := t.TempDir()
+		authority, err := peer.NewAuthority("test", validity)
+		So(err, ShouldBeNil)
+		a := start("a", writeKeys(dir, "a", authority, authority.CertPEM))
+		Convey("instances that it certified talk, as those that it named", func() {
+			b := start("b", writeKeys(dir, "b", authority, authority.CertPEM))
+			answer, err := call(a, b, "echo")
+			So(err, ShouldBeNil)
+			So(answer, ShouldEqual, "a:hello")
+			impostor := b.member()
+			impostor.ID = "c"
+			_, err = a.Call(context.Background(), impostor, "echo", nil)
+			So(errors.Is(err, kernel.ErrPeerNotDelivered), ShouldBeTrue)
+			stopAll(a, b)
+		})
+		Convey("one that another authority certified is refused, both ways", func() {
+			other, err := peer.NewAuthority("other", validity)
+			So(err, ShouldBeNil)
+			b := start("b", writeKeys(dir, "b", other, append(other.CertPEM, authority.CertPEM...)))
+			_, err = call(a, b, "echo")
+			So(errors.Is(err, kernel.ErrPeerNotDelivered), ShouldBeTrue)
+			_, err = call(b, a, "echo")
+			So(err, ShouldNotBeNil)
+			stopAll(a, b)
+		})
+		Convey("the authority is replaced while both run", func() {
+			b := start("b", writeKeys(dir, "b", authority, authority.CertPEM))
+			_, err := call(a, b, "echo")
+			So(err, ShouldBeNil)
+			next, err := peer.NewAuthority("next", validity)
+			So(err, ShouldBeNil)
+			both := append(append([]byte{}, authority.CertPEM...), next.CertPEM...)
+			rotate := func(id string, issuer *peer.Authority, ca []byte) {
+				p := map[string]*Peers{"a": a, "b": b}[id]
+				before := p.credentials.Serial()
+				writeKeys(dir, id, issuer, ca)
+				for limit := time.Now().Add(lastLimit); p.credentials.Serial() == before && time.Now().Before(limit); {
+					time.Sleep(10 * time.Millisecond)
+				}
+				So(p.credentials.Serial(), ShouldBeGreaterThan, before)
+				_, err := call(a, b, "echo")
+				So(err, ShouldBeNil)
+			}
+			rotate("a", authority, both)
+			rotate("b", authority, both)
+			rotate("a", next, both)
+			rotate("b", next, both)
+			stopAll(a, b)
+		})
+	})
+}
--- /dev/null
+++ b/plugins/peerquic/serve.go
@@ -0,0 +1,158 @@
+package peerquic
+
+import (
+	"context"
+	"time"
+
+	"github.com/quic-go/quic-go"
+
+	"github.com/savoryfold/savoryfold/peer"
+)
+
+// Error codes of closed connections and streams.
+const (
+	codeDone      quic.ApplicationErrorCode = 0
+	codeForbidden quic.ApplicationErrorCode = 1
+	codeGiveUp    quic.StreamErrorCode      = 1
+)
+
+// Bounds of the time that a request takes to arrive whole, and an answer to be
+// taken.
+const (
+	readTimeout   = 10 * time.Second
+	answerTimeout = 2 * time.Second
+)
+
+// accept takes connections of other instances.
+func (p *Peers) accept() {
+	for {
+		conn, err := p.listener.Accept(p.life)
+		if err != nil {
+			return
+		}
+		p.running.Go(func() { p.serveConn(conn) })
+	}
+}
+
+func (p *Peers) serveConn(conn *quic.Conn) {
+	from, err := p.welcome(conn)
+	if err != nil {
+		p.host.Counter(`peer_refused{reason="credentials"}`).Inc(1)
+		_ = conn.CloseWithError(codeForbidden, "not accepted")
+		return
+	}
+	for {
+		stream, err := conn.AcceptStream(p.life)
+		if err != nil {
+			_ = conn.CloseWithError(codeDone, "")
+			return
+		}
+		p.running.Go(func() { p.serveStream(stream, from) })
+	}
+}
+
+// welcome finds out which instance is at the other side.
+func (p *Peers) welcome(conn *quic.Conn) (string, error) {
+	state := conn.ConnectionState().TLS
+	if !p.credentials.SelfMade() {
+		return peer.CertificateID(state.PeerCertificates[0]), nil
+	}
+	ctx, cancel := context.WithTimeout(p.life, helloTimeout)
+	defer cancel()
+	stream, err := conn.AcceptStream(ctx)
+	if err != nil {
+		return "", err
+	}
+	_ = stream.SetDeadline(time.Now().Add(helloTimeout))
+	hello, err := peer.ReadFrame[peer.Hello](stream, maxHello)
+	if err != nil {
+		return "", err
+	}
+	if err := hello.Verify(peer.Dialer, state, p.keyring.Secrets()); err != nil {
+		return "", err
+	}
+	if err := p.sendHello(stream, conn, peer.Listener); err != nil {
+		return "", err
+	}
+	return hello.ID, stream.Close()
+}
+
+func (p *Peers) sendHello(stream *quic.Stream, conn *quic.Conn, side peer.Side) error {
+	hello, err := peer.NewHello(p.host.ID(), side, conn.ConnectionState().TLS, p.keyring.Secrets())
+	if err != nil {
+		return err
+	}
+	frame, err := peer.EncodeFrame(&hello, maxHello)
+	if err != nil {
+		return err
+	}
+	_, err = stream.Write(frame)
+	return err
+}
+
+// serveStream answers one request.
+func (p *Peers) serveStream(stream *quic.Stream, from string) {
+	_ = stream.SetReadDeadline(time.Now().Add(readTimeout))
+	request, err := peer.ReadFrame[peer.Request](stream, p.maxMessage)
+	if err != nil {
+		p.host.Counter(`peer_refused{reason="form"}`).Inc(1)
+		stream.CancelRead(codeGiveUp)
+		stream.CancelWrite(codeGiveUp)
+		return
+	}
+	label := `{method="` + p.known(request.Method) + `"}`
+	p.host.Counter("peer_received_requests" + label).Inc(1)
+	p.host.Counter("peer_received_bytes" + label).Inc(int64(len(request.Body)))
+	running := p.requests.enter()
+	if running {
+		defer p.requests.leave()
+	}
+	p.respond(stream, request, from, running, label)
+}
+
+// respond runs the request, writes the answer and waits until the other side
+// has it, so that a stop does not cut it off.
+func (p *Peers) respond(stream *quic.Stream, request *peer.Request, from string, running bool, label string) {
+	start := time.Now()
+	response := peer.Response{Code: peer.ResponseNotRun, Message: "the instance stops"}
+	if running {
+		response = p.handle(stream.Context(), request, from)
+	}
+	p.host.Counter("peer_handler_nanoseconds" + label).Inc(int64(time.Since(start)))
+	frame, err := peer.EncodeFrame(&response, p.maxMessage)
+	if err != nil {
+		frame, _ = peer.EncodeFrame(&peer.Response{Code: peer.ResponseError, Message: err.Error()}, p.maxMessage)
+	}
+	_ = stream.SetWriteDeadline(time.Now().Add(readTimeout))
+	if _, err := stream.Write(frame); err != nil {
+		stream.CancelWrite(codeGiveUp)
+		return
+	}
+	_ = stream.Close()
+	_ = stream.SetReadDeadline(time.Now().Add(answerTimeout))
+	awaitEnd(stream)
+}
+
+// known keeps names that others send out of the names of metrics.
+func (p *Peers) known(method string) string {
+	if p.handler(method) == nil {
+		return "unknown"
+	}
+	return method
+}
+
+// handle runs the request's handler under the caller's deadline.
+func (p *Peers) handle(ctx context.Context, request *peer.Request, from string) peer.Response {
+	handler := p.handler(request.Method)
+	if handler == nil {
+		return peer.Response{Code: peer.ResponseNotRun, Message: "unknown method"}
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(request.TimeLeftMS)*time.Millisecond)
+	defer cancel()
+	defer context.AfterFunc(p.handling, cancel)()
+	body, err := handler(ctx, from, request.Body)
+	if err != nil {
+		return peer.Response{Code: peer.ResponseError, Message: err.Error()}
+	}
+	return peer.Response{Code: peer.ResponseOK, Body: body}
+}
--- a/plugins/standard/standard.go
+++ b/plugins/standard/standard.go
@@ -9,6 +9,7 @@
 	_ "github.com/savoryfold/savoryfold/plugins/crashguard"   // requests that crash servers
 	_ "github.com/savoryfold/savoryfold/plugins/entryhttp"    // requests of callers
 	_ "github.com/savoryfold/savoryfold/plugins/membership"   // other instances
+	_ "github.com/savoryfold/savoryfold/plugins/peerquic"     // requests between instances
 	_ "github.com/savoryfold/savoryfold/plugins/platformlog"  // log service
 	_ "github.com/savoryfold/savoryfold/plugins/policies"     // decisions
 	_ "github.com/savoryfold/savoryfold/plugins/slots"        // call slots of other instances
