--- a/kernel/testing_test.go
+++ b/kernel/testing_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/savoryfold/savoryfold/config"
 	"github.com/savoryfold/savoryfold/policy"
+	_ "github.com/savoryfold/savoryfold/test/rapidseed" // property tests repeat themselves
 )
 
 // testHost is a host of an instance in the zone hobart, without modules but the
@@ -27,6 +28,7 @@
 	return Decisions{
 		Admission: policy.AdmitAll{}, Placement: &policy.RoundRobin{}, Limits: policy.AdaptiveLimits{},
 		Retry: policy.BlindRetries{}, Queues: policy.FIFOQueues{}, Rollout: policy.LinearRollout{},
+		Ejections: policy.OutlierEjections{},
 	}
 }
 
