Poll load reports once per server and share them

Cause: servers are asked by nobody, so that placement and limits know only what came with this instance's own answers.

Change: the module loadreport. Boots are compared by policy.BootKey, which the kernel applies to every report, so that a report that came with an answer and one from a digest name the same boot alike.

Ruled out: a hash of the boot in digests only, which would make every change of source look like a restart of the server; the time of receipt as the time of the report, which would order reports of two sources wrongly when clocks differ.

--- a/kernel/server.go
+++ b/kernel/server.go
@@ -178,6 +178,7 @@
 
 // Report takes a load report of the server.
 func (s *serverState) Report(now time.Time, r policy.LoadReport) {
+	r.Boot = policy.BootKey(r.Boot)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	old := s.report.Load()
--- /dev/null
+++ b/plugins/loadreport/poll.go
@@ -0,0 +1,66 @@
+package loadreport
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/savoryfold/savoryfold/policy"
+)
+
+// maxReportBytes bounds a load report.
+const maxReportBytes = 4 << 10
+
+// poll asks one server and hands its report to the kernel.
+func (m *Module) poll(ctx context.Context, t *target) {
+	start := time.Now()
+	report, size, err := m.fetch(ctx, t.server.Config.Address)
+	if err != nil {
+		if ctx.Err() == nil {
+			m.host.Counter(`loadreport_polls{result="failed",pool="` + t.server.Config.Pool + `"}`).Inc(1)
+		}
+		return
+	}
+	m.host.Counter(`loadreport_polls{result="ok",pool="` + t.server.Config.Pool + `"}`).Inc(1)
+	m.host.Counter("loadreport_poll_bytes").Inc(int64(size))
+	m.host.Counter("loadreport_poll_nanoseconds").Inc(int64(time.Since(start)))
+	now := time.Now()
+	if report.At.IsZero() {
+		report.At = now
+	}
+	t.server.Report(now, report)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.heard[t.server.ID] = heard{report: report, at: now}
+}
+
+func (m *Module) fetch(ctx context.Context, address string) (policy.LoadReport, int, error) {
+	var report policy.LoadReport
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/v1/load", nil)
+	if err != nil {
+		return report, 0, errors.Wrap(err, "load report")
+	}
+	resp, err := m.client.Do(req)
+	if err != nil {
+		return report, 0, errors.Wrap(err, "load report")
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReportBytes))
+	if err != nil {
+		return report, 0, errors.Wrap(err, "load report")
+	}
+	if resp.StatusCode != http.StatusOK {
+		return report, 0, errors.Errorf("load report: status %d", resp.StatusCode)
+	}
+	if err := json.Unmarshal(body, &report); err != nil {
+		return report, 0, errors.Wrap(err, "load report")
+	}
+	if report.Running < 0 || report.Waiting < 0 || !(report.Warm >= 0 && report.Warm <= 1) {
+		return report, 0, errors.New("load report: value out of range")
+	}
+	return report, len(body), nil
+}
--- a/plugins/standard/standard.go
+++ b/plugins/standard/standard.go
@@ -8,6 +8,7 @@
 	_ "github.com/savoryfold/savoryfold/plugins/configsource" // tables
 	_ "github.com/savoryfold/savoryfold/plugins/crashguard"   // requests that crash servers
 	_ "github.com/savoryfold/savoryfold/plugins/entryhttp"    // requests of callers
+	_ "github.com/savoryfold/savoryfold/plugins/loadreport"   // load of backend servers
 	_ "github.com/savoryfold/savoryfold/plugins/membership"   // other instances
 	_ "github.com/savoryfold/savoryfold/plugins/peerquic"     // requests between instances
 	_ "github.com/savoryfold/savoryfold/plugins/platformlog"  // log service
