--- a/policy/admission_standard.go
+++ b/policy/admission_standard.go
@@ -71,7 +71,7 @@
 	// stretch is how many times longer than predicted the account is taken to
 	// wait: calls of other accounts that come later may go first.
 	stretch   float64
-	stretched time.Time
+	stretched int64 // Unix nanoseconds of the last increase
 }
 
 // NewStandardAdmission returns an admission that knows no account yet.
@@ -108,8 +108,8 @@
 	use := a.account(now, r)
 	a.add(use, max(f.Cost-max(r.Cost, minCost), -use.use))
 	switch {
-	case f.Late && now.Sub(use.stretched) >= stretchInterval:
-		use.stretched = now
+	case f.Late && now.UnixNano()-use.stretched >= int64(stretchInterval):
+		use.stretched = now.UnixNano()
 		use.stretch = min(use.stretch*stretchLate, maxStretch)
 	case f.Served:
 		use.stretch = max(use.stretch*stretchServed, 1)
