--- /dev/null
+++ b/plugins/rollout/rollout.go
@@ -0,0 +1,182 @@
+// Package rollout moves routes from one version of their servers to another,
+// and tells operators how moves of versions and availability zones stand.
+//
+// The share of the new version is a pure function of the time, the evidence and
+// the brake, so that a move goes on while the log and other instances are out
+// of reach. Instances share evidence and brakes in digests; brakes and finished
+// moves are also records of the stream "moves".
+package rollout
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/savoryfold/savoryfold/config"
+	"github.com/savoryfold/savoryfold/kernel"
+	"github.com/savoryfold/savoryfold/policy"
+)
+
+const section = "rollout"
+
+// Times of the module.
+const (
+	tick = 200 * time.Millisecond
+	// startHold is the longest time after a start for which no request goes to
+	// a new version, while nothing was heard of brakes yet.
+	startHold = 5 * time.Second
+)
+
+func init() {
+	kernel.Register(kernel.ModuleInfo{
+		ID:    "versions",
+		Phase: kernel.PhaseConfig,
+		Settings: []config.Key{
+			{Section: section, Name: "restate_every", Kind: config.Duration, Default: "10m", Doc: "time after which brakes and finished moves are recorded on the log again; at most half of the time that the log keeps records"},
+		},
+		New: func() kernel.Module { return &Rollout{} },
+	})
+}
+
+// Rollout implements kernel.Versions and kernel.Moves.
+type Rollout struct {
+	host     *kernel.Host
+	logger   *slog.Logger
+	started  time.Time
+	informed atomic.Bool // true once the log or another instance was heard
+	moves    atomic.Pointer[moveSet]
+	stop     context.CancelFunc
+	routines sync.WaitGroup
+
+	mu     sync.Mutex
+	events map[uint64]event     // of the log, by move; guarded by mu
+	zones  map[string]zoneCalls // by instance; guarded by mu
+}
+
+// moveSet is all version moves of one revision of the tables. It is immutable.
+type moveSet struct{ byRoute map[string]*move }
+
+// Provision implements kernel.Provisioner.
+func (r *Rollout) Provision(h *kernel.Host) error {
+	r.host = h
+	r.logger = h.Logger.With("module", "versions")
+	r.events = make(map[uint64]event)
+	r.zones = make(map[string]zoneCalls)
+	r.moves.Store(&moveSet{})
+	h.OnTables(r.onTables)
+	if h.Digests != nil {
+		h.Digests.Source(digestKind, r.digest)
+		h.Digests.Sink(digestKind, r.hear)
+	}
+	return nil
+}
+
+// Start implements kernel.Starter.
+func (r *Rollout) Start(ctx context.Context) error {
+	ctx, r.stop = context.WithCancel(ctx)
+	r.started = time.Now()
+	r.routines.Go(func() { r.run(ctx) })
+	if r.host.Log != nil {
+		r.routines.Go(func() { r.follow(ctx) })
+		r.routines.Go(func() { r.record(ctx) })
+	}
+	return nil
+}
+
+// Stop implements kernel.Stopper.
+func (r *Rollout) Stop(context.Context) error {
+	r.stop()
+	r.routines.Wait()
+	return nil
+}
+
+// run works out the shares again and again.
+func (r *Rollout) run(ctx context.Context) {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			r.refresh(now)
+		}
+	}
+}
+
+func (r *Rollout) refresh(now time.Time) {
+	r.forgetZones(now)
+	set := r.moves.Load()
+	for _, m := range set.byRoute {
+		m.behind.Store(set.behind(m))
+		r.update(now, m)
+	}
+}
+
+// update works out the share of one move.
+func (r *Rollout) update(now time.Time, m *move) {
+	if !r.informed.Load() && now.Sub(r.started) < startHold {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.forgetStale(now)
+	decide := r.host.Decisions.Rollout
+	spec, e := m.spec(), m.evidence(now)
+	m.step = max(m.step, decide.Proved(spec, e))
+	if reason, fault := decide.Brake(now, spec, e); fault {
+		r.brake(m, now, string(reason))
+		return
+	}
+	share := decide.Share(now, spec, e)
+	m.setShare(share)
+	r.host.Gauge(`version_share_permille{route="` + m.route + `"}`).Update(int64(share * 1000))
+	if share >= 1 && m.done.IsZero() {
+		m.done = now
+		r.logger.Info("version move done", "route", m.route, "to", m.move.To)
+	}
+}
+
+// brake takes a version back for good. The caller holds the move's mu.
+func (r *Rollout) brake(m *move, now time.Time, why string) {
+	if !m.braked.CompareAndSwap(false, true) {
+		return
+	}
+	m.setShare(0)
+	m.why, m.brakedAt = why, now
+	r.host.Counter(`version_brakes{route="` + m.route + `"}`).Inc(1)
+	r.host.Gauge(`version_share_permille{route="` + m.route + `"}`).Update(0)
+	r.logger.Warn("version taken back", "route", m.route, "to", m.move.To, "why", why)
+}
+
+// Pick implements kernel.Versions.
+func (r *Rollout) Pick(_ time.Time, route *config.Route, random uint64) string {
+	if route.Move == nil {
+		return ""
+	}
+	m := r.moves.Load().byRoute[route.Name]
+	if m == nil || m.move != *route.Move {
+		return route.Move.From
+	}
+	return m.pick(random)
+}
+
+// Observe implements kernel.Versions.
+func (r *Rollout) Observe(now time.Time, route, version string, call policy.MoveCall) {
+	m := r.moves.Load().byRoute[route]
+	if m == nil || (version != m.move.From && version != m.move.To) {
+		return
+	}
+	call.New = version == m.move.To
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.tracker.Observe(now, call)
+	if !call.New || m.braked.Load() {
+		return
+	}
+	if reason, fault := r.host.Decisions.Rollout.Brake(now, m.spec(), m.evidence(now)); fault {
+		r.brake(m, now, string(reason))
+	}
+}
--- a/plugins/standard/standard.go
+++ b/plugins/standard/standard.go
@@ -13,5 +13,6 @@
 	_ "github.com/savoryfold/savoryfold/plugins/peerquic"     // requests between instances
 	_ "github.com/savoryfold/savoryfold/plugins/platformlog"  // log service
 	_ "github.com/savoryfold/savoryfold/plugins/policies"     // decisions
+	_ "github.com/savoryfold/savoryfold/plugins/rollout"      // version moves
 	_ "github.com/savoryfold/savoryfold/plugins/slots"        // call slots of other instances
 )
