Relays tell senders apart; instances find each other in tests

Change: a link can cut or blackhole one sender only, so that an availability zone can be cut off while its own instances reach its own servers. The sender is the process that owns the source address. Heartbeats and requests between instances pass relays.

--- a/test/harness/cluster.go
+++ b/test/harness/cluster.go
@@ -68,6 +68,7 @@
 	// LogLink and ListLink are the relays in front of the platform.
 	LogLink  *relay.TCP
 	ListLink *relay.TCP
+	pids     pidTable
 	closers  []func()
 	client   *http.Client
 }
@@ -124,7 +125,7 @@
 		return nil, nil, err
 	}
 	c.closers = append(c.closers, p.Kill)
-	link, err := relay.NewTCP(p.Line)
+	link, err := relay.NewTCP(p.Line, c.owner)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -180,7 +181,7 @@
 		return errors.Wrap(err, "fleet")
 	}
 	for name, address := range addresses {
-		link, err := relay.NewTCP(address)
+		link, err := relay.NewTCP(address, c.owner)
 		if err != nil {
 			return err
 		}
@@ -191,6 +192,31 @@
 	return nil
 }
 
+// CutZone cuts an availability zone's instances and backend servers off from
+// the other zones and, if platform is true, from the platform; or heals it.
+func (c *Cluster) CutZone(zone string, cut, platform bool) {
+	f := relay.Fault{Blackhole: cut}
+	for _, b := range c.Spec.Backends {
+		for _, in := range c.Instances {
+			if (in.Zone == zone) != (b.Zone == zone) {
+				c.Links[b.Name].SetFor(in.ID, f)
+			}
+		}
+	}
+	for _, in := range c.Instances {
+		for _, other := range c.Instances {
+			if (in.Zone == zone) != (other.Zone == zone) && other.Gossip != nil {
+				other.Gossip.SetFor(in.ID, f)
+				other.Peer.SetFor(in.ID, f)
+			}
+		}
+		if in.Zone == zone && platform {
+			c.LogLink.SetFor(in.ID, f)
+			c.ListLink.SetFor(in.ID, f)
+		}
+	}
+}
+
 // PoolBody is the body of a pool's section.
 func (c *Cluster) PoolBody(pool string) string {
 	var b strings.Builder
--- a/test/harness/instance.go
+++ b/test/harness/instance.go
@@ -11,11 +11,16 @@
 	"path/filepath"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/savoryfold/savoryfold/internal/httpapi"
+	"github.com/savoryfold/savoryfold/kernel"
+	_ "github.com/savoryfold/savoryfold/plugins/standard" // the settings that instances know
+	"github.com/savoryfold/savoryfold/standin"
+	"github.com/savoryfold/savoryfold/test/relay"
 )
 
 // Settings are settings by section and key.
@@ -28,7 +33,31 @@
 	Zone  string
 	Entry string
 	Admin string
-	path  string
+	// Gossip and Peer are the relays in front of what other instances reach.
+	Gossip *relay.UDP
+	Peer   *relay.UDP
+	path   string
+}
+
+// pidTable knows the process of each instance.
+type pidTable struct {
+	mu   sync.Mutex
+	pids map[string]int // by instance; guarded by mu
+}
+
+func (t *pidTable) set(id string, pid int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.pids == nil {
+		t.pids = make(map[string]int)
+	}
+	t.pids[id] = pid
+}
+
+func (t *pidTable) all() map[string]int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return maps.Clone(t.pids)
 }
 
 // URL returns the address of a route for callers.
@@ -65,18 +94,63 @@
 		"entry":         {"listen": in.Entry, "drain": "300ms"},
 		"admin":         {"listen": in.Admin},
 		"operator test": {"token_sha256": httpapi.HashToken(OperatorToken), "rights": "edit"},
-		"policy":        {"membership": "static", "claims": "memory"},
+		"policy":        {},
 		"platform":      {"log": c.LogLink.Address()},
 	}
+	if slices.Contains(choices("membership"), "gossip") {
+		if err := c.network(in, settings); err != nil {
+			return nil, err
+		}
+	}
 	if c.Spec.Baseline {
 		for _, slot := range []string{"admission", "placement", "limits", "retry", "queue", "rollout"} {
 			settings["policy"][slot] = "baseline"
 		}
+		settings["policy"]["claims"] = "memory"
 	}
 	settings.merge(c.Spec.Settings)
 	return in, os.WriteFile(in.path, []byte(settings.text()), 0o600)
 }
 
+// choices are the modules that can fill a slot.
+func choices(slot string) []string {
+	for _, k := range kernel.Schema().Keys() {
+		if k.Section == "policy" && k.Name == slot {
+			return k.Accepted
+		}
+	}
+	return nil
+}
+
+// network puts relays in front of the addresses for other instances and
+// enters the instance in the platform's list.
+func (c *Cluster) network(in *Instance, settings Settings) error {
+	gossip, err := freeAddress("udp")
+	if err != nil {
+		return err
+	}
+	peer, err := freeAddress("udp")
+	if err != nil {
+		return err
+	}
+	if in.Gossip, err = relay.NewUDP(gossip, c.owner); err != nil {
+		return err
+	}
+	c.closers = append(c.closers, in.Gossip.Close)
+	if in.Peer, err = relay.NewUDP(peer, c.owner); err != nil {
+		return err
+	}
+	c.closers = append(c.closers, in.Peer.Close)
+	settings["membership"] = map[string]string{
+		"gossip_listen": gossip, "gossip_advertise": in.Gossip.Address(),
+		"peer_listen": peer, "peer_advertise": in.Peer.Address(),
+		"list": c.ListLink.Address(), "list_interval": "500ms", "secrets": "test-membership-secret-of-the-cluster",
+	}
+	return c.put(context.Background(), "http://"+c.List.Line+"/v1/instances/"+in.ID, standin.ListedInstance{
+		ID: in.ID, Zone: in.Zone, State: "live", GossipAddress: in.Gossip.Address(), PeerAddress: in.Peer.Address(),
+	})
+}
+
 func (s Settings) merge(other Settings) {
 	for section, keys := range other {
 		if s[section] == nil {
@@ -104,6 +178,7 @@
 		return err
 	}
 	in.Process = p
+	c.pids.set(in.ID, p.PID())
 	return nil
 }
 
--- a/test/relay/relay.go
+++ b/test/relay/relay.go
@@ -30,9 +30,16 @@
 	LoseForward, LoseBack bool
 }
 
+// Owner names the sender that a connection or datagram comes from, such as the
+// process that has the source address.
+type Owner func(source net.Addr) string
+
 // link is what TCP and UDP links share.
 type link struct {
 	fault  atomic.Pointer[Fault]
+	owner  Owner
+	mu     sync.Mutex
+	owned  map[string]Fault // by sender; guarded by mu
 	target atomic.Pointer[string]
 	lost   atomic.Int64
 	done   chan struct{}
@@ -49,9 +56,40 @@
 // Retarget changes where new connections and datagrams go.
 func (l *link) Retarget(address string) { l.target.Store(&address) }
 
-func (l *link) get() Fault { return *l.fault.Load() }
+// SetFor replaces the faults that only one sender meets. They take the place of
+// the link's own unless they are zero.
+func (l *link) SetFor(sender string, f Fault) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.owned == nil {
+		l.owned = make(map[string]Fault)
+	}
+	l.owned[sender] = f
+}
+
+// get returns the faults that a sender meets.
+func (l *link) get(sender string) Fault {
+	if l.owner != nil {
+		l.mu.Lock()
+		f := l.owned[sender]
+		l.mu.Unlock()
+		if f != (Fault{}) {
+			return f
+		}
+	}
+	return *l.fault.Load()
+}
+
+// sender names the owner of a source address.
+func (l *link) sender(source net.Addr) string {
+	if l.owner == nil {
+		return ""
+	}
+	return l.owner(source)
+}
 
-func (l *link) init(target string) {
+func (l *link) init(target string, owner Owner) {
+	l.owner = owner
 	l.done = make(chan struct{})
 	l.Set(Fault{})
 	l.Retarget(target)
@@ -81,18 +119,19 @@
 type TCP struct {
 	link
 	listener net.Listener
-	mu       sync.Mutex
-	pairs    map[*pair]struct{} // guarded by mu
+	open     sync.Mutex
+	pairs    map[*pair]struct{} // guarded by open
 }
 
-// NewTCP starts a link from a free local port to a target.
-func NewTCP(target string) (*TCP, error) {
+// NewTCP starts a link from a free local port to a target. A nil owner means
+// that senders are not told apart.
+func NewTCP(target string, owner Owner) (*TCP, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, errors.Wrap(err, "relay")
 	}
 	t := &TCP{listener: l, pairs: make(map[*pair]struct{})}
-	t.init(target)
+	t.init(target, owner)
 	t.wait.Go(t.accept)
 	return t, nil
 }
@@ -108,6 +147,19 @@
 	}
 }
 
+// SetFor replaces the faults that only one sender meets; a cut resets what it
+// has open.
+func (t *TCP) SetFor(sender string, f Fault) {
+	t.link.SetFor(sender, f)
+	if f.Cut {
+		t.each(func(p *pair) {
+			if p.sender == sender {
+				p.reset()
+			}
+		})
+	}
+}
+
 // Silence lets the connections that exist now go silent for good, while new
 // ones work.
 func (t *TCP) Silence() { t.each(func(p *pair) { p.silent.Store(true) }) }
@@ -120,8 +172,8 @@
 }
 
 func (t *TCP) each(f func(*pair)) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
+	t.open.Lock()
+	defer t.open.Unlock()
 	for p := range t.pairs {
 		f(p)
 	}
@@ -141,10 +193,6 @@
 		if err != nil {
 			return
 		}
-		if t.get().Cut {
-			reset(conn)
-			continue
-		}
 		t.wait.Go(func() { t.join(conn) })
 	}
 }
@@ -152,6 +200,7 @@
 // pair is one relayed connection.
 type pair struct {
 	near, far net.Conn
+	sender    string
 	silent    atomic.Bool
 }
 
@@ -169,16 +218,21 @@
 
 func (t *TCP) join(near net.Conn) {
 	defer near.Close()
+	sender := t.sender(near.RemoteAddr())
+	if t.get(sender).Cut {
+		reset(near)
+		return
+	}
 	far, err := net.DialTimeout("tcp", *t.target.Load(), dialTimeout)
 	if err != nil {
 		reset(near)
 		return
 	}
 	defer far.Close()
-	p := &pair{near: near, far: far}
-	t.mu.Lock()
+	p := &pair{near: near, far: far, sender: sender}
+	t.open.Lock()
 	t.pairs[p] = struct{}{}
-	t.mu.Unlock()
+	t.open.Unlock()
 	select {
 	case <-t.done:
 		p.reset()
@@ -188,9 +242,9 @@
 	both.Go(func() { t.copy(p, far, near, true) })
 	both.Go(func() { t.copy(p, near, far, false) })
 	both.Wait()
-	t.mu.Lock()
+	t.open.Lock()
 	delete(t.pairs, p)
-	t.mu.Unlock()
+	t.open.Unlock()
 }
 
 // chunk is a part of a stream that leaves the relay at a time.
@@ -209,7 +263,7 @@
 		buf := make([]byte, bufferBytes)
 		n, err := from.Read(buf)
 		if n > 0 {
-			chunks <- chunk{buf[:n], time.Now().Add(t.get().Delay)}
+			chunks <- chunk{buf[:n], time.Now().Add(t.get(p.sender).Delay)}
 		}
 		if err != nil {
 			break
@@ -225,7 +279,7 @@
 func (t *TCP) write(p *pair, to net.Conn, chunks <-chan chunk, forward bool) {
 	broken := false
 	for c := range chunks {
-		if !t.pause(time.Until(c.due)) || broken || p.silent.Load() || t.get().swallows(forward) {
+		if !t.pause(time.Until(c.due)) || broken || p.silent.Load() || t.get(p.sender).swallows(forward) {
 			t.lost.Add(1)
 			continue
 		}
--- a/test/relay/relay_test.go
+++ b/test/relay/relay_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -15,7 +16,9 @@
 	Convey("Given a server behind a link", t, func() {
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) }))
 		Reset(server.Close)
-		link, err := NewTCP(server.Listener.Addr().String())
+		var sender atomic.Value
+		sender.Store("a")
+		link, err := NewTCP(server.Listener.Addr().String(), func(net.Addr) string { return sender.Load().(string) })
 		So(err, ShouldBeNil)
 		Reset(link.Close)
 		transport := &http.Transport{}
@@ -34,6 +37,12 @@
 			link.Set(Fault{})
 			So(get(), ShouldBeNil)
 		})
+		Convey("a cut for one sender leaves another alone", func() {
+			link.SetFor("a", Fault{Cut: true})
+			So(get(), ShouldNotBeNil)
+			sender.Store("b")
+			So(get(), ShouldBeNil)
+		})
 		Convey("silence meets the connections that exist, not new ones", func() {
 			link.Silence()
 			client.Timeout = 100 * time.Millisecond
@@ -55,7 +64,7 @@
 		server, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 		So(err, ShouldBeNil)
 		Reset(func() { server.Close() })
-		link, err := NewUDP(server.LocalAddr().String())
+		link, err := NewUDP(server.LocalAddr().String(), nil)
 		So(err, ShouldBeNil)
 		Reset(link.Close)
 		client, err := net.Dial("udp", link.Address())
--- a/test/relay/udp.go
+++ b/test/relay/udp.go
@@ -12,18 +12,25 @@
 type UDP struct {
 	link
 	conn  *net.UDPConn
-	mu    sync.Mutex
-	flows map[string]*net.UDPConn // by sender; guarded by mu
+	open  sync.Mutex
+	flows map[string]*flow // by source address; guarded by open
 }
 
-// NewUDP starts a link from a free local port to a target.
-func NewUDP(target string) (*UDP, error) {
+// flow is what one source address sends.
+type flow struct {
+	*net.UDPConn
+	sender string
+}
+
+// NewUDP starts a link from a free local port to a target. A nil owner means
+// that senders are not told apart.
+func NewUDP(target string, owner Owner) (*UDP, error) {
 	conn, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	if err != nil {
 		return nil, errors.Wrap(err, "relay")
 	}
-	u := &UDP{conn: conn, flows: make(map[string]*net.UDPConn)}
-	u.init(target)
+	u := &UDP{conn: conn, flows: make(map[string]*flow)}
+	u.init(target, owner)
 	u.wait.Go(u.forward)
 	return u, nil
 }
@@ -35,11 +42,11 @@
 func (u *UDP) Close() {
 	u.once.Do(func() { close(u.done) })
 	_ = u.conn.Close()
-	u.mu.Lock()
+	u.open.Lock()
 	for _, f := range u.flows {
 		_ = f.Close()
 	}
-	u.mu.Unlock()
+	u.open.Unlock()
 	u.wait.Wait()
 }
 
@@ -54,13 +61,13 @@
 		if flow == nil {
 			continue
 		}
-		u.pass(append([]byte{}, buf[:n]...), true, func(b []byte) { _, _ = flow.Write(b) })
+		u.pass(append([]byte{}, buf[:n]...), flow.sender, true, func(b []byte) { _, _ = flow.Write(b) })
 	}
 }
 
 // pass sends a datagram on after the delay, unless it is lost.
-func (u *UDP) pass(data []byte, forward bool, send func([]byte)) {
-	f := u.get()
+func (u *UDP) pass(data []byte, sender string, forward bool, send func([]byte)) {
+	f := u.get(sender)
 	if f.Cut || f.swallows(forward) {
 		u.lost.Add(1)
 		return
@@ -77,9 +84,9 @@
 }
 
 // flow returns the connection to the target for a sender, made if it is new.
-func (u *UDP) flow(from *net.UDPAddr) *net.UDPConn {
-	u.mu.Lock()
-	defer u.mu.Unlock()
+func (u *UDP) flow(from *net.UDPAddr) *flow {
+	u.open.Lock()
+	defer u.open.Unlock()
 	if f := u.flows[from.String()]; f != nil {
 		return f
 	}
@@ -87,20 +94,21 @@
 	if err != nil {
 		return nil
 	}
-	flow, err := net.DialUDP("udp", nil, target)
+	conn, err := net.DialUDP("udp", nil, target)
 	if err != nil {
 		return nil
 	}
-	u.flows[from.String()] = flow
-	u.wait.Go(func() { u.back(flow, from) })
-	return flow
+	f := &flow{conn, u.sender(from)}
+	u.flows[from.String()] = f
+	u.wait.Go(func() { u.back(f, from) })
+	return f
 }
 
-func (u *UDP) back(flow *net.UDPConn, to *net.UDPAddr) {
+func (u *UDP) back(flow *flow, to *net.UDPAddr) {
 	defer func() {
-		u.mu.Lock()
+		u.open.Lock()
 		delete(u.flows, to.String())
-		u.mu.Unlock()
+		u.open.Unlock()
 		_ = flow.Close()
 	}()
 	buf := make([]byte, bufferBytes)
@@ -110,6 +118,6 @@
 		if err != nil {
 			return
 		}
-		u.pass(append([]byte{}, buf[:n]...), false, func(b []byte) { _, _ = u.conn.WriteToUDP(b, to) })
+		u.pass(append([]byte{}, buf[:n]...), flow.sender, false, func(b []byte) { _, _ = u.conn.WriteToUDP(b, to) })
 	}
 }
