Look senders up only when a fault asks for it

Cause: every connection read the system's table of sockets; with many sockets on the machine this held calls for seconds, and a request of TestServe ended incomplete.

--- a/test/harness/instance.go
+++ b/test/harness/instance.go
@@ -198,7 +198,10 @@
 			return err
 		}
 	}
-	return nil
+	if c.Instances[0].Gossip == nil {
+		return nil
+	}
+	return c.waitViews(ctx)
 }
 
 func (c *Cluster) waitReady(ctx context.Context, in *Instance) error {
--- a/test/harness/operator.go
+++ b/test/harness/operator.go
@@ -96,6 +96,26 @@
 	return t, err
 }
 
+// waitViews waits until every instance sees every other one.
+func (c *Cluster) waitViews(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	for _, in := range c.Instances {
+		for {
+			var view kernel.MemberView
+			_, err := c.get(ctx, "http://"+in.Admin+"/v1/members", &view)
+			if err == nil && len(view.Live()) == len(c.Instances) {
+				break
+			}
+			if ctx.Err() != nil {
+				return errors.Errorf("%s sees %d of %d instances", in.ID, len(view.Live()), len(c.Instances))
+			}
+			time.Sleep(retryPause)
+		}
+	}
+	return nil
+}
+
 // Dump returns the state of an instance.
 func (c *Cluster) Dump(ctx context.Context, in *Instance) (kernel.Dump, error) {
 	var d kernel.Dump
--- a/test/relay/relay.go
+++ b/test/relay/relay.go
@@ -57,37 +57,50 @@
 func (l *link) Retarget(address string) { l.target.Store(&address) }
 
 // SetFor replaces the faults that only one sender meets. They take the place of
-// the link's own unless they are zero.
-func (l *link) SetFor(sender string, f Fault) {
+// the link's own; the zero value ends them.
+func (l *link) SetFor(name string, f Fault) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if f == (Fault{}) {
+		delete(l.owned, name)
+		return
+	}
 	if l.owned == nil {
 		l.owned = make(map[string]Fault)
 	}
-	l.owned[sender] = f
+	l.owned[name] = f
+}
+
+// sender is where a connection or datagram comes from. Its name is looked up
+// once, when a fault first asks for it.
+type sender struct {
+	source net.Addr
+	once   sync.Once
+	name   string
+}
+
+func (l *link) nameOf(s *sender) string {
+	s.once.Do(func() { s.name = l.owner(s.source) })
+	return s.name
 }
 
 // get returns the faults that a sender meets.
-func (l *link) get(sender string) Fault {
-	if l.owner != nil {
+func (l *link) get(s *sender) Fault {
+	l.mu.Lock()
+	special := len(l.owned) > 0
+	l.mu.Unlock()
+	if special && l.owner != nil {
+		name := l.nameOf(s)
 		l.mu.Lock()
-		f := l.owned[sender]
+		f, ok := l.owned[name]
 		l.mu.Unlock()
-		if f != (Fault{}) {
+		if ok {
 			return f
 		}
 	}
 	return *l.fault.Load()
 }
 
-// sender names the owner of a source address.
-func (l *link) sender(source net.Addr) string {
-	if l.owner == nil {
-		return ""
-	}
-	return l.owner(source)
-}
-
 func (l *link) init(target string, owner Owner) {
 	l.owner = owner
 	l.done = make(chan struct{})
@@ -149,11 +162,11 @@
 
 // SetFor replaces the faults that only one sender meets; a cut resets what it
 // has open.
-func (t *TCP) SetFor(sender string, f Fault) {
-	t.link.SetFor(sender, f)
+func (t *TCP) SetFor(name string, f Fault) {
+	t.link.SetFor(name, f)
 	if f.Cut {
 		t.each(func(p *pair) {
-			if p.sender == sender {
+			if t.nameOf(p.from) == name {
 				p.reset()
 			}
 		})
@@ -200,7 +213,7 @@
 // pair is one relayed connection.
 type pair struct {
 	near, far net.Conn
-	sender    string
+	from      *sender
 	silent    atomic.Bool
 }
 
@@ -218,8 +231,8 @@
 
 func (t *TCP) join(near net.Conn) {
 	defer near.Close()
-	sender := t.sender(near.RemoteAddr())
-	if t.get(sender).Cut {
+	from := &sender{source: near.RemoteAddr()}
+	if t.get(from).Cut {
 		reset(near)
 		return
 	}
@@ -229,7 +242,7 @@
 		return
 	}
 	defer far.Close()
-	p := &pair{near: near, far: far, sender: sender}
+	p := &pair{near: near, far: far, from: from}
 	t.open.Lock()
 	t.pairs[p] = struct{}{}
 	t.open.Unlock()
@@ -263,7 +276,7 @@
 		buf := make([]byte, bufferBytes)
 		n, err := from.Read(buf)
 		if n > 0 {
-			chunks <- chunk{buf[:n], time.Now().Add(t.get(p.sender).Delay)}
+			chunks <- chunk{buf[:n], time.Now().Add(t.get(p.from).Delay)}
 		}
 		if err != nil {
 			break
@@ -279,7 +292,7 @@
 func (t *TCP) write(p *pair, to net.Conn, chunks <-chan chunk, forward bool) {
 	broken := false
 	for c := range chunks {
-		if !t.pause(time.Until(c.due)) || broken || p.silent.Load() || t.get(p.sender).swallows(forward) {
+		if !t.pause(time.Until(c.due)) || broken || p.silent.Load() || t.get(p.from).swallows(forward) {
 			t.lost.Add(1)
 			continue
 		}
--- a/test/relay/udp.go
+++ b/test/relay/udp.go
@@ -19,7 +19,7 @@
 // flow is what one source address sends.
 type flow struct {
 	*net.UDPConn
-	sender string
+	from *sender
 }
 
 // NewUDP starts a link from a free local port to a target. A nil owner means
@@ -61,13 +61,13 @@
 		if flow == nil {
 			continue
 		}
-		u.pass(append([]byte{}, buf[:n]...), flow.sender, true, func(b []byte) { _, _ = flow.Write(b) })
+		u.pass(append([]byte{}, buf[:n]...), flow.from, true, func(b []byte) { _, _ = flow.Write(b) })
 	}
 }
 
 // pass sends a datagram on after the delay, unless it is lost.
-func (u *UDP) pass(data []byte, sender string, forward bool, send func([]byte)) {
-	f := u.get(sender)
+func (u *UDP) pass(data []byte, from *sender, forward bool, send func([]byte)) {
+	f := u.get(from)
 	if f.Cut || f.swallows(forward) {
 		u.lost.Add(1)
 		return
@@ -98,7 +98,7 @@
 	if err != nil {
 		return nil
 	}
-	f := &flow{conn, u.sender(from)}
+	f := &flow{conn, &sender{source: from}}
 	u.flows[from.String()] = f
 	u.wait.Go(func() { u.back(f, from) })
 	return f
@@ -118,6 +118,6 @@
 		if err != nil {
 			return
 		}
-		u.pass(append([]byte{}, buf[:n]...), flow.sender, false, func(b []byte) { _, _ = u.conn.WriteToUDP(b, to) })
+		u.pass(append([]byte{}, buf[:n]...), flow.from, false, func(b []byte) { _, _ = u.conn.WriteToUDP(b, to) })
 	}
 }
