--- a/standin/backend.go
+++ b/standin/backend.go
@@ -73,6 +73,8 @@
 	Start   time.Time `json:"start"`
 	End     time.Time `json:"end,omitzero"`
 	OK      bool      `json:"ok"`
+	// Bad is true if the call met the fault of a version.
+	Bad bool `json:"bad,omitempty"`
 }
 
 // callInput is the body of a stage call.
@@ -237,7 +239,7 @@
 	if len(b.calls) < maxCallLog {
 		b.calls = append(b.calls, CallRecord{
 			Call: r.Header.Get(httpapi.HeaderCallID), Key: r.Header.Get(httpapi.HeaderIdempotencyKey),
-			Version: b.version, Start: now,
+			Version: b.version, Start: now, Bad: c.bad,
 		})
 	}
 	return c, overfed
--- a/standin/backendfaults.go
+++ b/standin/backendfaults.go
@@ -62,8 +62,8 @@
 
 // verdict is what befalls one call.
 type verdict struct {
-	fail, wrongID, cut bool
-	slow               float64
+	fail, wrongID, cut, bad bool
+	slow                    float64
 }
 
 // judge draws what befalls a call.
@@ -73,6 +73,7 @@
 		if !b.applies(version, served, concurrent, route) {
 			continue
 		}
+		v.bad = true
 		if b.Slow > 0 {
 			v.slow *= b.Slow
 		} else {
--- /dev/null
+++ b/test/experiment/crasher.go
@@ -0,0 +1,78 @@
+package main
+
+import (
+	"context"
+	"time"
+
+	"github.com/savoryfold/savoryfold/internal/load"
+	"github.com/savoryfold/savoryfold/standin"
+)
+
+const (
+	crashMarker = "poison"
+	crashRepeat = 500 * time.Millisecond
+	// crashLimit is the number of servers after whose end the request is
+	// refused.
+	crashLimit = 2
+)
+
+// crasher sends one request that ends every engine that runs it, again and
+// again, to each instance in turn.
+func crasher(ctx context.Context, e *env) error {
+	if err := e.launch(ctx, ordinary()); err != nil {
+		return err
+	}
+	for _, b := range e.cluster.Spec.Backends {
+		if b.Pool == poolGenerate {
+			if err := e.cluster.SetFaults(ctx, b.Name, standin.Faults{CrashOn: crashMarker, DownMS: 1000}); err != nil {
+				return err
+			}
+		}
+	}
+	outcomes := make(map[string]int)
+	stop := at(ctx, 3*time.Second, func() { e.sendAgain(ctx, outcomes, 12*time.Second) })
+	r, err := e.drive(ctx, load.Config{Check: check, Phases: []load.Phase{
+		{Name: "crasher", Rate: 0.4 * capacity(engineCount), Duration: 16 * time.Second, Mix: everyone()},
+	}})
+	stop()
+	if err != nil {
+		return err
+	}
+	stats, err := e.stats(ctx, poolGenerate)
+	if err != nil {
+		return err
+	}
+	restarts, overfed := 0, 0
+	for _, s := range stats {
+		restarts += s.Restarts
+		overfed += s.Overfed
+	}
+	sent := 0
+	for outcome, n := range outcomes {
+		sent += n
+		e.figure("times that the request was answered with "+outcome, float64(n), "requests")
+	}
+	e.figure("times that the request was sent", float64(sent), "requests")
+	e.atMost("engines that the request ended", float64(restarts-overfed), crashLimit, "engines")
+	e.atMost("calls beyond what a cold server bears", float64(overfed), 0, "calls")
+	e.figure("attainment of all other requests", attainment(r.Total), "part")
+	e.figure("attainment of all other requests from 3 s after the first crash", attainedBetween(r, 6*time.Second, 16*time.Second), "part")
+	e.whole(r)
+	return nil
+}
+
+// sendAgain repeats the crashing request.
+func (e *env) sendAgain(ctx context.Context, outcomes map[string]int, d time.Duration) {
+	client := load.NewClient()
+	defer client.Close()
+	share := small("four", 1)
+	share.Body = func(int) string { return `{"text":"` + crashMarker + `"}` }
+	end := time.Now().Add(d)
+	for n := 0; time.Now().Before(end) && ctx.Err() == nil; n++ {
+		call := load.NewCall(n, "", &share)
+		call.Target = e.cluster.Instances[n%len(e.cluster.Instances)].Entry
+		r := client.Send(ctx, call, time.Now())
+		outcomes[r.Outcome+" "+r.Reason]++
+		time.Sleep(crashRepeat)
+	}
+}
--- a/test/experiment/env.go
+++ b/test/experiment/env.go
@@ -192,3 +192,16 @@
 	}
 	return ratio(float64(attained), float64(sent))
 }
+
+// maxExplained bounds the faults that are printed.
+const maxExplained = 5
+
+// explain prints the first faults of a history to standard error.
+func (e *env) explain(faults []string) {
+	for i, f := range faults {
+		if i == maxExplained {
+			return
+		}
+		fmt.Fprintln(os.Stderr, e.experiment, e.policy, f)
+	}
+}
--- a/test/experiment/main.go
+++ b/test/experiment/main.go
@@ -42,6 +42,10 @@
 	{"peaks", "many small requests, then few large ones; five accounts, one greedy", peaks},
 	{"overload", "0.7, 1 and 2 times the capacity, then back", overload},
 	{"cold", "servers start cold, and warm ones turn cold, under load", cold},
+	{"zone", "a zone is taken out and brought back, then cut off and healed", zone},
+	{"once", "requests that may not be repeated, under kills, pauses and log faults", once},
+	{"crasher", "one request that ends every engine that runs it", crasher},
+	{"config", "racing operators, lost answers, log outage, restarts", configExperiment},
 	{"silent", "connections go silent for good while new ones work", silent},
 	{"stop", "instances are replaced one by one under load", stopExperiment},
 }
--- /dev/null
+++ b/test/experiment/zone.go
@@ -0,0 +1,104 @@
+package main
+
+import (
+	"context"
+	"time"
+
+	"github.com/savoryfold/savoryfold/config"
+	"github.com/savoryfold/savoryfold/internal/load"
+)
+
+const (
+	movedZone = "hobart"
+	// changeTime is the time after which a change must be in force.
+	changeTime = 3 * time.Second
+)
+
+// zone takes an availability zone out and brings it back, then cuts it off
+// from the other zones and the platform, and heals it.
+func zone(ctx context.Context, e *env) error {
+	if err := e.launch(ctx, ordinary()); err != nil {
+		return err
+	}
+	var out, in time.Time
+	var failed error
+	put := func(state string, when *time.Time) func() {
+		return func() {
+			result, err := e.cluster.Change(ctx, e.cluster.Instances[1], "zone "+movedZone, "state = "+state+"\n")
+			if err != nil || result.Status != config.EditAccepted {
+				failed = err
+				return
+			}
+			*when = time.Now()
+		}
+	}
+	steps := []func(){
+		at(ctx, 3*time.Second, put("out", &out)),
+		at(ctx, 9*time.Second, put("in", &in)),
+		at(ctx, 14*time.Second, func() { e.cluster.CutZone(movedZone, true, true) }),
+		at(ctx, 19*time.Second, func() { e.cluster.CutZone(movedZone, false, true) }),
+	}
+	r, err := e.drive(ctx, load.Config{Check: check, Phases: []load.Phase{
+		{Name: "move", Rate: 0.6 * capacity(engineCount), Duration: 14 * time.Second, Mix: everyone()},
+		{Name: "cut", Rate: 0.6 * capacity(engineCount), Duration: 9 * time.Second, Mix: everyone()},
+	}})
+	for _, done := range steps {
+		done()
+	}
+	if err != nil {
+		return err
+	}
+	if out.IsZero() || in.IsZero() {
+		e.judge("edits of the zone accepted", 0, "edits", "both", false)
+		return failed
+	}
+	if err := e.lateWork(ctx, out, in); err != nil {
+		return err
+	}
+	e.atLeast("attainment while a zone is taken out and brought back", attainment(r.Phases["move"]), 0.97, "part")
+	e.atLeast("attainment while a zone is cut off and heals", attainment(r.Phases["cut"]), 0.97, "part")
+	e.figure("p99", r.Total.Latency.P99, "ms")
+	e.whole(r)
+	return e.overfed(ctx)
+}
+
+// lateWork counts the calls that a zone's servers got while it was out, from a
+// few seconds after the acceptance on.
+func (e *env) lateWork(ctx context.Context, out, in time.Time) error {
+	late := 0
+	last := out
+	for _, b := range e.cluster.Spec.Backends {
+		if b.Zone != movedZone {
+			continue
+		}
+		calls, err := e.cluster.Calls(ctx, b.Name)
+		if err != nil {
+			return err
+		}
+		for _, c := range calls {
+			if c.Start.After(out) && c.Start.Before(in) && c.Start.After(last) {
+				last = c.Start
+			}
+			if c.Start.After(out.Add(changeTime)) && c.Start.Before(in.Add(-100*time.Millisecond)) {
+				late++
+			}
+		}
+	}
+	e.figure("last new work in the zone after its edit", last.Sub(out).Seconds(), "s")
+	e.atMost("new work in the zone from 3 s after its edit on", float64(late), 0, "calls")
+	return nil
+}
+
+// overfed judges the calls on cold servers.
+func (e *env) overfed(ctx context.Context) error {
+	stats, err := e.stats(ctx, poolGenerate)
+	if err != nil {
+		return err
+	}
+	n := 0
+	for _, s := range stats {
+		n += s.Overfed
+	}
+	e.atMost("calls beyond what a cold server bears", float64(n), 0, "calls")
+	return nil
+}
--- a/test/harness/instance.go
+++ b/test/harness/instance.go
@@ -54,6 +54,9 @@
 	t.pids[id] = pid
 }
 
+// PID returns the process ID of an instance, 0 before its first start.
+func (c *Cluster) PID(in *Instance) int { return c.pids.all()[in.ID] }
+
 func (t *pidTable) all() map[string]int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
