Experiments version-good and version-bad; warm-up before what is measured

Cause: figures at 0.7 times the capacity held the start of all servers, which instances take for cold; that is what the experiment cold is for.

--- a/test/experiment/env.go
+++ b/test/experiment/env.go
@@ -93,6 +93,14 @@
 	return err
 }
 
+// warmUp lets instances learn and servers get warm, before what is measured.
+func (e *env) warmUp(ctx context.Context) error {
+	_, err := load.Run(ctx, load.Config{Targets: e.entries(), Seed: e.seed, Phases: []load.Phase{
+		{Name: "warm-up", Rate: warmUpPart * capacity(engineCount), Duration: warmUpTime, Mix: everyone()},
+	}})
+	return err
+}
+
 func (e *env) close() {
 	if e.cluster != nil {
 		e.cluster.Close()
--- a/test/experiment/main.go
+++ b/test/experiment/main.go
@@ -43,6 +43,8 @@
 	{"overload", "0.7, 1 and 2 times the capacity, then back", overload},
 	{"cold", "servers start cold, and warm ones turn cold, under load", cold},
 	{"zone", "a zone is taken out and brought back, then cut off and healed", zone},
+	{"version-good", "a move to a good version by a set time; the log goes down in the middle", versionGood},
+	{"version-bad", "moves to versions that are bad at once, later, under load, on one route", versionBad},
 	{"once", "requests that may not be repeated, under kills, pauses and log faults", once},
 	{"crasher", "one request that ends every engine that runs it", crasher},
 	{"config", "racing operators, lost answers, log outage, restarts", configExperiment},
--- a/test/experiment/shape.go
+++ b/test/experiment/shape.go
@@ -21,6 +21,8 @@
 	warmCalls     = 20
 	deadline      = 1500 * time.Millisecond
 	largeTokens   = 40
+	warmUpTime    = 3 * time.Second
+	warmUpPart    = 0.5
 	largeDeadline = 6 * time.Second
 )
 
