Integration tests of silence, a zone out, replaced instances, racing operators

Change: four tests with real processes that count facts: every request served whole after all connections went silent; no call in a zone once its edit is in force everywhere, and calls again when it is in; no request cut while each instance is replaced behind a balancer; one winner of racing edits and no older revision after a newer one, with lost append answers and a killed instance.

--- /dev/null
+++ b/test/integration/faults_test.go
@@ -0,0 +1,212 @@
+package integration
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/savoryfold/savoryfold/config"
+	"github.com/savoryfold/savoryfold/internal/load"
+	"github.com/savoryfold/savoryfold/standin"
+	"github.com/savoryfold/savoryfold/test/harness"
+	"github.com/savoryfold/savoryfold/test/history"
+)
+
+// eventually waits for a condition.
+func eventually(ctx context.Context, condition func() bool) bool {
+	for ctx.Err() == nil {
+		if condition() {
+			return true
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return false
+}
+
+// inForce waits until every instance has a revision or a newer one in force.
+func inForce(ctx context.Context, c *harness.Cluster, revision uint64) bool {
+	return eventually(ctx, func() bool {
+		for _, in := range c.Instances {
+			t, err := c.Tables(ctx, in)
+			if err != nil || t.Revision < revision {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// callsIn counts the calls that the servers of an availability zone got.
+func callsIn(ctx context.Context, c *harness.Cluster, zone string) int {
+	n := 0
+	for _, b := range c.Spec.Backends {
+		if b.Zone == zone {
+			s, err := c.Stats(ctx, b.Name)
+			So(err, ShouldBeNil)
+			n += s.Calls
+		}
+	}
+	return n
+}
+
+func allServed(results []*load.Result) {
+	for _, r := range results {
+		So(r.Fault, ShouldBeNil)
+		So(r.Outcome+r.Reason, ShouldEqual, load.OutcomeServed)
+		So(check(r), ShouldBeNil)
+	}
+}
+
+func TestSilentConnections(t *testing.T) {
+	Convey("Requests are served whole after all connections went silent", t, func() {
+		ctx, cancel := context.WithTimeout(context.Background(), lastLimit)
+		defer cancel()
+		s := threeZones(t.TempDir())
+		// Calls that may not be repeated are left out: one that went silent may
+		// have run.
+		s.Pools["encode"] += "first_byte = 500ms\n"
+		s.Pools["generate"] += "first_byte = 500ms\nbetween_bytes = 500ms\n"
+		c := launch(t, s)
+		kinds := mix()[:2]
+		allServed(drive(ctx, c, kinds, 100))
+		for _, link := range c.Links {
+			link.Silence()
+		}
+		allServed(drive(ctx, c, kinds, 200))
+	})
+}
+
+func TestZoneOut(t *testing.T) {
+	Convey("A zone that is out gets no new work, and gets work again when it is in", t, func() {
+		ctx, cancel := context.WithTimeout(context.Background(), lastLimit)
+		defer cancel()
+		c := launch(t, threeZones(t.TempDir()))
+		allServed(drive(ctx, c, mix(), 60))
+		result, err := c.Change(ctx, c.Instances[1], "zone hobart", "state = out\n")
+		So(err, ShouldBeNil)
+		So(result.Status, ShouldEqual, config.EditAccepted)
+		So(inForce(ctx, c, result.Revision), ShouldBeTrue)
+		before := callsIn(ctx, c, "hobart")
+		allServed(drive(ctx, c, mix(), 120))
+		So(callsIn(ctx, c, "hobart"), ShouldEqual, before)
+		result, err = c.Change(ctx, c.Instances[2], "zone hobart", "state = in\n")
+		So(err, ShouldBeNil)
+		So(inForce(ctx, c, result.Revision), ShouldBeTrue)
+		So(eventually(ctx, func() bool {
+			allServed(drive(ctx, c, mix(), 30))
+			return callsIn(ctx, c, "hobart") > before
+		}), ShouldBeTrue)
+	})
+}
+
+func TestReplaceInstances(t *testing.T) {
+	Convey("Replacing every instance under load cuts no request", t, func() {
+		ctx, cancel := context.WithTimeout(context.Background(), lastLimit)
+		defer cancel()
+		c := launch(t, threeZones(t.TempDir()))
+		var entries []string
+		for _, in := range c.Instances {
+			entries = append(entries, in.Entry)
+		}
+		balancer, err := standin.NewBalancer("127.0.0.1:0", entries)
+		So(err, ShouldBeNil)
+		defer balancer.Close()
+		stop := make(chan struct{})
+		var callers sync.WaitGroup
+		var mu sync.Mutex
+		var bad []string
+		served := 0
+		client := load.NewClient()
+		defer client.Close()
+		kinds := mix()
+		for caller := range 4 {
+			callers.Go(func() {
+				for n := caller; ; n += 4 {
+					select {
+					case <-stop:
+						return
+					default:
+					}
+					call := load.NewCall(n, "", &kinds[n%len(kinds)])
+					call.Target = balancer.Address()
+					r := client.Send(ctx, call, time.Now())
+					mu.Lock()
+					if r.Outcome == load.OutcomeServed && check(r) == nil {
+						served++
+					} else if r.Outcome != "not-run" {
+						bad = append(bad, fmt.Sprint(r.N, r.Outcome, r.Reason, r.Fault))
+					}
+					mu.Unlock()
+				}
+			})
+		}
+		for _, in := range c.Instances {
+			So(in.Stop(lastLimit), ShouldEqual, 0)
+			So(c.Restart(in), ShouldBeNil)
+			So(c.WaitReady(ctx), ShouldBeNil)
+		}
+		close(stop)
+		callers.Wait()
+		So(bad, ShouldBeEmpty)
+		So(served, ShouldBeGreaterThan, 0)
+	})
+}
+
+func TestRacingOperators(t *testing.T) {
+	Convey("One of the racing edits wins, and no instance goes back, under log faults and a restart", t, func() {
+		ctx, cancel := context.WithTimeout(context.Background(), lastLimit)
+		defer cancel()
+		c := launch(t, threeZones(t.TempDir()))
+		So(c.SetLogFaults(ctx, standin.LogFaults{LoseAnswers: 0.3}), ShouldBeNil)
+		var h history.Tables
+		for round := range 5 {
+			h.Edits = append(h.Edits, race(ctx, c, round)...)
+			if round == 2 {
+				c.Instances[0].Kill()
+				So(c.Restart(c.Instances[0]), ShouldBeNil)
+				So(c.WaitReady(ctx), ShouldBeNil)
+			}
+		}
+		So(h.Check().Faults, ShouldBeEmpty)
+		newest := uint64(0)
+		for _, e := range h.Edits {
+			if e.Accepted {
+				newest = max(newest, e.Revision)
+			}
+		}
+		So(newest, ShouldBeGreaterThan, 0)
+		So(inForce(ctx, c, newest), ShouldBeTrue)
+	})
+}
+
+// race edits one section at all instances at once, on the same revision.
+func race(ctx context.Context, c *harness.Cluster, round int) []history.Edit {
+	t, err := c.Tables(ctx, c.Instances[1])
+	So(err, ShouldBeNil)
+	So(inForce(ctx, c, t.Revision), ShouldBeTrue)
+	edits := make([]history.Edit, len(c.Instances))
+	for _, s := range t.Sections {
+		if s.Name == "zone burnie" {
+			for i := range edits {
+				edits[i] = history.Edit{ID: fmt.Sprintf("race-%d-%d", round, i), Section: s.Name, Base: s.Revision}
+			}
+		}
+	}
+	var operators sync.WaitGroup
+	for i, in := range c.Instances {
+		operators.Go(func() {
+			e := &edits[i]
+			eventually(ctx, func() bool {
+				result, err := c.EditWithID(ctx, in, e.ID, e.Section, fmt.Sprintf("state = in\n# %s\n", e.ID), e.Base)
+				e.Accepted, e.Revision, e.At = result.Status == config.EditAccepted, result.Revision, time.Now()
+				return err == nil && result.Status != ""
+			})
+		})
+	}
+	operators.Wait()
+	return edits
+}
--- a/test/integration/serve_test.go
+++ b/test/integration/serve_test.go
@@ -107,11 +107,10 @@
 
 // drive sends requests from several callers, each one after another, and
 // returns the results.
-func drive(ctx context.Context, c *harness.Cluster, n int) []*load.Result {
+func drive(ctx context.Context, c *harness.Cluster, kinds []load.Share, n int) []*load.Result {
 	results := make([]*load.Result, n)
 	client := load.NewClient()
 	defer client.Close()
-	kinds := mix()
 	done := make(chan struct{})
 	for caller := range callers {
 		go func() {
@@ -135,7 +134,7 @@
 		defer cancel()
 		c := launch(t, threeZones(t.TempDir()))
 		keys := make(map[string]int)
-		for _, r := range drive(ctx, c, requests) {
+		for _, r := range drive(ctx, c, mix(), requests) {
 			So(r.Fault, ShouldBeNil)
 			So(r.Outcome+r.Reason, ShouldEqual, load.OutcomeServed)
 			So(check(r), ShouldBeNil)
