--- a/kernel/pool_state.go
+++ b/kernel/pool_state.go
@@ -20,7 +20,8 @@
 	reasons reasons
 	// freed counts the times at which a call slot may have come free.
 	freed atomic.Int64
-	// capacity is the sum of the usable servers' allowances at the last refresh.
+	// capacity is the sum of the usable servers' allowances at the last refresh,
+	// and at least 1 if there is a usable server.
 	capacity atomic.Int64
 
 	current atomic.Pointer[Pool] // of the newest snapshot
@@ -48,11 +49,18 @@
 	s.mu.Unlock()
 }
 
+// callTime returns the mean and a high quantile of the time of the calls of a
+// size class.
+func (s *poolState) callTime(class string) (mean, high time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := &s.classes[policy.Class(class)]
+	return c.Mean(), c.High()
+}
+
 // ticket completes a ticket of a stage with what a call is expected to take.
 func (p *Pool) ticket(stage config.Stage, t policy.Ticket) policy.Ticket {
-	p.mu.Lock()
-	t.Expected = p.classes[policy.Class(t.Class)].Mean()
-	p.mu.Unlock()
+	t.Expected, _ = p.callTime(t.Class)
 	t.Cost = milliseconds(t.Expected) * stage.CostWeight
 	return t
 }
@@ -80,19 +88,25 @@
 func (p *Pool) refresh(now time.Time, r roster) {
 	p.mu.Lock()
 	hold := p.hold.Mean()
+	var usual time.Duration
+	for i := range p.classes {
+		usual = max(usual, p.classes[i].High())
+	}
 	p.mu.Unlock()
 	p.current.Store(p)
 	v := p.view(&want{})
 	defer v.free()
-	capacity := int64(0)
+	capacity, usable := int64(0), int64(0)
 	for _, s := range p.Servers {
-		s.refresh(now, p.host.Decisions.Limits, p.host.ID(), r)
+		s.refresh(now, p.host.ID(), r, usual)
 		s.age(hold)
 		if v.usable(s) {
 			capacity += s.allowance.Load()
+			usable = 1
 		}
 	}
-	p.capacity.Store(capacity)
+	// An instance without a share borrows one slot at a time.
+	p.capacity.Store(max(capacity, usable))
 	p.slotFreed()
 }
 
--- a/kernel/stage.go
+++ b/kernel/stage.go
@@ -80,9 +80,23 @@
 func (s *stageRun) ticket() policy.Ticket {
 	t := s.blankTicket()
 	t.Arrived = time.Now()
+	t.Needed = s.needed()
 	return s.pool.ticket(s.stage, t)
 }
 
+// needed is a high quantile of the time of this stage and the mean time of the
+// stages after it.
+func (s *stageRun) needed() time.Duration {
+	class := string(s.route.Size)
+	_, needed := s.pool.callTime(class)
+	stages := s.route.Stages
+	for i := len(stages) - 1; stages[i].Name != s.stage.Name; i-- {
+		mean, _ := s.snap.Pool(stages[i].Pool).callTime(class)
+		needed += mean
+	}
+	return needed
+}
+
 func (s *stageRun) newCall() *StageCall {
 	call := &StageCall{
 		Pool: s.pool.Config, Stage: s.stage, ContentType: "application/json",
@@ -186,11 +200,12 @@
 }
 
 // firstByte bounds the wait for an answer's first byte. An idempotent stage
-// leaves time for another call.
+// leaves time for another call, but never less than a call usually takes.
 func (s *stageRun) firstByte() time.Duration {
 	limit := s.pool.Config.FirstByte
 	if s.stage.Idempotent {
-		limit = min(limit, time.Until(s.deadline)/2)
+		_, high := s.pool.callTime(string(s.route.Size))
+		limit = min(limit, max(high, time.Until(s.deadline)/2))
 	}
 	return max(limit, time.Millisecond)
 }
--- a/policy/admission.go
+++ b/policy/admission.go
@@ -47,6 +47,8 @@
 	RetryAfter time.Duration
 	// Predicted is the predicted time to finish.
 	Predicted time.Duration
+	// Slowest is the index of the stage with the longest predicted time.
+	Slowest int
 }
 
 // Admission decides which requests start.
@@ -55,8 +57,17 @@
 	// Admit decides on a request. Every admitted request is followed by one
 	// call of Finish.
 	Admit(now time.Time, r Request, stages []StageForecast) AdmissionDecision
-	// Finish reports the work that an admitted request took.
-	Finish(now time.Time, r Request, cost float64, served bool)
+	// Finish reports the end of an admitted request.
+	Finish(now time.Time, r Request, f Finish)
+}
+
+// Finish says how an admitted request ended.
+type Finish struct {
+	// Cost is the work that it took, weighted.
+	Cost   float64
+	Served bool
+	// Late is true if it ended because its deadline passed or would have.
+	Late bool
 }
 
 // AdmitAll is the baseline: it admits every request.
@@ -68,4 +79,4 @@
 }
 
 // Finish implements Admission.
-func (AdmitAll) Finish(time.Time, Request, float64, bool) {}
+func (AdmitAll) Finish(time.Time, Request, Finish) {}
--- a/policy/admission_standard.go
+++ b/policy/admission_standard.go
@@ -22,6 +22,20 @@
 	slackPart = 0.9
 	// weighInterval is the time between two sums of the active accounts' weights.
 	weighInterval = 100 * time.Millisecond
+	// probeInterval is the time between two requests that are admitted although
+	// their stages seem too slow while nothing waits, so that a view of the
+	// stages that is out of date is found out.
+	probeInterval = 500 * time.Millisecond
+	// stretchLate and stretchServed change an account's stretch with each request
+	// that was late or served; maxStretch bounds it. Late requests count once in stretchInterval, since
+	// those of one queue were admitted by the same view.
+	stretchLate     = 2.0
+	stretchServed   = 0.995
+	maxStretch      = 16
+	stretchInterval = 200 * time.Millisecond
+	// stretchHalfLife is the time after which a stretch has gone half the way
+	// back.
+	stretchHalfLife = 30 * time.Second
 	// pressureFree is the part of the spare time that queues may take before
 	// accounts are held to their shares.
 	pressureFree = 0.25
@@ -32,6 +46,7 @@
 	reasonInTime   Reason = "in-time"
 	reasonTooLate  Reason = "predicted-late"
 	reasonOverFair Reason = "over-fair-share"
+	reasonProbe    Reason = "probe"
 )
 
 // StandardAdmission refuses a request that is predicted to miss its deadline
@@ -44,6 +59,7 @@
 	weights  float64                // sum over active accounts at time weighed; guarded by mu
 	weighed  time.Time              // guarded by mu
 	swept    time.Time              // guarded by mu
+	probed   time.Time              // guarded by mu
 }
 
 // accountUse is the recent work of one client account, in cost units. Work
@@ -52,6 +68,10 @@
 	use     float64
 	weight  float64
 	updated time.Time
+	// stretch is how many times longer than predicted the account is taken to
+	// wait: calls of other accounts that come later may go first.
+	stretch   float64
+	stretched int64 // Unix nanoseconds of the last increase
 }
 
 // NewStandardAdmission returns an admission that knows no account yet.
@@ -61,13 +81,17 @@
 
 // Admit implements Admission.
 func (a *StandardAdmission) Admit(now time.Time, r Request, stages []StageForecast) AdmissionDecision {
-	p := predict(stages)
-	left := time.Duration(slackPart * float64(r.Deadline.Sub(now)))
-	d := AdmissionDecision{Admit: true, Reason: reasonInTime, Predicted: p.total()}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	use := a.account(now, r)
+	p := predict(stages)
+	p.wait = time.Duration(float64(p.wait) * use.stretch)
+	left := time.Duration(slackPart * float64(r.Deadline.Sub(now)))
+	d := AdmissionDecision{Admit: true, Reason: reasonInTime, Predicted: p.total(), Slowest: p.slowest}
 	switch {
+	case d.Predicted > left && p.wait == 0 && now.Sub(a.probed) >= probeInterval:
+		a.probed = now
+		d.Reason = reasonProbe
 	case d.Predicted > left:
 		return refuse(d, reasonTooLate, d.Predicted-left)
 	case a.overShare(use, pressure(p, left)):
@@ -78,11 +102,18 @@
 }
 
 // Finish implements Admission.
-func (a *StandardAdmission) Finish(now time.Time, r Request, cost float64, _ bool) {
+func (a *StandardAdmission) Finish(now time.Time, r Request, f Finish) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	use := a.account(now, r)
-	a.add(use, max(cost-max(r.Cost, minCost), -use.use))
+	a.add(use, max(f.Cost-max(r.Cost, minCost), -use.use))
+	switch {
+	case f.Late && now.UnixNano()-use.stretched >= int64(stretchInterval):
+		use.stretched = now.UnixNano()
+		use.stretch = min(use.stretch*stretchLate, maxStretch)
+	case f.Served:
+		use.stretch = max(use.stretch*stretchServed, 1)
+	}
 	a.sweep(now)
 }
 
@@ -97,6 +128,7 @@
 type prediction struct {
 	wait    time.Duration // in queues
 	service time.Duration // in calls, a high quantile of their sum
+	slowest int           // index of the stage with the longest time
 }
 
 func (p prediction) total() time.Duration { return p.wait + p.service }
@@ -106,9 +138,14 @@
 func predict(stages []StageForecast) prediction {
 	var p prediction
 	var spread float64
+	var longest time.Duration
 	for i := range stages {
 		s := &stages[i]
-		p.wait += queueWait(s)
+		wait := queueWait(s)
+		if wait+s.ServiceHigh > longest {
+			longest, p.slowest = wait+s.ServiceHigh, i
+		}
+		p.wait += wait
 		p.service += s.Service
 		above := float64(max(0, s.ServiceHigh-s.Service))
 		spread += above * above
@@ -171,21 +208,22 @@
 
 // fresh is an account's use at the time of the last update of the total.
 func (a *StandardAdmission) fresh(u *accountUse) float64 {
-	return u.use * fade(a.updated.Sub(u.updated))
+	return u.use * fade(a.updated.Sub(u.updated), usageHalfLife)
 }
 
 // account returns an account's use, brought up to now together with the total.
 func (a *StandardAdmission) account(now time.Time, r Request) *accountUse {
 	if now.After(a.updated) {
-		a.total *= fade(now.Sub(a.updated))
+		a.total *= fade(now.Sub(a.updated), usageHalfLife)
 		a.updated = now
 	}
 	u := a.accounts[r.Account]
 	if u == nil {
-		u = &accountUse{updated: a.updated}
+		u = &accountUse{updated: a.updated, stretch: 1}
 		a.accounts[r.Account] = u
 	}
 	u.weight = max(r.Weight, minWeight)
+	u.stretch = 1 + (u.stretch-1)*fade(a.updated.Sub(u.updated), stretchHalfLife)
 	u.use = a.fresh(u)
 	u.updated = a.updated
 	return u
@@ -196,9 +234,9 @@
 	a.total += cost
 }
 
-// fade is the part of a use that still counts after a time.
-func fade(d time.Duration) float64 {
-	return math.Exp2(-float64(d) / float64(usageHalfLife))
+// fade is the part that is left after a time.
+func fade(d, halfLife time.Duration) float64 {
+	return math.Exp2(-float64(d) / float64(halfLife))
 }
 
 // sweep forgets idle accounts.
@@ -216,8 +254,9 @@
 
 // AccountShare is an account's recent use, for the dump.
 type AccountShare struct {
-	Use    float64 `json:"use"`
-	Weight float64 `json:"weight"`
+	Use     float64 `json:"use"`
+	Weight  float64 `json:"weight"`
+	Stretch float64 `json:"stretch"`
 }
 
 // Dump returns the recent use by account.
@@ -226,7 +265,7 @@
 	defer a.mu.Unlock()
 	out := make(map[string]AccountShare, len(a.accounts))
 	for name, u := range a.accounts {
-		out[name] = AccountShare{a.fresh(u), u.weight}
+		out[name] = AccountShare{a.fresh(u), u.weight, u.stretch}
 	}
 	return out
 }
