--- a/cmd/savoryfoldctl/main_test.go
+++ b/cmd/savoryfoldctl/main_test.go
@@ -145,6 +145,11 @@
 			out, _ := b.run("tables get")
 			must("tables load "+b.file("again.ini", out), "0 sections put, 3 unchanged")
 		})
+		Convey("a copy brings back a section that was deleted", func() {
+			out, _ := b.run("tables get")
+			must("accounts delete demo", "accepted")
+			must("tables load "+b.file("copy.ini", out), "1 sections put, 2 unchanged")
+		})
 		Convey("a section that was shown is put on the revision shown, and once only", func() {
 			shown, _ := b.run("routes get answer")
 			path := b.file("answer.ini", shown+"priority = 3\n")
--- a/cmd/savoryfoldctl/tables.go
+++ b/cmd/savoryfoldctl/tables.go
@@ -49,7 +49,8 @@
 		Use:   "load FILE",
 		Short: "Put every section of a file that differs from the one in force",
 		Long: "Put every section of a file that differs from the one in force, one edit each.\n\n" +
-			"Sections that the file lacks stay. Loading the same file again changes nothing.",
+			"Sections that the file lacks stay. Loading the same file again changes nothing.\n" +
+			"A section with the comment \"# revision N\" is put only if that is still its\nrevision, or if there is none in force.",
 		Args:    exactArgs(1),
 		Example: "  savoryfoldctl tables load tables.ini",
 		RunE: s.run(func(cmd *cobra.Command, c *api.Client, args []string) error {
@@ -90,7 +91,7 @@
 			continue
 		}
 		base := section.Revision
-		if base == 0 {
+		if base == 0 || !exists {
 			base = old.Revision
 		}
 		result, err := submit(cmd.Context(), c, f.timeout, config.Edit{Section: section.Name, Body: section.Body, Base: base})
--- a/cmd/savoryfoldd/main.go
+++ b/cmd/savoryfoldd/main.go
@@ -75,7 +75,7 @@
 		if k.Required {
 			def = "(required)"
 		}
-		fmt.Printf("[%s] %s = %s\n    %s; %s\n", k.Section, k.Name, def, k.Kind, k.Doc)
+		fmt.Printf("[%s] %s = %s\n    %s; %s\n", k.Section, k.Name, def, k.Accepts(), k.Doc)
 	}
 }
 
--- a/config/settings.go
+++ b/config/settings.go
@@ -46,11 +46,24 @@
 	Doc    string
 }
 
-// accepts describes the accepted values.
-func (k Key) accepts() string {
+// units describes the values of kinds that have a unit or a form.
+var units = map[Kind]string{
+	Duration: "a duration with its unit, such as 250ms, 3s or 10m",
+	Size:     "a size in bytes, or with a unit such as 64KiB or 1MiB",
+	Address:  "an address IP:PORT",
+	List:     "words with commas between",
+	Int:      "a whole number",
+	Bool:     "true or false",
+}
+
+// Accepts describes the accepted values.
+func (k Key) Accepts() string {
 	if k.Kind == Enum {
 		return "one of " + strings.Join(k.Accepted, ", ")
 	}
+	if unit, ok := units[k.Kind]; ok {
+		return unit
+	}
 	return "a " + k.Kind.String()
 }
 
@@ -143,7 +156,7 @@
 		if key.Secret {
 			shown = "the value"
 		}
-		return Faults{src.fault(section, name, shown+" is not accepted, want "+key.accepts())}
+		return Faults{src.fault(section, name, shown+" is not accepted, want "+key.Accepts())}
 	}
 	s.values[lineKey{section, name}] = value
 	return nil
@@ -158,7 +171,7 @@
 		}
 		for _, section := range s.matching(k.Section) {
 			if s.values[lineKey{section, k.Name}] == "" {
-				faults = append(faults, src.fault(section, k.Name, "is required, want "+k.accepts()))
+				faults = append(faults, src.fault(section, k.Name, "is required, want "+k.Accepts()))
 			}
 		}
 	}
--- a/plugins/rollout/digest.go
+++ b/plugins/rollout/digest.go
@@ -11,13 +11,20 @@
 	"github.com/savoryfold/savoryfold/policy"
 )
 
-// digestKind is the kind of the digests by which instances share evidence.
-const digestKind = "versions"
+// The kinds of digests. Brakes have their own: they change seldom, and what
+// changes seldom is passed on at once, also between availability zones.
+const (
+	evidenceKind = "versions"
+	brakesKind   = "brakes"
+)
+
+// digestEvery is the time between two changes of what is said of evidence.
+const digestEvery = time.Second
 
 // maxDigestItems bounds what a digest may hold.
 const maxDigestItems = 4096
 
-// digest is what an instance says of all moves.
+// digest is what an instance says of the evidence on all moves.
 type digest struct {
 	Moves []moveDigest `cbor:"1,keyasint,omitempty"`
 	// Zones tells the calls that still run in availability zones taken out.
@@ -27,7 +34,12 @@
 type moveDigest struct {
 	ID       uint64              `cbor:"1,keyasint"`
 	Evidence policy.MoveEvidence `cbor:"2,keyasint"`
-	Why      string              `cbor:"3,keyasint,omitempty"`
+}
+
+// brakeDigest tells a move that was taken back.
+type brakeDigest struct {
+	ID  uint64 `cbor:"1,keyasint"`
+	Why string `cbor:"2,keyasint,omitempty"`
 }
 
 // zoneCalls is what another instance said of zones.
@@ -36,7 +48,19 @@
 	calls map[string]int64
 }
 
-var digestDecoder = newDecoder()
+var (
+	digestEncoder = newDigestEncoder()
+	digestDecoder = newDecoder()
+)
+
+// newDigestEncoder makes an encoder that gives equal digests equal bytes.
+func newDigestEncoder() cbor.EncMode {
+	mode, err := cbor.CanonicalEncOptions().EncMode()
+	if err != nil {
+		panic("rollout: " + err.Error())
+	}
+	return mode
+}
 
 func newDecoder() cbor.DecMode {
 	mode, err := cbor.DecOptions{
@@ -49,20 +73,51 @@
 	return mode
 }
 
-// digest returns what this instance says.
-func (r *Rollout) digest() []byte {
+// saidDigest is a digest and when it was made.
+type saidDigest struct {
+	at      time.Time
+	payload []byte
+}
+
+// sayEvidence returns what this instance says of evidence and zones. It changes
+// once in digestEvery.
+func (r *Rollout) sayEvidence() []byte {
 	now := time.Now()
+	r.mu.Lock()
+	said := r.said
+	r.mu.Unlock()
+	if now.Sub(said.at) < digestEvery {
+		return said.payload
+	}
 	var d digest
-	for _, m := range r.moves.Load().byRoute {
+	for _, m := range r.moves.Load().ordered() {
 		m.mu.Lock()
-		d.Moves = append(d.Moves, moveDigest{ID: m.id, Evidence: m.own(now), Why: m.why})
+		d.Moves = append(d.Moves, moveDigest{ID: m.id, Evidence: m.own(now)})
 		m.mu.Unlock()
 	}
 	d.Zones = r.ownZones()
-	if len(d.Moves) == 0 && len(d.Zones) == 0 {
-		return nil
+	said = saidDigest{at: now, payload: encodeDigest(d)}
+	r.mu.Lock()
+	r.said = said
+	r.mu.Unlock()
+	return said.payload
+}
+
+// sayBrakes returns the moves that were taken back.
+func (r *Rollout) sayBrakes() []byte {
+	brakes := []brakeDigest{}
+	for _, m := range r.moves.Load().ordered() {
+		if m.braked.Load() {
+			m.mu.Lock()
+			brakes = append(brakes, brakeDigest{ID: m.id, Why: m.why})
+			m.mu.Unlock()
+		}
 	}
-	payload, err := cbor.Marshal(d)
+	return encodeDigest(brakes)
+}
+
+func encodeDigest(v any) []byte {
+	payload, err := digestEncoder.Marshal(v)
 	if err != nil {
 		panic("rollout: digest: " + err.Error())
 	}
@@ -75,36 +130,53 @@
 	return d, errors.Wrap(err, "digest")
 }
 
-// hear takes what another instance says. A brake is taken over at once.
-func (r *Rollout) hear(from kernel.Member, payload []byte) {
-	if len(payload) == 0 {
-		return
-	}
+func decodeBrakes(payload []byte) ([]brakeDigest, error) {
+	var brakes []brakeDigest
+	err := digestDecoder.Unmarshal(payload, &brakes)
+	return brakes, errors.Wrap(err, "digest")
+}
+
+// hearEvidence takes what another instance says of evidence.
+func (r *Rollout) hearEvidence(from kernel.Member, age time.Duration, payload []byte) {
 	d, err := decodeDigest(payload)
 	if err != nil {
 		r.host.Counter("versions_digests_faulty").Inc(1)
 		return
 	}
-	now := time.Now()
+	at := time.Now().Add(-age)
 	r.mu.Lock()
-	r.zones[from.ID] = zoneCalls{at: now, calls: d.Zones}
+	r.zones[from.ID] = zoneCalls{at: at, calls: d.Zones}
 	r.mu.Unlock()
 	said := make(map[uint64]moveDigest, len(d.Moves))
 	for _, md := range d.Moves {
 		said[md.ID] = md
 	}
 	for _, m := range r.moves.Load().byRoute {
-		md, ok := said[m.id]
-		if !ok {
-			continue
+		if md, ok := said[m.id]; ok {
+			m.mu.Lock()
+			m.step = max(m.step, md.Evidence.Step)
+			m.heard[from.ID] = heard{at: at, evidence: md.Evidence}
+			m.mu.Unlock()
 		}
-		m.mu.Lock()
-		if md.Evidence.Braked {
-			r.brake(m, now, md.Why)
+	}
+}
+
+// hearBrakes takes over what another instance has taken back, at once.
+func (r *Rollout) hearBrakes(_ kernel.Member, payload []byte) {
+	brakes, err := decodeBrakes(payload)
+	if err != nil {
+		r.host.Counter("versions_digests_faulty").Inc(1)
+		return
+	}
+	now := time.Now()
+	for _, m := range r.moves.Load().byRoute {
+		for _, b := range brakes {
+			if b.ID == m.id {
+				m.mu.Lock()
+				r.brake(m, now, b.Why)
+				m.mu.Unlock()
+			}
 		}
-		m.step = max(m.step, md.Evidence.Step)
-		m.heard[from.ID] = heard{at: now, evidence: md.Evidence}
-		m.mu.Unlock()
 	}
 	r.informed.Store(true)
 }
--- a/plugins/rollout/move.go
+++ b/plugins/rollout/move.go
@@ -18,7 +18,7 @@
 // Ages of what other instances said.
 const (
 	// recentAge is the age from which their recent evidence is left out.
-	recentAge = 5 * time.Second
+	recentAge = 10 * time.Second
 	// totalAge is the age from which all their evidence is left out.
 	totalAge = 5 * time.Minute
 )
--- a/plugins/rollout/rollout.go
+++ b/plugins/rollout/rollout.go
@@ -10,6 +10,8 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -53,11 +55,21 @@
 	mu     sync.Mutex
 	events map[uint64]event     // of the log, by move; guarded by mu
 	zones  map[string]zoneCalls // by instance; guarded by mu
+	said   saidDigest           // guarded by mu
 }
 
 // moveSet is all version moves of one revision of the tables. It is immutable.
 type moveSet struct{ byRoute map[string]*move }
 
+// ordered returns the moves by route.
+func (s *moveSet) ordered() []*move {
+	var out []*move
+	for _, route := range slices.Sorted(maps.Keys(s.byRoute)) {
+		out = append(out, s.byRoute[route])
+	}
+	return out
+}
+
 // Provision implements kernel.Provisioner.
 func (r *Rollout) Provision(h *kernel.Host) error {
 	r.host = h
@@ -67,12 +79,23 @@
 	r.moves.Store(&moveSet{})
 	h.OnTables(r.onTables)
 	if h.Digests != nil {
-		h.Digests.Source(digestKind, r.digest)
-		h.Digests.Sink(digestKind, r.hear)
+		r.register(h.Digests)
 	}
 	return nil
 }
 
+// register makes the digests known.
+func (r *Rollout) register(d kernel.Digests) {
+	d.Source(evidenceKind, r.sayEvidence)
+	d.Source(brakesKind, r.sayBrakes)
+	d.Sink(brakesKind, r.hearBrakes)
+	if aged, ok := d.(kernel.AgedDigests); ok {
+		aged.SinkAged(evidenceKind, r.hearEvidence)
+		return
+	}
+	d.Sink(evidenceKind, func(from kernel.Member, payload []byte) { r.hearEvidence(from, 0, payload) })
+}
+
 // Start implements kernel.Starter.
 func (r *Rollout) Start(ctx context.Context) error {
 	ctx, r.stop = context.WithCancel(ctx)
