Tell operators when the log lost its records

Cause: after the log's stand-in was started anew, in a trial by hand, edits had no verdict and gave no hint why.

Change: an append that gets an offset which was read before ends the edit with ErrLogLost.

A failed run: the first form of the test failed in 2 of 15 runs, since an append that is tried again may get an offset above the only one read before. The test now makes 20 edits first. A log that begins anew after a handful of records is not told from one that goes on; only records that are lost in number are.

--- a/plugins/configsource/edit.go
+++ b/plugins/configsource/edit.go
@@ -15,6 +15,9 @@
 // be read back before it is appended again.
 const settleWait = 500 * time.Millisecond
 
+// ErrLogLost says that the log gave out an offset that it had given out before.
+var ErrLogLost = errors.New("the log service lost its records, all instances have to be started anew")
+
 // waiter waits for the verdict on an edit.
 type waiter struct {
 	edit    config.Edit
@@ -41,9 +44,13 @@
 		if result, ok := w.poll(); ok {
 			return result, nil
 		}
-		_, err := l.host.Log.Append(ctx, stream, record)
+		known := l.offset()
+		offset, err := l.host.Log.Append(ctx, stream, record)
 		pause := retry.Next()
 		switch {
+		case err == nil && offset <= known:
+			unsettled.Sent, unsettled.Cause = true, ErrLogLost
+			return config.EditResult{}, unsettled
 		case err == nil:
 			unsettled.Sent = true
 			pause = l.host.Settings.Duration(logSection, "edit_timeout")
@@ -88,6 +95,14 @@
 	return w
 }
 
+// offset is the offset of the newest record known.
+func (l *Log) offset() uint64 {
+	if s := l.state(); s != nil {
+		return s.Offset
+	}
+	return 0
+}
+
 func (l *Log) forget(w *waiter) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/plugins/configsource/log_test.go
+++ b/plugins/configsource/log_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"net/http"
 	"sync"
@@ -234,6 +235,19 @@
 				}
 			})
 		})
+		Convey("an edit after the log lost its records says so, and the tables stay", func() {
+			for i := range 20 { // an append that is tried again must stay below what was read
+				result, err = a.Edit(context.Background(), pool(fmt.Sprint("more", i), "alice", "4", result.Revision))
+				So(err, ShouldBeNil)
+			}
+			address := c.server.Address()
+			So(c.server.Close(), ShouldBeNil)
+			c.server, err = standin.Listen(address, standin.NewLogService(0, 0).Handler())
+			So(err, ShouldBeNil)
+			_, err := a.Edit(context.Background(), pool("9", "alice", "9", result.Revision))
+			So(errors.Is(err, ErrLogLost), ShouldBeTrue)
+			So(a.host.Snapshot().Tables.Pools["p"].Limit, ShouldEqual, 4)
+		})
 		Convey("with the log down a new instance takes them from the other", func() {
 			c.service.Set(standin.LogFaults{Down: true})
 			b := c.start("b")
--- a/plugins/configsource/peers.go
+++ b/plugins/configsource/peers.go
@@ -118,11 +118,7 @@
 func (l *Log) fetchFrom(ctx context.Context, m kernel.Member) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
-	var have uint64
-	if s := l.state(); s != nil {
-		have = s.Offset
-	}
-	body, err := cbor.Marshal(fetchRequest{Have: have})
+	body, err := cbor.Marshal(fetchRequest{Have: l.offset()})
 	if err != nil {
 		return false, errors.Wrap(err, fetchMethod)
 	}
