Decide on the log which attempt may run a request at most once

Cause: the claims in memory know nothing of other instances, so one key sent to three instances ran three times.

Ruled out: verdicts by the offset of an attempt's own record alone, since a claim that was sent twice has two. A carried claim from a fold that began late: the model brought back claims that had been given back; carried entries now say how far their writer had read, and only a fold that lacks nothing writes them. A bar on attempts whose key came too early: a fold that began after the bar could not know of it; such entries now count for nothing.

Change: policy/claim folds a shard's records; plugins/claims is claims.log, with a batcher per shard, forwarding to the shard's owner, reading back after a lost answer, a jittered circuit, entries that are sent until they land, restating, and settlement by operators. kernel gets the reason answer-not-kept.

--- a/kernel/outcome.go
+++ b/kernel/outcome.go
@@ -49,6 +49,7 @@
 	ReasonInDoubt        OutcomeReason = "in-doubt"
 	ReasonClaimUnknown   OutcomeReason = "claim-unknown"
 	ReasonSettled        OutcomeReason = "settled-not-run"
+	ReasonAnswerNotKept  OutcomeReason = "answer-not-kept"
 )
 
 // Outcome is how a request ended and why.
--- /dev/null
+++ b/plugins/claims/claim.go
@@ -0,0 +1,200 @@
+package claims
+
+import (
+	"context"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
+	"github.com/savoryfold/savoryfold/kernel"
+	"github.com/savoryfold/savoryfold/policy/claim"
+)
+
+// Times of claims.
+const (
+	// replyMargin is left of a repeat's deadline to answer its caller.
+	replyMargin = 25 * time.Millisecond
+	// pollInterval is the time between two looks at the log for an outcome that
+	// another instance appends.
+	pollInterval    = 500 * time.Millisecond
+	retryInProgress = time.Second
+	retryLog        = 2 * time.Second
+)
+
+// request is a ClaimRequest with what is worked out of it.
+type request struct {
+	id    claim.ID
+	body  claim.Hash
+	shard int
+}
+
+// Claim implements kernel.Claims.
+func (m *Log) Claim(ctx context.Context, r kernel.ClaimRequest) kernel.ClaimGrant {
+	start := time.Now()
+	grant := m.grant(ctx, r, start)
+	m.host.Histogram("claim_seconds").Update(int64(time.Since(start)))
+	result := "granted"
+	if grant.Claim == nil {
+		out := grant.Result.Outcome
+		result = string(out.Kind)
+		if out.Reason != kernel.ReasonNone {
+			result += " " + string(out.Reason)
+		}
+	}
+	m.count("claims", "result", result)
+	return grant
+}
+
+func (m *Log) grant(ctx context.Context, r kernel.ClaimRequest, now time.Time) kernel.ClaimGrant {
+	key, keyTime, err := claim.ParseKey(r.Key)
+	switch {
+	case err != nil:
+		return refuse(kernel.Rejected, kernel.ReasonKeyTime, "the header Idempotency-Key has to be a UUIDv7")
+	case now.Sub(keyTime) > m.rules.Window || keyTime.Sub(now) > m.rules.Skew:
+		return refuseKeyTime()
+	}
+	req := request{id: claim.ID{Account: r.Account, Route: r.Route, Key: key}, body: r.BodyHash}
+	req.shard = m.rules.ShardOf(req.id)
+	if m.abandoned.has(req.id) {
+		return refuse(kernel.Unknown, kernel.ReasonClaimUnknown, "an earlier claim of this key is not settled with the log yet")
+	}
+	if !m.enter() {
+		return refuse(kernel.NotRun, kernel.ReasonLeaving, "this instance is leaving")
+	}
+	defer m.landing.Done()
+	return m.compete(ctx, req, r.Deadline)
+}
+
+// compete claims the key until it is won or somebody else's claim has an end.
+func (m *Log) compete(ctx context.Context, req request, deadline time.Time) kernel.ClaimGrant {
+	for {
+		attempt := claim.Attempt(uuid.New())
+		f, stray, err := m.send(ctx, req.shard, claim.Entry{
+			Kind: claim.KindClaim, ID: req.id, Attempt: attempt,
+			Origin: &claim.Origin{BodyHash: req.body, Holder: m.host.ID(), Boot: m.boot},
+		})
+		if err != nil {
+			return m.lostClaim(req, attempt, err)
+		}
+		if f.Verdict == claim.Won && m.enter() {
+			return kernel.ClaimGrant{Claim: newPermit(m, req, attempt, deadline)}
+		}
+		if f.Verdict == claim.Won || f.Verdict == claim.Uncovered {
+			m.giveUp(req, attempt)
+			return refuseLog("the log does not reach back far enough to tell whether this request ran")
+		}
+		if stray {
+			m.bar(req, attempt)
+		}
+		if f.Verdict == claim.Taken && f.Slot.State == claim.Held {
+			f = m.await(ctx, req)
+		}
+		if f.Verdict != claim.Open && f.Verdict != claim.Spent {
+			return m.refuseFinding(f)
+		}
+		if ctx.Err() != nil {
+			return refuse(kernel.NotRun, kernel.ReasonDeadline, "the deadline passed before the claim")
+		}
+	}
+}
+
+// lostClaim ends an attempt whose claim got no verdict. The attempt never runs.
+func (m *Log) lostClaim(req request, attempt claim.Attempt, err error) kernel.ClaimGrant {
+	if !errors.Is(err, kernel.ErrLogUnavailable) {
+		m.giveUp(req, attempt)
+	}
+	return refuseLog("the log that decides on this request is out of reach")
+}
+
+// bar keeps a claim that may still be on its way from winning later on.
+func (m *Log) bar(req request, attempt claim.Attempt) {
+	m.land(req.shard, claim.Entry{Kind: claim.KindRelease, ID: req.id, Attempt: attempt}, func() {})
+}
+
+// giveUp has an attempt released once the log takes it. Until then the key is
+// known here as abandoned.
+func (m *Log) giveUp(req request, attempt claim.Attempt) {
+	m.abandoned.add(req.id)
+	m.land(req.shard, claim.Entry{Kind: claim.KindRelease, ID: req.id, Attempt: attempt}, func() {
+		m.abandoned.remove(req.id)
+	})
+}
+
+// alive reports whether the process with a boot ID is still a member.
+func (m *Log) alive(boot string) bool {
+	if boot == m.boot {
+		return true
+	}
+	if m.host.Membership == nil || m.host.Membership.View() == nil {
+		return false
+	}
+	for _, member := range m.host.Membership.View().Members {
+		if member.Boot == boot {
+			return member.State != kernel.MemberGone
+		}
+	}
+	return false
+}
+
+// await waits until the attempt that holds the key ends, its holder is gone, or
+// the deadline is near. It returns the key's state then.
+func (m *Log) await(ctx context.Context, req request) claim.Finding {
+	for {
+		wait := pollInterval
+		if deadline, ok := ctx.Deadline(); ok {
+			wait = min(wait, time.Until(deadline)-replyMargin)
+		}
+		f, err := m.read(ctx, req, max(0, wait))
+		held := err == nil && f.Verdict == claim.Taken && f.Slot.State == claim.Held
+		if err == nil && (!held || !m.alive(f.Slot.Origin.Boot)) {
+			return f
+		}
+		if wait <= 0 || ctx.Err() != nil {
+			return claim.Finding{Verdict: claim.Taken, Slot: claim.Slot{State: claim.Held, Origin: claim.Origin{Boot: m.boot}}}
+		}
+		if err != nil {
+			sleep(ctx.Done(), min(wait, jitter(pollInterval)))
+		}
+	}
+}
+
+// read asks the shard's owner, or else the log, for a key's state. It waits for
+// a while as long as the key is held.
+func (m *Log) read(ctx context.Context, req request, wait time.Duration) (claim.Finding, error) {
+	c := readCall{Shard: req.shard, ID: req.id, Body: req.body, WaitMS: wait.Milliseconds()}
+	if owner, ok := m.remote(req.shard); ok {
+		r, err := m.call(ctx, owner, methodRead, wait+ownerTimeout, c)
+		if err == nil && r.Code == codeOK {
+			return r.result()
+		}
+	}
+	return m.readHere(ctx, c, wait)
+}
+
+// readHere is the state of a key by this instance's fold.
+func (m *Log) readHere(ctx context.Context, c readCall, wait time.Duration) (claim.Finding, error) {
+	s := m.shards[c.Shard]
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	if !m.circuit.open(time.Now()) {
+		_ = s.catchUp(ctx)
+	}
+	for {
+		changed := s.change()
+		f, known := s.find(c.ID, claim.Attempt{}, c.Body)
+		switch {
+		case !known:
+			return f, kernel.ErrLogUnavailable
+		case f.Verdict != claim.Taken || f.Slot.State != claim.Held:
+			return f, nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return f, nil
+		case <-ctx.Done():
+			return f, nil
+		}
+	}
+}
--- /dev/null
+++ b/plugins/claims/log.go
@@ -0,0 +1,166 @@
+package claims
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
+	"github.com/savoryfold/savoryfold/config"
+	"github.com/savoryfold/savoryfold/kernel"
+	"github.com/savoryfold/savoryfold/policy/claim"
+)
+
+const section = "claims"
+
+func init() {
+	kernel.Register(kernel.ModuleInfo{
+		ID:    "claims.log",
+		Phase: kernel.PhaseRequest,
+		Settings: []config.Key{
+			{Section: section, Name: "shards", Kind: config.Int, Default: "16", Doc: "streams of claims on the log; the same on all instances"},
+			{Section: section, Name: "window", Kind: config.Duration, Default: "10m", Doc: "age up to which an idempotency key may start a request; the same on all instances"},
+			{Section: section, Name: "skew", Kind: config.Duration, Default: "30s", Doc: "how far the time of a key may be ahead; the same on all instances"},
+			{Section: section, Name: "appends_per_second", Kind: config.Float, Default: "200", Doc: "appends of claims a second, of all instances together"},
+			{Section: section, Name: "max_answer", Kind: config.Size, Default: "16KiB", Doc: "largest answer that is kept for repeats"},
+			{Section: section, Name: "restate", Kind: config.Duration, Default: "10m", Doc: "time after which an unfinished claim is written again; less than a third of the log's retention"},
+		},
+		New: func() kernel.Module { return &Log{} },
+	})
+}
+
+// maxKeptAnswer bounds the setting max_answer, so that an outcome fits into one
+// record of the log.
+const maxKeptAnswer = 128 << 10
+
+// Log implements kernel.Claims and kernel.ClaimsOperator on the platform's log
+// service. The order of the log decides; see package policy/claim.
+type Log struct {
+	host      *kernel.Host
+	rules     claim.Rules
+	interval  time.Duration // between two appends of one shard
+	restate   time.Duration
+	maxAnswer int
+	boot      string
+	circuit   circuit
+	shards    []*shardLog
+	owners    owners
+	abandoned abandoned
+
+	life    context.Context
+	end     context.CancelFunc
+	loops   sync.WaitGroup // goroutines of shards and of upkeep
+	landing sync.WaitGroup // claims in progress and entries on their way
+	onWay   atomic.Int64   // entries on their way
+	mu      sync.Mutex
+	stopped bool // guarded by mu
+}
+
+// Provision implements kernel.Provisioner.
+func (m *Log) Provision(h *kernel.Host) error {
+	s := h.Settings
+	m.host = h
+	m.rules = claim.Rules{
+		Shards: s.Int(section, "shards"),
+		Window: s.Duration(section, "window"),
+		Skew:   s.Duration(section, "skew"),
+	}
+	m.restate = s.Duration(section, "restate")
+	m.maxAnswer = int(s.Bytes(section, "max_answer"))
+	m.life, m.end = context.WithCancel(context.Background())
+	if h.Peers != nil {
+		h.Peers.Handle(methodAppend, m.serveAppend)
+		h.Peers.Handle(methodRead, m.serveRead)
+	}
+	return m.check()
+}
+
+// check reports settings that cannot work, and makes the shards.
+func (m *Log) check() error {
+	rate := m.host.Settings.Float(section, "appends_per_second")
+	switch {
+	case m.rules.Shards < 1 || m.rules.Shards > 1024:
+		return errors.New("[claims] shards: want 1 to 1024")
+	case rate <= 0:
+		return errors.New("[claims] appends_per_second: want more than 0")
+	case m.rules.Window <= 0:
+		return errors.New("[claims] window: want more than 0")
+	case m.maxAnswer > maxKeptAnswer:
+		return errors.Errorf("[claims] max_answer: want at most %d bytes", maxKeptAnswer)
+	}
+	m.interval = time.Duration(float64(m.rules.Shards) / rate * float64(time.Second))
+	for n := range m.rules.Shards {
+		m.shards = append(m.shards, newShardLog(m, n))
+	}
+	return nil
+}
+
+// Start implements kernel.Starter.
+func (m *Log) Start(context.Context) error {
+	m.boot = uuid.NewString()
+	if ms := m.host.Membership; ms != nil && ms.View() != nil {
+		m.boot = ms.View().Self.Boot
+	}
+	for _, s := range m.shards {
+		m.loops.Go(func() { s.run(m.life) })
+	}
+	m.loops.Go(func() { m.upkeep(m.life) })
+	return nil
+}
+
+// Stop implements kernel.Stopper. It waits until every entry of this instance
+// is on the log.
+func (m *Log) Stop(ctx context.Context) error {
+	m.mu.Lock()
+	m.stopped = true
+	m.mu.Unlock()
+	landed := make(chan struct{})
+	go func() {
+		m.landing.Wait()
+		close(landed)
+	}()
+	var err error
+	select {
+	case <-landed:
+	case <-ctx.Done():
+		err = errors.New("claims: entries are not on the log yet")
+	}
+	m.end()
+	m.loops.Wait()
+	return err
+}
+
+// enter reports whether an entry may still set out for the log. It is followed
+// by landing.Done.
+func (m *Log) enter() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.stopped {
+		return false
+	}
+	m.landing.Add(1)
+	return true
+}
+
+func (m *Log) count(name, label, value string) {
+	m.host.Counter(name + `{` + label + `="` + value + `"}`).Inc(1)
+}
+
+// dump is the module's state as dumped.
+type dump struct {
+	Shards    []shardDump `json:"shards"`
+	Circuit   string      `json:"circuit"`
+	Abandoned int         `json:"abandoned"`
+}
+
+// Dump implements kernel.Dumper.
+func (m *Log) Dump() any {
+	d := dump{Circuit: m.circuit.String(), Abandoned: m.abandoned.len()}
+	for _, s := range m.shards {
+		d.Shards = append(d.Shards, s.dump())
+	}
+	return d
+}
--- /dev/null
+++ b/plugins/claims/log_test.go
@@ -0,0 +1,279 @@
+package claims
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	. "github.com/smartystreets/goconvey/convey"
+	"go.uber.org/goleak"
+
+	"github.com/savoryfold/savoryfold/kernel"
+	"github.com/savoryfold/savoryfold/standin"
+)
+
+// inCluster runs a test with three instances on one log.
+func inCluster(t *testing.T, retention time.Duration, extra string, f func(c *cluster)) {
+	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+	c := newCluster(t, 3, retention, 0, extra)
+	defer c.close()
+	f(c)
+}
+
+// storm sends every key to all instances at once, each several times.
+func (c *cluster) storm(keys []string) map[string][]kernel.Result {
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	results := make(map[string][]kernel.Result)
+	for i := range 3 * len(keys) {
+		key, n := keys[i%len(keys)], c.nodes[i/len(keys)]
+		wg.Go(func() {
+			r := n.serve(key, lastLimit)
+			mu.Lock()
+			defer mu.Unlock()
+			results[key] = append(results[key], r)
+		})
+	}
+	wg.Wait()
+	return results
+}
+
+func TestOneRunForThreeCallers(t *testing.T) {
+	Convey("Callers with one key at three instances", t, func() {
+		inCluster(t, 0, "", func(c *cluster) {
+			keys := make([]string, 40)
+			for i := range keys {
+				keys[i] = newKey()
+			}
+			for key, results := range c.storm(keys) {
+				So(c.ran(key), ShouldEqual, 1)
+				for _, r := range results {
+					So(r.Outcome, ShouldResemble, kernel.Outcome{Kind: kernel.Served})
+					So(r.Answer, ShouldResemble, results[0].Answer)
+				}
+			}
+		})
+	})
+	Convey("The same while append answers are lost and instances cannot call each other", t, func() {
+		inCluster(t, 0, "", func(c *cluster) {
+			c.service.Set(standin.LogFaults{LoseAnswers: 0.4})
+			c.setCut(true)
+			keys := make([]string, 25)
+			for i := range keys {
+				keys[i] = newKey()
+			}
+			for key, results := range c.storm(keys) {
+				So(c.ran(key), ShouldBeLessThanOrEqualTo, 1)
+				for _, r := range results {
+					if r.Outcome.Kind == kernel.Served {
+						So(string(r.Answer.Body), ShouldEndWith, "run 1")
+					}
+				}
+			}
+		})
+	})
+}
+
+func TestRepeats(t *testing.T) {
+	Convey("Given a request in progress", t, func() {
+		inCluster(t, 0, "max_answer = 64\n", func(c *cluster) {
+			key := newKey()
+			g := c.nodes[0].ask(key, "body", lastLimit)
+			So(g.Claim, ShouldNotBeNil)
+			Convey("a repeat at another instance is told so at its deadline", func() {
+				out := c.nodes[1].ask(key, "body", 200*time.Millisecond).Result.Outcome
+				So(out.Kind, ShouldEqual, kernel.Unknown)
+				So(out.Reason, ShouldEqual, kernel.ReasonInProgress)
+				So(out.RetryAfter, ShouldBeGreaterThan, 0)
+			})
+			Convey("a waiting repeat gets the answer", func() {
+				got := make(chan kernel.Result, 1)
+				go func() { got <- c.nodes[1].ask(key, "body", lastLimit).Result }()
+				g.Claim.Complete(context.Background(), kernel.Answer{Body: []byte("certificate 7")})
+				r := <-got
+				So(r.Outcome.Kind, ShouldEqual, kernel.Served)
+				So(string(r.Answer.Body), ShouldEqual, "certificate 7")
+				So(r.Replayed, ShouldBeTrue)
+			})
+			Convey("a repeat with another body is refused", func() {
+				So(c.nodes[2].ask(key, "other", lastLimit).Result.Outcome.Reason, ShouldEqual, kernel.ReasonKeyReused)
+			})
+			Convey("a release lets a waiting repeat run, and never the holder", func() {
+				got := make(chan kernel.ClaimGrant, 1)
+				go func() { got <- c.nodes[1].ask(key, "body", lastLimit) }()
+				g.Claim.Release()
+				So(g.Claim.MayDispatch(time.Now()), ShouldBeFalse)
+				other := <-got
+				So(other.Claim, ShouldNotBeNil)
+				So(other.Claim.MayDispatch(time.Now()), ShouldBeTrue)
+				other.Claim.Release()
+			})
+			Convey("an answer too large is not kept, and repeats are told", func() {
+				g.Claim.Complete(context.Background(), kernel.Answer{Body: make([]byte, 65)})
+				out := c.nodes[1].ask(key, "body", lastLimit).Result.Outcome
+				So(out.Kind, ShouldEqual, kernel.Unknown)
+				So(out.Reason, ShouldEqual, kernel.ReasonAnswerNotKept)
+			})
+			g.Claim.Release()
+		})
+	})
+	Convey("A holder that wakes past its deadline does not dispatch", t, func() {
+		inCluster(t, 0, "", func(c *cluster) {
+			g := c.nodes[0].ask(newKey(), "body", lastLimit)
+			So(g.Claim.MayDispatch(time.Now().Add(2*lastLimit)), ShouldBeFalse)
+			g.Claim.Release()
+		})
+	})
+	Convey("Keys without a time, or out of the window, are refused", t, func() {
+		inCluster(t, 0, "", func(c *cluster) {
+			old := uuid.Must(uuid.NewV7())
+			old[0], old[1] = 0, 0
+			for _, key := range []string{"k", uuid.NewString(), old.String()} {
+				out := c.nodes[0].ask(key, "body", lastLimit).Result.Outcome
+				So(out.Kind, ShouldEqual, kernel.Rejected)
+				So(out.Reason, ShouldEqual, kernel.ReasonKeyTime)
+			}
+		})
+	})
+}
+
+func TestHolderGone(t *testing.T) {
+	Convey("Given a holder that died after its claim", t, func() {
+		inCluster(t, 0, "", func(c *cluster) {
+			key := newKey()
+			holder := c.nodes[0]
+			g := holder.ask(key, "body", lastLimit)
+			So(g.Claim, ShouldNotBeNil)
+			_, err := c.nodes[1].InDoubt(context.Background())
+			So(err, ShouldBeNil)
+			info := kernel.ClaimInfo{Account: "authority", Route: "certificate", Key: key}
+			So(c.nodes[1].Settle(context.Background(), info, kernel.VerdictRan, "ann"), ShouldEqual, ErrNotInDoubt)
+			c.kill(holder)
+			out := c.nodes[0].ask(key, "body", lastLimit).Result.Outcome
+			So(out.Kind, ShouldEqual, kernel.Unknown)
+			So(out.Reason, ShouldEqual, kernel.ReasonInDoubt)
+			list, err := c.nodes[1].InDoubt(context.Background())
+			So(err, ShouldBeNil)
+			So(list, ShouldHaveLength, 1)
+			So(list[0].Key, ShouldEqual, key)
+			So(list[0].Holder, ShouldEqual, holder.member.ID)
+			Convey("an operator's verdict closes the key for good", func() {
+				So(c.nodes[1].Settle(context.Background(), list[0], kernel.VerdictNotRun, "ann"), ShouldBeNil)
+				out := c.nodes[0].ask(key, "body", lastLimit).Result.Outcome
+				So(out.Reason, ShouldEqual, kernel.ReasonSettled)
+				So(c.nodes[1].Settle(context.Background(), list[0], kernel.VerdictRan, "bob"), ShouldEqual, ErrNotInDoubt)
+			})
+			Convey("a verdict that it ran is told to repeats", func() {
+				So(c.nodes[1].Settle(context.Background(), list[0], kernel.VerdictRan, "ann"), ShouldBeNil)
+				So(c.nodes[0].ask(key, "body", lastLimit).Result.Outcome.Reason, ShouldEqual, kernel.ReasonAnswerNotKept)
+			})
+		})
+	})
+	Convey("A holder that saw its call cut puts the claim in doubt", t, func() {
+		inCluster(t, 0, "", func(c *cluster) {
+			key := newKey()
+			c.nodes[0].ask(key, "body", lastLimit).Claim.Doubt()
+			So(c.nodes[1].ask(key, "body", lastLimit).Result.Outcome.Reason, ShouldEqual, kernel.ReasonInDoubt)
+		})
+	})
+	Convey("The answer of a holder that died afterwards is kept", t, func() {
+		inCluster(t, 0, "", func(c *cluster) {
+			key := newKey()
+			first := c.nodes[0].serve(key, lastLimit)
+			c.kill(c.nodes[0])
+			c.start()
+			for _, n := range c.nodes {
+				So(n.serve(key, lastLimit).Answer, ShouldResemble, first.Answer)
+			}
+			So(c.ran(key), ShouldEqual, 1)
+		})
+	})
+}
+
+func TestLogOutage(t *testing.T) {
+	Convey("Given a log out of reach", t, func() {
+		inCluster(t, 0, "", func(c *cluster) {
+			done, open := newKey(), newKey()
+			served := c.nodes[0].serve(done, lastLimit)
+			g := c.nodes[0].ask(open, "body", lastLimit)
+			So(g.Claim, ShouldNotBeNil)
+			c.service.Set(standin.LogFaults{Down: true})
+			for _, n := range c.nodes {
+				out := n.ask(newKey(), "body", lastLimit).Result.Outcome
+				So(out.Kind, ShouldEqual, kernel.NotRun)
+				So(out.Reason, ShouldEqual, kernel.ReasonLogUnavailable)
+			}
+			Convey("answers that are known are still given", func() {
+				So(c.nodes[1].serve(done, lastLimit).Answer, ShouldResemble, served.Answer)
+			})
+			Convey("an outcome reaches the log once it is back", func() {
+				ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+				defer cancel()
+				g.Claim.Complete(ctx, kernel.Answer{Body: []byte("late")})
+				c.service.Set(standin.LogFaults{})
+				So(eventually(func() bool {
+					return string(c.nodes[2].ask(open, "body", lastLimit).Result.Answer.Body) == "late"
+				}), ShouldBeTrue)
+			})
+			c.service.Set(standin.LogFaults{})
+			g.Claim.Release()
+		})
+	})
+	Convey("A claim whose append got lost is given back before a repeat may run", t, func() {
+		inCluster(t, 0, "", func(c *cluster) {
+			n := c.nodes[0]
+			c.setCut(true)
+			_ = n.serve(newKey(), lastLimit)
+			c.service.Set(standin.LogFaults{DelayMS: 400})
+			key := newKey()
+			out := n.ask(key, "body", 100*time.Millisecond).Result.Outcome
+			So(out.Kind, ShouldEqual, kernel.NotRun)
+			So(n.ask(key, "body", lastLimit).Result.Outcome.Reason, ShouldEqual, kernel.ReasonClaimUnknown)
+			c.service.Set(standin.LogFaults{})
+			So(eventually(func() bool { return n.serve(key, lastLimit).Outcome.Kind == kernel.Served }), ShouldBeTrue)
+			So(c.ran(key), ShouldEqual, 1)
+		})
+	})
+}
+
+func TestRetention(t *testing.T) {
+	Convey("Given a log that drops records sooner than the window", t, func() {
+		inCluster(t, 2*time.Second, "shards = 1\nwindow = 1m\nrestate = 200ms\n", func(c *cluster) {
+			first := newKey()
+			So(c.nodes[0].serve(first, lastLimit).Outcome.Kind, ShouldEqual, kernel.Served)
+			lost := c.nodes[0].ask(newKey(), "body", lastLimit)
+			So(lost.Claim, ShouldNotBeNil)
+			c.kill(c.nodes[0])
+			So(eventually(func() bool { return c.oldest() > 3 }), ShouldBeTrue)
+			Convey("an instance that starts then grants nothing", func() {
+				for len(c.nodes) > 0 {
+					c.kill(c.nodes[0])
+				}
+				out := c.start().ask(newKey(), "body", lastLimit).Result.Outcome
+				So(out.Kind, ShouldEqual, kernel.NotRun)
+				So(out.Reason, ShouldEqual, kernel.ReasonLogUnavailable)
+			})
+			Convey("a claim in doubt is restated and can be settled", func() {
+				var list []kernel.ClaimInfo
+				So(eventually(func() bool {
+					n := c.start()
+					defer c.kill(n)
+					list, _ = n.InDoubt(context.Background())
+					return len(list) == 1
+				}), ShouldBeTrue)
+				So(c.nodes[0].Settle(context.Background(), list[0], kernel.VerdictRan, "ann"), ShouldBeNil)
+			})
+		})
+	})
+}
+
+// oldest returns the oldest offset that the log keeps in shard 0.
+func (c *cluster) oldest() uint64 {
+	b, err := c.nodes[0].host.Log.Read(context.Background(), "claims/0", 1, 0)
+	if err != nil {
+		return 0
+	}
+	return b.First
+}
--- /dev/null
+++ b/plugins/claims/owner.go
@@ -0,0 +1,240 @@
+package claims
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"github.com/savoryfold/savoryfold/kernel"
+	"github.com/savoryfold/savoryfold/policy/claim"
+)
+
+// Methods that instances call of each other.
+const (
+	methodAppend = "claims.append"
+	methodRead   = "claims.read"
+)
+
+// Times of calls between instances.
+const (
+	ownerTimeout = time.Second
+	avoidTime    = 2 * time.Second
+	maxReadWait  = 5 * time.Second
+)
+
+// appendCall asks a shard's owner to append entries. A claim is one entry.
+type appendCall struct {
+	Shard   int           `cbor:"1,keyasint"`
+	Entries []claim.Entry `cbor:"2,keyasint"`
+}
+
+// readCall asks a shard's owner for a key's state, and to wait while an
+// attempt holds it.
+type readCall struct {
+	Shard  int        `cbor:"1,keyasint"`
+	ID     claim.ID   `cbor:"2,keyasint"`
+	Body   claim.Hash `cbor:"3,keyasint"`
+	WaitMS int64      `cbor:"4,keyasint"`
+}
+
+// replyCode says whether a call reached the log.
+type replyCode uint8
+
+const (
+	codeOK replyCode = iota
+	codeUnavailable
+	codeUnknown
+)
+
+type reply struct {
+	Code    replyCode     `cbor:"1,keyasint"`
+	Finding claim.Finding `cbor:"2,keyasint"`
+}
+
+func replyOf(f claim.Finding, err error) reply {
+	switch {
+	case err == nil:
+		return reply{Finding: f}
+	case errors.Is(err, kernel.ErrLogUnavailable):
+		return reply{Code: codeUnavailable}
+	}
+	return reply{Code: codeUnknown}
+}
+
+func (r reply) result() (claim.Finding, error) {
+	switch r.Code {
+	case codeOK:
+		return r.Finding, nil
+	case codeUnavailable:
+		return claim.Finding{}, kernel.ErrLogUnavailable
+	}
+	return claim.Finding{}, kernel.ErrAppendUnknown
+}
+
+// owners remembers the owners whose last call failed.
+type owners struct {
+	mu    sync.Mutex
+	avoid map[string]time.Time // until, by boot; guarded by mu
+}
+
+func (o *owners) avoided(boot string, now time.Time) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return now.Before(o.avoid[boot])
+}
+
+func (o *owners) failed(boot string, now time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.avoid == nil {
+		o.avoid = make(map[string]time.Time)
+	}
+	for b, until := range o.avoid {
+		if now.After(until) {
+			delete(o.avoid, b)
+		}
+	}
+	o.avoid[boot] = now.Add(avoidTime)
+}
+
+// ownerOf returns the live member that batches a shard's appends, by
+// rendezvous hashing, and whether it is this instance. Nothing but speed
+// depends on it.
+func (m *Log) ownerOf(shard int) (kernel.Member, bool) {
+	if m.host.Membership == nil || m.host.Membership.View() == nil {
+		return kernel.Member{}, true
+	}
+	view := m.host.Membership.View()
+	best, found := view.Self, false
+	var score uint64
+	for _, member := range view.Live() {
+		h := xxhash.Sum64String(member.ID + "/" + strconv.Itoa(shard))
+		if !found || h > score {
+			best, score, found = member, h, true
+		}
+	}
+	return best, best.ID == view.Self.ID
+}
+
+// remote returns the owner of a shard if it is another instance that can be
+// asked.
+func (m *Log) remote(shard int) (kernel.Member, bool) {
+	if m.host.Peers == nil {
+		return kernel.Member{}, false
+	}
+	owner, self := m.ownerOf(shard)
+	if self || m.owners.avoided(owner.Boot, time.Now()) {
+		return kernel.Member{}, false
+	}
+	return owner, true
+}
+
+// call asks another instance. Its error says nothing of what the other did.
+func (m *Log) call(ctx context.Context, to kernel.Member, method string, timeout time.Duration, body any) (reply, error) {
+	data, err := cbor.Marshal(body)
+	if err != nil {
+		panic("claims: " + err.Error())
+	}
+	if deadline, ok := ctx.Deadline(); ok {
+		timeout = min(timeout, time.Until(deadline)/2)
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	answer, err := m.host.Peers.Call(ctx, to, method, data)
+	var r reply
+	if err == nil {
+		err = cbor.Unmarshal(answer, &r)
+	}
+	if err != nil {
+		m.owners.failed(to.Boot, time.Now())
+		m.count("claim_owner_calls", "result", "failed")
+		return reply{}, errors.Wrap(err, method)
+	}
+	m.count("claim_owner_calls", "result", "ok")
+	return r, nil
+}
+
+// send has entries appended by the shard's owner or, if it cannot be asked or
+// cannot reach the log, by this instance itself. Entries may be appended twice,
+// which changes nothing. Stray means that the owner may still append them.
+func (m *Log) send(ctx context.Context, shard int, entries ...claim.Entry) (f claim.Finding, stray bool, err error) {
+	if owner, ok := m.remote(shard); ok {
+		r, err := m.call(ctx, owner, methodAppend, ownerTimeout, appendCall{Shard: shard, Entries: entries})
+		if err == nil && r.Code == codeOK {
+			return r.Finding, false, nil
+		}
+		stray = err != nil || r.Code == codeUnknown
+	}
+	f, err = m.appendHere(ctx, shard, entries)
+	if err != nil && stray {
+		err = kernel.ErrAppendUnknown
+	}
+	return f, stray, err
+}
+
+// appendHere appends entries from this instance. A claim that cannot win any
+// more is answered without an append.
+func (m *Log) appendHere(ctx context.Context, shard int, entries []claim.Entry) (claim.Finding, error) {
+	s := m.shards[shard]
+	first := entries[0]
+	if first.Kind != claim.KindClaim {
+		return claim.Finding{}, s.submit(ctx, entries...)
+	}
+	f, known := s.find(first.ID, first.Attempt, first.Origin.BodyHash)
+	if known && f.Verdict != claim.Open {
+		return f, nil
+	}
+	if m.circuit.open(time.Now()) {
+		return claim.Finding{}, kernel.ErrLogUnavailable
+	}
+	if err := s.submit(ctx, entries...); err != nil {
+		return claim.Finding{}, err
+	}
+	f, known = s.find(first.ID, first.Attempt, first.Origin.BodyHash)
+	switch {
+	case known && f.Verdict == claim.Open && f.Early:
+		return claim.Finding{Verdict: claim.KeyTime}, nil
+	case !known || f.Verdict == claim.Open:
+		return claim.Finding{}, kernel.ErrAppendUnknown
+	}
+	return f, nil
+}
+
+// serveAppend implements methodAppend.
+func (m *Log) serveAppend(ctx context.Context, _ string, body []byte) ([]byte, error) {
+	var c appendCall
+	if err := cbor.Unmarshal(body, &c); err != nil {
+		return nil, errors.Wrap(err, methodAppend)
+	}
+	if c.Shard < 0 || c.Shard >= len(m.shards) || len(c.Entries) == 0 || len(c.Entries) > claim.MaxEntries {
+		return nil, errors.New(methodAppend + ": no such shard, or no entries")
+	}
+	for _, e := range c.Entries {
+		if err := e.Check(); err != nil {
+			return nil, errors.Wrap(err, methodAppend)
+		}
+	}
+	if !m.enter() {
+		return nil, errors.New(methodAppend + ": this instance has stopped")
+	}
+	defer m.landing.Done()
+	return cbor.Marshal(replyOf(m.appendHere(ctx, c.Shard, c.Entries)))
+}
+
+// serveRead implements methodRead.
+func (m *Log) serveRead(ctx context.Context, _ string, body []byte) ([]byte, error) {
+	var c readCall
+	if err := cbor.Unmarshal(body, &c); err != nil {
+		return nil, errors.Wrap(err, methodRead)
+	}
+	if c.Shard < 0 || c.Shard >= len(m.shards) {
+		return nil, errors.New(methodRead + ": no such shard")
+	}
+	wait := min(time.Duration(c.WaitMS)*time.Millisecond, maxReadWait)
+	return cbor.Marshal(replyOf(m.readHere(ctx, c, wait)))
+}
--- /dev/null
+++ b/plugins/claims/result.go
@@ -0,0 +1,69 @@
+package claims
+
+import (
+	"time"
+
+	"github.com/savoryfold/savoryfold/kernel"
+	"github.com/savoryfold/savoryfold/policy/claim"
+)
+
+func refuse(kind kernel.OutcomeKind, reason kernel.OutcomeReason, detail string) kernel.ClaimGrant {
+	return refuseFor(kind, reason, detail, 0)
+}
+
+func refuseFor(kind kernel.OutcomeKind, reason kernel.OutcomeReason, detail string, retryAfter time.Duration) kernel.ClaimGrant {
+	return kernel.ClaimGrant{Result: kernel.Result{
+		Outcome: kernel.Outcome{Kind: kind, Reason: reason, Detail: detail, RetryAfter: retryAfter},
+	}}
+}
+
+func refuseLog(detail string) kernel.ClaimGrant {
+	return refuseFor(kernel.NotRun, kernel.ReasonLogUnavailable, detail, retryLog)
+}
+
+func refuseKeyTime() kernel.ClaimGrant {
+	return refuse(kernel.Rejected, kernel.ReasonKeyTime,
+		"the time within the idempotency key is too old or ahead; this says nothing of earlier requests with the key")
+}
+
+// refuseFinding is the answer to a request that did not get its key.
+func (m *Log) refuseFinding(f claim.Finding) kernel.ClaimGrant {
+	switch f.Verdict {
+	case claim.KeyTime:
+		return refuseKeyTime()
+	case claim.KeyReused:
+		return refuse(kernel.Rejected, kernel.ReasonKeyReused, "the key was used with another body")
+	}
+	switch f.Slot.State {
+	case claim.Done:
+		return replay(f.Slot.Answer)
+	case claim.Settled:
+		return settled(f.Slot.Verdict)
+	case claim.Held:
+		if m.alive(f.Slot.Origin.Boot) {
+			return refuseFor(kernel.Unknown, kernel.ReasonInProgress, "an earlier request with this key is in progress", retryInProgress)
+		}
+	}
+	return refuse(kernel.Unknown, kernel.ReasonInDoubt, "an earlier request with this key may have run; an operator has to settle it")
+}
+
+// replay gives the answer of the request that ran.
+func replay(a claim.Answer) kernel.ClaimGrant {
+	if a.Dropped {
+		return refuse(kernel.Unknown, kernel.ReasonAnswerNotKept, "an earlier request with this key ran and was answered; its answer was too large to be kept")
+	}
+	return kernel.ClaimGrant{Result: kernel.Result{
+		Outcome:  kernel.Outcome{Kind: kernel.Served},
+		Answer:   kernel.Answer{ContentType: a.ContentType, Body: a.Body},
+		Replayed: true,
+	}}
+}
+
+// settled tells a repeat of an operator's verdict. It is not NotRun, since a
+// holder that was paused may still wake.
+func settled(v claim.Settlement) kernel.ClaimGrant {
+	if v.Ran {
+		return refuse(kernel.Unknown, kernel.ReasonAnswerNotKept, "an operator found that the request with this key ran; its answer is not at hand")
+	}
+	return refuse(kernel.Unknown, kernel.ReasonSettled, "an operator found that the request with this key did not run; the key stays closed, send it with a new one")
+}
