--- a/plugins/claims/batcher.go
+++ b/plugins/claims/batcher.go
@@ -18,6 +18,7 @@
 	entryOverhead  = 400 // bytes of an entry without its answer, at most about
 	maxAppendTries = 3
 	readBackTime   = 2 * time.Second
+	retryPause     = 50 * time.Millisecond
 )
 
 // ticket is a group of entries on their way to the log.
@@ -100,8 +101,7 @@
 	return taken
 }
 
-// run appends batches until the context ends: the first at once, further ones
-// not before the interval has passed.
+// run appends batches until the context ends, at the shard's pace.
 func (s *shardLog) run(ctx context.Context) {
 	for {
 		select {
@@ -110,7 +110,7 @@
 			return
 		}
 		for s.queued() {
-			if !sleep(ctx.Done(), time.Until(s.lastAppend.Add(s.owner.interval))) {
+			if s.pace.Wait(ctx) != nil {
 				return
 			}
 			s.flush(ctx)
@@ -151,7 +151,7 @@
 	data := b.Encode()
 	maybe := false
 	for try := range maxAppendTries {
-		if try > 0 && !sleep(ctx.Done(), jitter(s.owner.interval)) {
+		if try > 0 && !(s.pace.Wait(ctx) == nil && sleep(ctx.Done(), jitter(retryPause))) {
 			break
 		}
 		if !s.owner.circuit.allow(time.Now()) {
@@ -173,7 +173,6 @@
 // sent means that it may be.
 func (s *shardLog) try(ctx context.Context, b claim.Batch, data []byte) (landed, sent bool) {
 	m := s.owner
-	s.lastAppend = time.Now()
 	offset, err := m.host.Log.Append(ctx, s.stream, data)
 	m.note(ctx, err)
 	m.host.Counter("claim_appends").Inc(1)
--- a/plugins/claims/fake_test.go
+++ b/plugins/claims/fake_test.go
@@ -63,7 +63,7 @@
 	c.started++
 	n := &node{cluster: c, handlers: make(map[string]kernel.PeerHandler)}
 	n.member = kernel.Member{ID: fmt.Sprintf("node-%d", c.started), Boot: uuid.NewString(), State: kernel.MemberReady}
-	text := "[instance]\nid = " + n.member.ID + "\nzone = z\n[claims]\nappends_per_second = 1000\n" + c.extra
+	text := "[instance]\nid = " + n.member.ID + "\nzone = z\n[claims]\n" + c.extra
 	settings, err := kernel.Schema().Load("test.ini", []byte(text))
 	if err != nil {
 		c.t.Fatal(err)
--- a/plugins/claims/log.go
+++ b/plugins/claims/log.go
@@ -8,6 +8,7 @@
 
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
+	"golang.org/x/time/rate"
 
 	"github.com/savoryfold/savoryfold/config"
 	"github.com/savoryfold/savoryfold/kernel"
@@ -36,12 +37,16 @@
 // record of the log.
 const maxKeptAnswer = 128 << 10
 
+// burst is how many appends of one shard may follow each other at once, so that
+// the outcome of a short request need not wait after its claim.
+const burst = 2
+
 // Log implements kernel.Claims and kernel.ClaimsOperator on the platform's log
 // service. The order of the log decides; see package policy/claim.
 type Log struct {
 	host      *kernel.Host
 	rules     claim.Rules
-	interval  time.Duration // between two appends of one shard
+	pace      rate.Limit // appends a second of one shard
 	restate   time.Duration
 	maxAnswer int
 	boot      string
@@ -80,18 +85,19 @@
 
 // check reports settings that cannot work, and makes the shards.
 func (m *Log) check() error {
-	rate := m.host.Settings.Float(section, "appends_per_second")
+	appends := m.host.Settings.Float(section, "appends_per_second")
 	switch {
 	case m.rules.Shards < 1 || m.rules.Shards > 1024:
 		return errors.New("[claims] shards: want 1 to 1024")
-	case rate <= 0:
+	case appends <= 0:
 		return errors.New("[claims] appends_per_second: want more than 0")
 	case m.rules.Window <= 0:
 		return errors.New("[claims] window: want more than 0")
 	case m.maxAnswer > maxKeptAnswer:
 		return errors.Errorf("[claims] max_answer: want at most %d bytes", maxKeptAnswer)
 	}
-	m.interval = time.Duration(float64(m.rules.Shards) / rate * float64(time.Second))
+	share := appends / float64(m.rules.Shards)
+	m.pace = rate.Limit(max(share-burst+1, share/burst))
 	for n := range m.rules.Shards {
 		m.shards = append(m.shards, newShardLog(m, n))
 	}
--- a/plugins/claims/log_test.go
+++ b/plugins/claims/log_test.go
@@ -17,7 +17,7 @@
 // inCluster runs a test with three instances on one log.
 func inCluster(t *testing.T, retention time.Duration, extra string, f func(c *cluster)) {
 	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
-	c := newCluster(t, 3, retention, 0, extra)
+	c := newCluster(t, 3, retention, 0, "appends_per_second = 1000\n"+extra)
 	defer c.close()
 	f(c)
 }
--- a/plugins/claims/shard.go
+++ b/plugins/claims/shard.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/savoryfold/savoryfold/kernel"
 	"github.com/savoryfold/savoryfold/policy/claim"
 )
@@ -24,6 +26,7 @@
 	number int
 	stream string
 	wake   chan struct{}
+	pace   *rate.Limiter
 
 	// reading serialises reads, so that records are applied in order.
 	reading  sync.Mutex
@@ -37,8 +40,6 @@
 	order   []claim.Attempt // of batches, oldest first
 	used    time.Time       // last use by a request; guarded by mu
 	grown   time.Time       // when a record was last applied; guarded by mu
-
-	lastAppend time.Time // used by run only
 }
 
 func newShardLog(m *Log, number int) *shardLog {
@@ -46,6 +47,7 @@
 		owner: m, number: number, stream: "claims/" + strconv.Itoa(number),
 		wake: make(chan struct{}, 1), changed: make(chan struct{}),
 		batches: make(map[claim.Attempt]struct{}),
+		pace:    rate.NewLimiter(m.pace, burst),
 	}
 }
 
