Write nothing to a backend server past the deadline

Cause: a process that is stopped between the check of a claim and the write of the call, and woken after the deadline, could write the call before its timers fire; an operator may have settled the claim by then.

Ruled out: a second look at the clock before the round trip, which leaves the wait for a connection in between.

Change: a connection gets the call's deadline as its write deadline at the moment when the call takes it.

Conclusion: a call past its deadline does not reach the server; without the change the test sees it run.

--- a/plugins/backendhttp/backendhttp.go
+++ b/plugins/backendhttp/backendhttp.go
@@ -149,7 +149,12 @@
 // request builds the HTTP request. Its body cannot be rewound, so that
 // net/http never sends a call twice on its own.
 func (x *exchange) request(ctx context.Context) (*http.Request, error) {
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { x.sent.Store(true) }}
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		// A process that was paused past the deadline must send nothing when it
+		// wakes up, although its timers have not fired yet.
+		_ = info.Conn.SetWriteDeadline(x.call.Deadline)
+		x.sent.Store(true)
+	}}
 	ctx = httptrace.WithClientTrace(ctx, trace)
 	url := "http://" + x.call.Server.Address + x.call.Stage.Path
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, nil)
--- a/plugins/backendhttp/backendhttp_test.go
+++ b/plugins/backendhttp/backendhttp_test.go
@@ -235,6 +235,18 @@
 	}
 }
 
+func TestNothingIsSentPastTheDeadline(t *testing.T) {
+	Convey("A call whose deadline passed before it was written does not reach the server", t, func() {
+		var calls atomic.Int32
+		address := serverOf(t, func(http.ResponseWriter, *http.Request) { calls.Add(1) })
+		call := stageCall(address)
+		call.Deadline = time.Now().Add(-time.Second)
+		// The context lives on, as after a pause whose end the timers have not seen.
+		So(newTransport(t).Call(context.Background(), call).Result, ShouldNotEqual, kernel.CallOK)
+		So(calls.Load(), ShouldEqual, 0)
+	})
+}
+
 func TestCancel(t *testing.T) {
 	Convey("A caller that goes away ends the call at the server", t, func() {
 		started, ended := make(chan struct{}), make(chan struct{})
