--- a/kernel/interfaces.go
+++ b/kernel/interfaces.go
@@ -59,12 +59,10 @@
 	Body        []byte
 	Deadline    time.Time
 	Priority    int
-	// Events receives the events of a streamed answer; nil asks for a whole one.
-	Events EventSink
-	// ResumeAfter is the ID of the last event received from an earlier call of
-	// the same stage, and Received the text of those events.
-	ResumeAfter string
-	Received    string
+	// FirstByte bounds the wait for the first byte of the answer.
+	FirstByte time.Duration
+	// Events receives the events of a stage that streams; nil for others.
+	Events *EventCollector
 }
 
 // StageAnswer is the result of one stage call.
@@ -85,8 +83,10 @@
 // Transport calls backend servers.
 type Transport interface {
 	Call(ctx context.Context, c *StageCall) StageAnswer
-	// Forget drops the connections to a server whose silence was seen.
-	Forget(s config.Server)
+	// Renew makes further calls of a server use new connections, after silence
+	// was seen on an old one. It reports whether the server answers on a new
+	// connection, so that a dead connection can be told from a dead server.
+	Renew(ctx context.Context, s config.Server) bool
 }
 
 // Log is the platform's append-only log service.
@@ -191,9 +191,31 @@
 // PeerHandler answers a request of another instance.
 type PeerHandler func(ctx context.Context, from string, body []byte) ([]byte, error)
 
+// Errors of requests between instances. A handler's own error comes back as a
+// *PeerError.
+var (
+	// ErrPeerNotDelivered: no handler ran and none will.
+	ErrPeerNotDelivered = errors.New("request was not delivered to the other instance")
+	// ErrPeerUnknown: the handler may have run.
+	ErrPeerUnknown = errors.New("request was sent to the other instance, its result is not known")
+)
+
+// PeerError is the error that a handler at another instance returned.
+type PeerError struct {
+	Member, Method, Message string
+}
+
+// Error implements error.
+func (e *PeerError) Error() string { return e.Method + " at " + e.Member + ": " + e.Message }
+
 // Peers carries requests between instances over authenticated streams.
 type Peers interface {
+	// Handle registers who answers requests with the method. It is called
+	// during provisioning.
 	Handle(method string, h PeerHandler)
+	// Call sends a request and waits for the answer. The context's deadline is
+	// passed on. The error is, or wraps, ErrPeerNotDelivered, ErrPeerUnknown or
+	// a *PeerError.
 	Call(ctx context.Context, member Member, method string, body []byte) ([]byte, error)
 }
 
@@ -206,6 +228,30 @@
 	Sink(kind string, f func(from Member, payload []byte))
 }
 
+// AgedDigests is what a Digests may also offer: sinks that are told how long
+// ago the origin said the digest.
+type AgedDigests interface {
+	SinkAged(kind string, f func(from Member, age time.Duration, payload []byte))
+}
+
+// SlotBorrower takes call slots of other instances, for an instance whose own
+// share of the servers' limits is used up or 0.
+type SlotBorrower interface {
+	// Borrow takes a slot on a server, named "pool/name". It returns false at
+	// once if no instance is known to have an idle one. The release function
+	// gives the slot back, does not block and is called exactly once.
+	Borrow(ctx context.Context, server string) (release func(), ok bool)
+}
+
+// CacheHints knows what backend servers are believed to hold in their caches.
+type CacheHints interface {
+	// CacheHint is the part of a prompt prefix, given by its hash, that a
+	// server, named "pool/name", is believed to hold: from 0 to 1, less with
+	// the age of the belief. It is safe for concurrent use and does not
+	// allocate.
+	CacheHint(now time.Time, server string, prefix uint64) float64
+}
+
 // ClaimRequest asks for the right to run a request that may run at most once.
 type ClaimRequest struct {
 	Account, Route, Key string
@@ -246,17 +292,24 @@
 	// Pick returns the version for a request, or "" for any. The number is
 	// drawn at random once for the request.
 	Pick(now time.Time, route *config.Route, random uint64) string
-	// Observe takes the result of a stage call on a versioned pool. Load is the
-	// part of the server's limit in use when the call was sent.
-	Observe(now time.Time, route, version string, ok bool, latency time.Duration, load float64)
+	// Observe takes the result of a stage call on a versioned pool. The module
+	// sets New of the call itself.
+	Observe(now time.Time, route, version string, call policy.MoveCall)
 }
 
-// CrashGuard recognises requests that crash the servers that run them.
+// CrashGuard recognises requests that crash the servers that run them. A
+// fingerprint identifies a request over repeats.
 type CrashGuard interface {
-	// Refuse reports whether a request with the fingerprint is refused.
+	// Refuse reports whether a request is refused for now.
 	Refuse(now time.Time, fingerprint uint64) bool
-	// Charge notes that a server died while it ran the request.
-	Charge(now time.Time, fingerprint uint64, server string)
+	// Suspect reports whether a request must not share a server with another
+	// suspect.
+	Suspect(now time.Time, fingerprint uint64) bool
+	// Broken notes that the connection to a server broke while it ran the
+	// request.
+	Broken(now time.Time, fingerprint uint64, server string)
+	// Succeeded notes that a server ran the request without harm.
+	Succeeded(now time.Time, fingerprint uint64)
 }
 
 // ClaimInfo describes a claim to operators.
--- a/kernel/snapshot.go
+++ b/kernel/snapshot.go
@@ -26,10 +26,16 @@
 func (h *Host) SetTables(t *config.Tables) bool {
 	h.fleet.mu.Lock()
 	defer h.fleet.mu.Unlock()
-	if old := h.snapshot.Load(); old != nil && t.Revision <= old.Tables.Revision {
+	old := h.snapshot.Load()
+	if old != nil && t.Revision <= old.Tables.Revision {
 		return t.Revision == old.Tables.Revision
 	}
-	h.snapshot.Store(h.fleet.build(h, t))
+	snap := h.fleet.build(h, t)
+	h.snapshot.Store(snap)
+	h.fleet.bar(snap, old)
+	for _, p := range snap.pools {
+		p.slotFreed()
+	}
 	h.Gauge("config_revision").Update(int64(t.Revision))
 	h.Logger.Info("tables in force", "revision", t.Revision, "routes", len(t.Routes), "pools", len(t.Pools))
 	for _, f := range h.onTables {
--- a/policy/admission.go
+++ b/policy/admission.go
@@ -18,12 +18,18 @@
 // StageForecast is what is known of one stage that a request has yet to pass.
 type StageForecast struct {
 	Pool string
-	// Service is the expected time of the call itself.
+	// Service is the expected time of a call of the request's size class.
 	Service time.Duration
+	// Hold is the expected time for which a call of any size class holds its
+	// call slot.
+	Hold time.Duration
 	// ServiceHigh is a high quantile of the time of the call.
 	ServiceHigh time.Duration
 	// Waiting is the number of calls queued for the pool on this instance.
 	Waiting int
+	// Ahead is the work, as time in call slots, of the waiting calls that would
+	// go before the request's.
+	Ahead time.Duration
 	// InFlight and Capacity count this instance's calls and call slots.
 	InFlight, Capacity int
 	// CostWeight turns a millisecond of the stage into cost units.
@@ -41,6 +47,8 @@
 	RetryAfter time.Duration
 	// Predicted is the predicted time to finish.
 	Predicted time.Duration
+	// Slowest is the index of the stage with the longest predicted time.
+	Slowest int
 }
 
 // Admission decides which requests start.
@@ -49,8 +57,17 @@
 	// Admit decides on a request. Every admitted request is followed by one
 	// call of Finish.
 	Admit(now time.Time, r Request, stages []StageForecast) AdmissionDecision
-	// Finish reports the work that an admitted request took.
-	Finish(now time.Time, r Request, cost float64, served bool)
+	// Finish reports the end of an admitted request.
+	Finish(now time.Time, r Request, f Finish)
+}
+
+// Finish says how an admitted request ended.
+type Finish struct {
+	// Cost is the work that it took, weighted.
+	Cost   float64
+	Served bool
+	// Late is true if it ended because its deadline passed or would have.
+	Late bool
 }
 
 // AdmitAll is the baseline: it admits every request.
@@ -62,4 +79,4 @@
 }
 
 // Finish implements Admission.
-func (AdmitAll) Finish(time.Time, Request, float64, bool) {}
+func (AdmitAll) Finish(time.Time, Request, Finish) {}
--- /dev/null
+++ b/test/harness/instance.go
@@ -0,0 +1,257 @@
+package harness
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/savoryfold/savoryfold/internal/httpapi"
+	"github.com/savoryfold/savoryfold/kernel"
+	_ "github.com/savoryfold/savoryfold/plugins/standard" // the settings that instances know
+	"github.com/savoryfold/savoryfold/standin"
+	"github.com/savoryfold/savoryfold/test/relay"
+)
+
+// Settings are settings by section and key.
+type Settings map[string]map[string]string
+
+// Instance is one entry instance.
+type Instance struct {
+	*Process
+	ID    string
+	Zone  string
+	Entry string
+	Admin string
+	// Gossip and Peer are the relays in front of what other instances reach.
+	Gossip *relay.UDP
+	Peer   *relay.UDP
+	path   string
+}
+
+// pidTable knows the process of each instance.
+type pidTable struct {
+	mu   sync.Mutex
+	pids map[string]int // by instance; guarded by mu
+}
+
+func (t *pidTable) set(id string, pid int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.pids == nil {
+		t.pids = make(map[string]int)
+	}
+	t.pids[id] = pid
+}
+
+// PID returns the process ID of an instance, 0 before its first start.
+func (c *Cluster) PID(in *Instance) int { return c.pids.all()[in.ID] }
+
+func (t *pidTable) all() map[string]int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return maps.Clone(t.pids)
+}
+
+// URL returns the address of a route for callers.
+func (in *Instance) URL(route string) string { return "http://" + in.Entry + "/v1/routes/" + route }
+
+func (c *Cluster) startInstances() error {
+	for n := range max(c.Spec.PerZone, 1) {
+		for _, zone := range c.Spec.Zones {
+			in, err := c.newInstance(fmt.Sprintf("%s-%d", zone, n+1), zone)
+			if err != nil {
+				return err
+			}
+			c.Instances = append(c.Instances, in)
+			if err := c.Restart(in); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// newInstance writes an instance's settings.
+func (c *Cluster) newInstance(id, zone string) (*Instance, error) {
+	in := &Instance{ID: id, Zone: zone, path: filepath.Join(c.Spec.Dir, id+".ini")}
+	var err error
+	if in.Entry, err = freeAddress("tcp"); err != nil {
+		return nil, err
+	}
+	if in.Admin, err = freeAddress("tcp"); err != nil {
+		return nil, err
+	}
+	settings := Settings{
+		"instance":      {"id": id, "zone": zone},
+		"entry":         {"listen": in.Entry, "drain": "300ms"},
+		"admin":         {"listen": in.Admin},
+		"operator test": {"token_sha256": httpapi.HashToken(OperatorToken), "rights": "edit"},
+		"policy":        {},
+		"platform":      {"log": c.LogLink.Address()},
+	}
+	if slices.Contains(choices("membership"), "gossip") {
+		if err := c.network(in, settings); err != nil {
+			return nil, err
+		}
+	}
+	if c.Spec.Baseline {
+		for _, slot := range []string{"admission", "placement", "limits", "retry", "queue", "rollout"} {
+			settings["policy"][slot] = "baseline"
+		}
+		settings["policy"]["claims"] = "memory"
+	}
+	settings.merge(c.Spec.Settings)
+	return in, os.WriteFile(in.path, []byte(settings.text()), 0o600)
+}
+
+// choices are the modules that can fill a slot.
+func choices(slot string) []string {
+	for _, k := range kernel.Schema().Keys() {
+		if k.Section == "policy" && k.Name == slot {
+			return k.Accepted
+		}
+	}
+	return nil
+}
+
+// network puts relays in front of the addresses for other instances and
+// enters the instance in the platform's list.
+func (c *Cluster) network(in *Instance, settings Settings) error {
+	gossip, err := freeAddress("udp")
+	if err != nil {
+		return err
+	}
+	peer, err := freeAddress("udp")
+	if err != nil {
+		return err
+	}
+	if in.Gossip, err = relay.NewUDP(gossip, c.owner); err != nil {
+		return err
+	}
+	c.closers = append(c.closers, in.Gossip.Close)
+	if in.Peer, err = relay.NewUDP(peer, c.owner); err != nil {
+		return err
+	}
+	c.closers = append(c.closers, in.Peer.Close)
+	settings["membership"] = map[string]string{
+		"gossip_listen": gossip, "gossip_advertise": in.Gossip.Address(),
+		"peer_listen": peer, "peer_advertise": in.Peer.Address(),
+		"list": c.ListLink.Address(), "list_interval": "500ms", "secrets": "test-membership-secret-of-the-cluster",
+	}
+	return c.put(context.Background(), "http://"+c.List.Line+"/v1/instances/"+in.ID, standin.ListedInstance{
+		ID: in.ID, Zone: in.Zone, State: "live", GossipAddress: in.Gossip.Address(), PeerAddress: in.Peer.Address(),
+	})
+}
+
+func (s Settings) merge(other Settings) {
+	for section, keys := range other {
+		if s[section] == nil {
+			s[section] = make(map[string]string)
+		}
+		maps.Copy(s[section], keys)
+	}
+}
+
+func (s Settings) text() string {
+	var b strings.Builder
+	for _, section := range slices.Sorted(maps.Keys(s)) {
+		fmt.Fprintf(&b, "[%s]\n", section)
+		for _, key := range slices.Sorted(maps.Keys(s[section])) {
+			fmt.Fprintf(&b, "%s = %s\n", key, s[section][key])
+		}
+	}
+	return b.String()
+}
+
+// Restart starts an instance's process, which does not run.
+func (c *Cluster) Restart(in *Instance) error {
+	p, err := Start(in.ID, false, c.Spec.Binaries.Instance, "--settings", in.path)
+	if err != nil {
+		return err
+	}
+	in.Process = p
+	c.pids.set(in.ID, p.PID())
+	return nil
+}
+
+// Kill ends the instance's process if it was started.
+func (in *Instance) Kill() {
+	if in.Process != nil {
+		in.Process.Kill()
+	}
+}
+
+// WaitReady waits until every instance is ready.
+func (c *Cluster) WaitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	for _, in := range c.Instances {
+		if err := c.waitReady(ctx, in); err != nil {
+			return err
+		}
+	}
+	if c.Instances[0].Gossip == nil {
+		return nil
+	}
+	return c.waitViews(ctx)
+}
+
+func (c *Cluster) waitReady(ctx context.Context, in *Instance) error {
+	for {
+		status, err := c.get(ctx, "http://"+in.Entry+"/readyz", nil)
+		if err == nil && status == http.StatusOK {
+			return nil
+		}
+		if !in.Running() || ctx.Err() != nil {
+			return errors.Errorf("%s is not ready: %s", in.ID, in.Log())
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// get reads JSON; an operator's token goes with it.
+func (c *Cluster) get(ctx context.Context, url string, into any) (int, error) {
+	return c.do(ctx, http.MethodGet, url, "", into)
+}
+
+func (c *Cluster) do(ctx context.Context, method, url, body string, into any) (int, error) {
+	req, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(body))
+	if err != nil {
+		return 0, err
+	}
+	req.Header.Set("Authorization", "Bearer "+OperatorToken)
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err == nil && into != nil {
+		err = json.Unmarshal(text, into)
+	}
+	return resp.StatusCode, err
+}
+
+// put replaces what stands at an address.
+func (c *Cluster) put(ctx context.Context, url string, v any) error {
+	body, err := json.Marshal(v)
+	if err != nil {
+		return err
+	}
+	status, err := c.do(ctx, http.MethodPut, url, string(body), nil)
+	if err == nil && status != http.StatusOK {
+		err = errors.Errorf("PUT %s: status %d", url, status)
+	}
+	return err
+}
