--- a/standin/logservice.go
+++ b/standin/logservice.go
@@ -28,6 +28,10 @@
 	// LoseAnswers is the part of the appends whose answer is lost after the
 	// append took effect, from 0 to 1.
 	LoseAnswers float64 `json:"lose_answers"`
+	// LateAppends is the part of the appends that take effect LateMS after
+	// their connection broke, from 0 to 1.
+	LateAppends float64 `json:"late_appends"`
+	LateMS      int     `json:"late_ms"`
 }
 
 // LogRecord is one record of a stream.
@@ -123,8 +127,13 @@
 		http.Error(w, "too many appends", http.StatusTooManyRequests)
 		return
 	}
-	offset := s.append(r.URL.Query().Get("stream"), data)
-	if rand.Float64() < s.Get().LoseAnswers {
+	stream, f := r.URL.Query().Get("stream"), s.Get()
+	if rand.Float64() < f.LateAppends {
+		time.AfterFunc(time.Duration(f.LateMS)*time.Millisecond, func() { s.append(stream, data) })
+		panic(http.ErrAbortHandler)
+	}
+	offset := s.append(stream, data)
+	if rand.Float64() < f.LoseAnswers {
 		panic(http.ErrAbortHandler)
 	}
 	w.WriteHeader(http.StatusCreated)
@@ -198,10 +207,9 @@
 		batch.First = st.records[0].Offset
 		batch.FirstTime = st.records[0].Time
 	}
-	for _, rec := range st.records {
-		if rec.Offset >= from && len(batch.Records) < maxReadRecords {
-			batch.Records = append(batch.Records, rec)
-		}
+	if from < st.next && len(st.records) > 0 {
+		rest := st.records[max(from, batch.First)-batch.First:]
+		batch.Records = append(batch.Records, rest[:min(len(rest), maxReadRecords)]...)
 	}
 	return batch, st.grown
 }
