--- a/policy/admission_standard.go
+++ b/policy/admission_standard.go
@@ -19,7 +19,7 @@
 	maxRetryAfter = 10 * time.Second
 	// slackPart is the part of the time to the deadline that a prediction may
 	// use up.
-	slackPart = 0.9
+	slackPart = 0.75
 	// weighInterval is the time between two sums of the active accounts' weights.
 	weighInterval = 100 * time.Millisecond
 	// probeInterval is the time between two requests that are admitted although
