--- a/test/experiment/env.go
+++ b/test/experiment/env.go
@@ -93,6 +93,14 @@
 	return err
 }
 
+// warmUp lets instances learn and servers get warm, before what is measured.
+func (e *env) warmUp(ctx context.Context) error {
+	_, err := load.Run(ctx, load.Config{Targets: e.entries(), Seed: e.seed, Phases: []load.Phase{
+		{Name: "warm-up", Rate: warmUpPart * capacity(engineCount), Duration: warmUpTime, Mix: everyone()},
+	}})
+	return err
+}
+
 func (e *env) close() {
 	if e.cluster != nil {
 		e.cluster.Close()
@@ -192,3 +200,16 @@
 	}
 	return ratio(float64(attained), float64(sent))
 }
+
+// maxExplained bounds the faults that are printed.
+const maxExplained = 5
+
+// explain prints the first faults of a history to standard error.
+func (e *env) explain(faults []string) {
+	for i, f := range faults {
+		if i == maxExplained {
+			return
+		}
+		fmt.Fprintln(os.Stderr, e.experiment, e.policy, f)
+	}
+}
--- a/test/relay/relay.go
+++ b/test/relay/relay.go
@@ -30,9 +30,16 @@
 	LoseForward, LoseBack bool
 }
 
+// Owner names the sender that a connection or datagram comes from, such as the
+// process that has the source address.
+type Owner func(source net.Addr) string
+
 // link is what TCP and UDP links share.
 type link struct {
 	fault  atomic.Pointer[Fault]
+	owner  Owner
+	mu     sync.Mutex
+	owned  map[string]Fault // by sender; guarded by mu
 	target atomic.Pointer[string]
 	lost   atomic.Int64
 	done   chan struct{}
@@ -49,9 +56,53 @@
 // Retarget changes where new connections and datagrams go.
 func (l *link) Retarget(address string) { l.target.Store(&address) }
 
-func (l *link) get() Fault { return *l.fault.Load() }
+// SetFor replaces the faults that only one sender meets. They take the place of
+// the link's own; the zero value ends them.
+func (l *link) SetFor(name string, f Fault) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if f == (Fault{}) {
+		delete(l.owned, name)
+		return
+	}
+	if l.owned == nil {
+		l.owned = make(map[string]Fault)
+	}
+	l.owned[name] = f
+}
+
+// sender is where a connection or datagram comes from. Its name is looked up
+// once, when a fault first asks for it.
+type sender struct {
+	source net.Addr
+	once   sync.Once
+	name   string
+}
+
+func (l *link) nameOf(s *sender) string {
+	s.once.Do(func() { s.name = l.owner(s.source) })
+	return s.name
+}
 
-func (l *link) init(target string) {
+// get returns the faults that a sender meets.
+func (l *link) get(s *sender) Fault {
+	l.mu.Lock()
+	special := len(l.owned) > 0
+	l.mu.Unlock()
+	if special && l.owner != nil {
+		name := l.nameOf(s)
+		l.mu.Lock()
+		f, ok := l.owned[name]
+		l.mu.Unlock()
+		if ok {
+			return f
+		}
+	}
+	return *l.fault.Load()
+}
+
+func (l *link) init(target string, owner Owner) {
+	l.owner = owner
 	l.done = make(chan struct{})
 	l.Set(Fault{})
 	l.Retarget(target)
@@ -81,18 +132,19 @@
 type TCP struct {
 	link
 	listener net.Listener
-	mu       sync.Mutex
-	pairs    map[*pair]struct{} // guarded by mu
+	open     sync.Mutex
+	pairs    map[*pair]struct{} // guarded by open
 }
 
-// NewTCP starts a link from a free local port to a target.
-func NewTCP(target string) (*TCP, error) {
+// NewTCP starts a link from a free local port to a target. A nil owner means
+// that senders are not told apart.
+func NewTCP(target string, owner Owner) (*TCP, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, errors.Wrap(err, "relay")
 	}
 	t := &TCP{listener: l, pairs: make(map[*pair]struct{})}
-	t.init(target)
+	t.init(target, owner)
 	t.wait.Go(t.accept)
 	return t, nil
 }
@@ -108,6 +160,19 @@
 	}
 }
 
+// SetFor replaces the faults that only one sender meets; a cut resets what it
+// has open.
+func (t *TCP) SetFor(name string, f Fault) {
+	t.link.SetFor(name, f)
+	if f.Cut {
+		t.each(func(p *pair) {
+			if t.nameOf(p.from) == name {
+				p.reset()
+			}
+		})
+	}
+}
+
 // Silence lets the connections that exist now go silent for good, while new
 // ones work.
 func (t *TCP) Silence() { t.each(func(p *pair) { p.silent.Store(true) }) }
@@ -120,8 +185,8 @@
 }
 
 func (t *TCP) each(f func(*pair)) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
+	t.open.Lock()
+	defer t.open.Unlock()
 	for p := range t.pairs {
 		f(p)
 	}
@@ -141,10 +206,6 @@
 		if err != nil {
 			return
 		}
-		if t.get().Cut {
-			reset(conn)
-			continue
-		}
 		t.wait.Go(func() { t.join(conn) })
 	}
 }
@@ -152,6 +213,7 @@
 // pair is one relayed connection.
 type pair struct {
 	near, far net.Conn
+	from      *sender
 	silent    atomic.Bool
 }
 
@@ -169,16 +231,21 @@
 
 func (t *TCP) join(near net.Conn) {
 	defer near.Close()
+	from := &sender{source: near.RemoteAddr()}
+	if t.get(from).Cut {
+		reset(near)
+		return
+	}
 	far, err := net.DialTimeout("tcp", *t.target.Load(), dialTimeout)
 	if err != nil {
 		reset(near)
 		return
 	}
 	defer far.Close()
-	p := &pair{near: near, far: far}
-	t.mu.Lock()
+	p := &pair{near: near, far: far, from: from}
+	t.open.Lock()
 	t.pairs[p] = struct{}{}
-	t.mu.Unlock()
+	t.open.Unlock()
 	select {
 	case <-t.done:
 		p.reset()
@@ -188,9 +255,9 @@
 	both.Go(func() { t.copy(p, far, near, true) })
 	both.Go(func() { t.copy(p, near, far, false) })
 	both.Wait()
-	t.mu.Lock()
+	t.open.Lock()
 	delete(t.pairs, p)
-	t.mu.Unlock()
+	t.open.Unlock()
 }
 
 // chunk is a part of a stream that leaves the relay at a time.
@@ -209,7 +276,7 @@
 		buf := make([]byte, bufferBytes)
 		n, err := from.Read(buf)
 		if n > 0 {
-			chunks <- chunk{buf[:n], time.Now().Add(t.get().Delay)}
+			chunks <- chunk{buf[:n], time.Now().Add(t.get(p.from).Delay)}
 		}
 		if err != nil {
 			break
@@ -225,7 +292,7 @@
 func (t *TCP) write(p *pair, to net.Conn, chunks <-chan chunk, forward bool) {
 	broken := false
 	for c := range chunks {
-		if !t.pause(time.Until(c.due)) || broken || p.silent.Load() || t.get().swallows(forward) {
+		if !t.pause(time.Until(c.due)) || broken || p.silent.Load() || t.get(p.from).swallows(forward) {
 			t.lost.Add(1)
 			continue
 		}
