--- a/test/experiment/env.go
+++ b/test/experiment/env.go
@@ -125,8 +125,18 @@
 	if c.Targets == nil {
 		c.Targets = e.entries()
 	}
+	var mu sync.Mutex
+	var faults []string
+	c.Each = func(r *load.Result) {
+		if r.Fault != nil {
+			mu.Lock()
+			defer mu.Unlock()
+			faults = append(faults, fmt.Sprintf("%s after %s: %v", r.Outcome, r.Latency().Round(time.Millisecond), r.Fault))
+		}
+	}
 	report, err := load.Run(ctx, c)
 	e.report = report
+	e.explain(faults)
 	return report, err
 }
 
--- a/test/experiment/overload.go
+++ b/test/experiment/overload.go
@@ -16,6 +16,7 @@
 		return err
 	}
 	full := capacity(engineCount)
+	warm := e.generated(ctx)
 	var before, after int
 	begin := at(ctx, 8*time.Second, func() { before = e.generated(ctx) })
 	end := at(ctx, 13*time.Second, func() { after = e.generated(ctx) })
@@ -30,7 +31,7 @@
 	if err != nil {
 		return err
 	}
-	inVain := e.generated(ctx) - tokens*r.Total.Outcomes[load.OutcomeServed]
+	inVain := e.generated(ctx) - warm - tokens*r.Total.Outcomes[load.OutcomeServed]
 	goodput := func(phase string, seconds float64) float64 { return float64(r.Phases[phase].Attained) / seconds }
 	e.figure("capacity", full, "requests/s")
 	e.atLeast("attainment at 0.7x", attainment(r.Phases["0.7x"]), 0.995, "part")
