--- a/kernel/server.go
+++ b/kernel/server.go
@@ -162,7 +162,7 @@
 	if sample.OK {
 		s.smooth(sample.Latency)
 	}
-	sample.Allowance = int(s.allowance.Load())
+	sample.Allowance = int(s.allowance.Load() + s.borrowed.Load())
 	s.mu.Lock()
 	s.limit.Observe(now, sample)
 	s.apply(now)
@@ -191,6 +191,7 @@
 
 // Report takes a load report of the server.
 func (s *serverState) Report(now time.Time, r policy.LoadReport) {
+	r.Boot = policy.BootKey(r.Boot)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	old := s.report.Load()
