--- a/test/experiment/env.go
+++ b/test/experiment/env.go
@@ -95,8 +95,12 @@
 
 // warmUp lets instances learn and servers get warm, before what is measured.
 func (e *env) warmUp(ctx context.Context) error {
+	return e.warmUpWith(ctx, warmUpPart*capacity(engineCount), everyone())
+}
+
+func (e *env) warmUpWith(ctx context.Context, rate float64, mix []load.Share) error {
 	_, err := load.Run(ctx, load.Config{Targets: e.entries(), Seed: e.seed, Phases: []load.Phase{
-		{Name: "warm-up", Rate: warmUpPart * capacity(engineCount), Duration: warmUpTime, Mix: everyone()},
+		{Name: "warm-up", Rate: rate, Duration: warmUpTime, Mix: mix},
 	}})
 	return err
 }
--- a/test/experiment/version.go
+++ b/test/experiment/version.go
@@ -99,12 +99,15 @@
 	if err := e.launch(ctx, laneSpec(lanes)); err != nil {
 		return err
 	}
+	mix, rate := laneMix(lanes)
+	if err := e.warmUpWith(ctx, rate, mix); err != nil {
+		return err
+	}
 	by, err := e.startMoves(ctx, lanes)
 	if err != nil {
 		return err
 	}
 	down := at(ctx, time.Until(by)/2, func() { _ = e.cluster.SetLogFaults(ctx, standin.LogFaults{Down: true}) })
-	mix, rate := laneMix(lanes)
 	r, err := e.drive(ctx, load.Config{Phases: []load.Phase{{Name: "move", Rate: rate, Duration: goodRun, Mix: mix}}})
 	down()
 	if err != nil {
@@ -125,6 +128,8 @@
 	e.figure("share of the new version in the last second of the move", share(calls, by.Add(-time.Second), by), "part")
 	e.atMost("calls of the old version after the set time", float64(late), 0, "calls")
 	e.atLeast("attainment", attainment(r.Total), 0.995, "part")
+	e.figure("attainment in the last half of the move", attainedBetween(r, moveTime/2, moveTime), "part")
+	e.figure("attainment after the set time", attainedBetween(r, moveTime, goodRun), "part")
 	e.whole(r)
 	return nil
 }
@@ -150,11 +155,14 @@
 			}
 		}
 	}
+	mix, rate := laneMix(lanes)
+	if err := e.warmUpWith(ctx, rate, mix); err != nil {
+		return err
+	}
 	if _, err := e.startMoves(ctx, lanes); err != nil {
 		return err
 	}
 	middle := at(ctx, badRun/2, func() { _ = e.cluster.SetLogFaults(ctx, standin.LogFaults{Down: true}) })
-	mix, rate := laneMix(lanes)
 	r, err := e.drive(ctx, load.Config{Phases: []load.Phase{{Name: "move", Rate: rate, Duration: badRun, Mix: mix}}})
 	middle()
 	if err != nil {
