--- a/test/experiment/env.go
+++ b/test/experiment/env.go
@@ -95,8 +95,12 @@
 
 // warmUp lets instances learn and servers get warm, before what is measured.
 func (e *env) warmUp(ctx context.Context) error {
+	return e.warmUpWith(ctx, warmUpPart*capacity(engineCount), everyone())
+}
+
+func (e *env) warmUpWith(ctx context.Context, rate float64, mix []load.Share) error {
 	_, err := load.Run(ctx, load.Config{Targets: e.entries(), Seed: e.seed, Phases: []load.Phase{
-		{Name: "warm-up", Rate: warmUpPart * capacity(engineCount), Duration: warmUpTime, Mix: everyone()},
+		{Name: "warm-up", Rate: rate, Duration: warmUpTime, Mix: mix},
 	}})
 	return err
 }
@@ -125,8 +129,18 @@
 	if c.Targets == nil {
 		c.Targets = e.entries()
 	}
+	var mu sync.Mutex
+	var faults []string
+	c.Each = func(r *load.Result) {
+		if r.Fault != nil {
+			mu.Lock()
+			defer mu.Unlock()
+			faults = append(faults, fmt.Sprintf("%s after %s: %v", r.Outcome, r.Latency().Round(time.Millisecond), r.Fault))
+		}
+	}
 	report, err := load.Run(ctx, c)
 	e.report = report
+	e.explain(faults)
 	return report, err
 }
 
