Let the old version take over a call that failed on the new one

Change: during a move, further calls of a stage use the old version, unless a stream has begun or an earlier stage ran on the new one.

Seen to fail with the mechanism off: kernel/stage_version_test.go.

Conclusion: go test -race ./kernel passes.

--- a/kernel/stage.go
+++ b/kernel/stage.go
@@ -272,7 +272,7 @@
 		return s.fail(ReasonCrashes, "backend servers died while they ran this request")
 	}
 	s.want.tried = append(s.want.tried, server.ID)
-	s.keepVersion(server)
+	s.nextVersion(server)
 	decision := s.host.Decisions.Retry.Decide(time.Now(), s.retryAttempt(attempt, answer, server))
 	if !decision.Retry {
 		s.host.add(retriesRefusedFamily, s.stage.Pool, string(decision.Reason), 1)
@@ -294,14 +294,6 @@
 	}
 }
 
-// keepVersion makes further calls of a stream that has begun use servers of
-// the same version, whose text goes on where the first call ended.
-func (s *stageRun) keepVersion(server *Server) {
-	if s.call.Events != nil && s.call.Events.LastID() != "" {
-		s.want.version = server.Config.Version
-	}
-}
-
 // afterSilence tells a dead connection from a dead server. Only a dead server
 // counts as a failure of the server.
 func (s *stageRun) afterSilence(ctx context.Context, server *Server) {
--- /dev/null
+++ b/kernel/stage_version_test.go
@@ -0,0 +1,97 @@
+package kernel
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/savoryfold/savoryfold/config"
+	"github.com/savoryfold/savoryfold/policy"
+)
+
+const moveTables = `[account alto]
+key_sha256 = 0000000000000000000000000000000000000000000000000000000000000001
+
+[route one]
+stages = a
+a.pool = p
+move.from = v1
+move.to = v2
+move.start = 2026-01-01T00:00:00Z
+move.by = 2026-01-02T00:00:00Z
+
+[route two]
+stages = a, b
+a.pool = p
+b.pool = p
+move.from = v1
+move.to = v2
+move.start = 2026-01-01T00:00:00Z
+move.by = 2026-01-02T00:00:00Z
+
+[pool p]
+versioned = true
+server.s1 = zone=hobart addr=127.0.0.1:1 version=v1
+server.s2 = zone=hobart addr=127.0.0.1:2 version=v2
+`
+
+// allNew sends every request to the new version.
+type allNew struct{}
+
+func (allNew) Pick(_ time.Time, r *config.Route, _ uint64) string  { return r.Move.To }
+func (allNew) Observe(_ time.Time, _, _ string, _ policy.MoveCall) {}
+
+func TestOldVersionTakesOver(t *testing.T) {
+	Convey("Given a move to a version whose calls fail", t, func() {
+		transport := &fakeTransport{}
+		h := serveHost(t, transport)
+		tables, err := config.ParseTables("tables.ini", []byte(moveTables))
+		So(err, ShouldBeNil)
+		tables.Revision = 2
+		So(h.SetTables(tables), ShouldBeTrue)
+		h.Versions = allNew{}
+		versions := func(route string) (OutcomeKind, []string) {
+			result := h.Serve(context.Background(), &Request{Account: "alto", Route: route, Body: []byte("{}")})
+			var used []string
+			for _, c := range transport.calls {
+				used = append(used, c.Server.Version)
+			}
+			return result.Outcome.Kind, used
+		}
+		Convey("another call goes to the old version", func() {
+			transport.answer = func(_ int, c *StageCall) StageAnswer {
+				if c.Server.Version == "v2" {
+					return StageAnswer{Result: CallFailed}
+				}
+				return okAnswer(`1`)
+			}
+			kind, used := versions("one")
+			So(kind, ShouldEqual, Served)
+			So(used, ShouldResemble, []string{"v2", "v1"})
+		})
+		Convey("later stages use the old version too", func() {
+			transport.answer = func(n int, _ *StageCall) StageAnswer {
+				if n == 1 {
+					return StageAnswer{Result: CallFailed}
+				}
+				return okAnswer(`1`)
+			}
+			kind, used := versions("two")
+			So(kind, ShouldEqual, Served)
+			So(used, ShouldResemble, []string{"v2", "v1", "v1"})
+		})
+		Convey("a request with a stage done on the new version stays there", func() {
+			transport.answer = func(n int, _ *StageCall) StageAnswer {
+				if n == 2 {
+					return StageAnswer{Result: CallFailed}
+				}
+				return okAnswer(`1`)
+			}
+			kind, used := versions("two")
+			So(kind, ShouldEqual, Served)
+			So(used, ShouldResemble, []string{"v2", "v2", "v2"})
+		})
+	})
+}
