Give no calls of a version to servers that report another one

Cause: a server whose table entry was changed to the new version before its engine had loaded it served the old version's answers as the new one's, and so could prove a version that nobody had run.

Change: a server gets calls of a version only if its last load report, where it tells one, agrees with the table; a move picks the new version only while a server runs it.

Seen to fail with the mechanism off: kernel/stage_version_test.go.

--- a/kernel/stage_version_test.go
+++ b/kernel/stage_version_test.go
@@ -71,6 +71,18 @@
 			So(kind, ShouldEqual, Served)
 			So(used, ShouldResemble, []string{"v2", "v1"})
 		})
+		Convey("a server that reports another version than the tables gets no calls of that version", func() {
+			transport.answer = func(int, *StageCall) StageAnswer { return okAnswer(`1`) }
+			pool := h.Snapshot().Pool("p")
+			for _, s := range pool.Servers {
+				s.Report(time.Now(), policy.LoadReport{Version: "v1", At: time.Now()})
+			}
+			So(pool.HasServer("v1"), ShouldBeTrue)
+			So(pool.HasServer("v2"), ShouldBeFalse)
+			kind, used := versions("one")
+			So(kind, ShouldEqual, NotRun)
+			So(used, ShouldBeEmpty)
+		})
 		Convey("later stages use the old version too", func() {
 			transport.answer = func(n int, _ *StageCall) StageAnswer {
 				if n == 1 {
--- a/kernel/view.go
+++ b/kernel/view.go
@@ -69,7 +69,7 @@
 	if s.barred.Load() || s.Config.Leaving || v.pool.tables.ZoneOut(s.Config.Zone) {
 		return false
 	}
-	if v.want.version != "" && v.pool.Config.Versioned && s.Config.Version != v.want.version {
+	if v.want.version != "" && v.pool.Config.Versioned && !s.runs(v.want.version) {
 		return false
 	}
 	if s.ejected.Load() > v.now {
--- a/plugins/rollout/move.go
+++ b/plugins/rollout/move.go
@@ -12,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/savoryfold/savoryfold/config"
+	"github.com/savoryfold/savoryfold/kernel"
 	"github.com/savoryfold/savoryfold/policy"
 )
 
@@ -30,8 +31,10 @@
 	move     config.VersionMove
 	traffic  traffic
 	revision atomic.Uint64
-	// newServers and oldServers tell whether every versioned pool of the route
-	// has servers of the version.
+	// newServers tells whether every versioned pool of the route has a server
+	// that runs the new version and gets calls, oldServers whether the tables
+	// name one of the old version. A short fault of all old servers does not
+	// bring all requests to a version that is not proved.
 	newServers, oldServers atomic.Bool
 
 	share  atomic.Uint64 // bits of a float64
@@ -190,7 +193,6 @@
 			m = newMove(route)
 		}
 		m.revision.Store(route.Revision)
-		m.newServers.Store(hasServers(t, route, m.move.To))
 		m.oldServers.Store(hasServers(t, route, m.move.From))
 		next.byRoute[name] = m
 	}
@@ -207,8 +209,22 @@
 	r.refresh(time.Now())
 }
 
-// hasServers reports whether every versioned pool of a route has a server of
-// the version that may get calls.
+// running reports whether every versioned pool of a route has a server that
+// runs the version and may get calls now.
+func running(snap *kernel.Snapshot, route, version string) bool {
+	if snap == nil || snap.Tables.Routes[route] == nil {
+		return false
+	}
+	for _, s := range snap.Tables.Routes[route].Stages {
+		if p := snap.Pool(s.Pool); p.Config.Versioned && !p.HasServer(version) {
+			return false
+		}
+	}
+	return true
+}
+
+// hasServers reports whether the tables name, in every versioned pool of a
+// route, a server of the version that may get calls.
 func hasServers(t *config.Tables, route *config.Route, version string) bool {
 	for _, s := range route.Stages {
 		p := t.Pools[s.Pool]
--- a/plugins/rollout/rollout.go
+++ b/plugins/rollout/rollout.go
@@ -131,9 +131,10 @@
 
 func (r *Rollout) refresh(now time.Time) {
 	r.forgetZones(now)
-	set := r.moves.Load()
+	set, snap := r.moves.Load(), r.host.Snapshot()
 	for _, m := range set.byRoute {
 		m.behind.Store(set.behind(m))
+		m.newServers.Store(running(snap, m.route, m.move.To))
 		r.update(now, m)
 	}
 }
--- a/plugins/rollout/status.go
+++ b/plugins/rollout/status.go
@@ -55,7 +55,7 @@
 	case now.Before(m.move.Start):
 		return "begins at " + m.move.Start.UTC().Format(time.RFC3339)
 	case !m.newServers.Load():
-		return "no server has the new version"
+		return "no server that gets calls runs the new version yet"
 	case m.behind.Load():
 		return "waits for a route with cheaper or repeatable traffic to prove the version"
 	}
