Put the faults that each instance sees together at once

Each instance saw too few calls to judge alone, and digests that change all the time cross availability zones only every 8 s.

Change: a bad call of a new version sends the instance's evidence to the two instances that come first in the move's rendezvous order, which brake for all. Two failures of two calls are enough now, five slow ones of five; a call on a cold server is slow from 3 times the quantile on.

--- a/kernel/rank.go
+++ b/kernel/rank.go
@@ -18,6 +18,20 @@
 	return rankAmong(h.ID(), live, key)
 }
 
+// First returns the first live members in the rendezvous order of a key, at
+// most n. The instance itself is among the members.
+func (h *Host) First(key string, n int) []Member {
+	if h.Membership == nil {
+		return nil
+	}
+	hash := xxhash.Sum64String(key)
+	live := h.Membership.View().Live()
+	slices.SortFunc(live, func(a, b Member) int {
+		return before(newSharer(a.ID, a.Zone), newSharer(b.ID, b.Zone), "", hash)
+	})
+	return live[:min(n, len(live))]
+}
+
 // rankAmong is the rank of an instance in the rendezvous order of a key.
 func rankAmong(self string, live []sharer, key string) int {
 	r := roster{list: live}
--- a/plugins/rollout/digest.go
+++ b/plugins/rollout/digest.go
@@ -147,18 +147,27 @@
 	r.mu.Lock()
 	r.zones[from.ID] = zoneCalls{at: at, calls: d.Zones}
 	r.mu.Unlock()
-	said := make(map[uint64]moveDigest, len(d.Moves))
 	for _, md := range d.Moves {
-		said[md.ID] = md
+		r.hearMove(from.ID, at, md)
 	}
+}
+
+// hearMove takes another instance's evidence on one move. It returns the move,
+// or nil if the tables here do not have it.
+func (r *Rollout) hearMove(from string, at time.Time, md moveDigest) *move {
 	for _, m := range r.moves.Load().byRoute {
-		if md, ok := said[m.id]; ok {
-			m.mu.Lock()
-			m.step = max(m.step, md.Evidence.Step)
-			m.heard[from.ID] = heard{at: at, evidence: md.Evidence}
-			m.mu.Unlock()
+		if m.id != md.ID {
+			continue
+		}
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		m.step = max(m.step, md.Evidence.Step)
+		if at.After(m.heard[from].at) {
+			m.heard[from] = heard{at: at, evidence: md.Evidence}
 		}
+		return m
 	}
+	return nil
 }
 
 // hearBrakes takes over what another instance has taken back, at once.
--- a/plugins/rollout/rollout.go
+++ b/plugins/rollout/rollout.go
@@ -48,6 +48,7 @@
 	logger   *slog.Logger
 	started  time.Time
 	informed atomic.Bool // true once the log or another instance was heard
+	alerts   chan *move  // moves whose new version had a bad call here
 	moves    atomic.Pointer[moveSet]
 	stop     context.CancelFunc
 	routines sync.WaitGroup
@@ -77,10 +78,14 @@
 	r.events = make(map[uint64]event)
 	r.zones = make(map[string]zoneCalls)
 	r.moves.Store(&moveSet{})
+	r.alerts = make(chan *move, maxAlerts)
 	h.OnTables(r.onTables)
 	if h.Digests != nil {
 		r.register(h.Digests)
 	}
+	if h.Peers != nil {
+		h.Peers.Handle(alertMethod, r.hearAlert)
+	}
 	return nil
 }
 
@@ -101,6 +106,9 @@
 	ctx, r.stop = context.WithCancel(ctx)
 	r.started = time.Now()
 	r.routines.Go(func() { r.run(ctx) })
+	if r.host.Peers != nil {
+		r.routines.Go(func() { r.sendAlerts(ctx) })
+	}
 	if r.host.Log != nil {
 		r.routines.Go(func() { r.follow(ctx) })
 		r.routines.Go(func() { r.record(ctx) })
@@ -196,10 +204,13 @@
 	call.New = version == m.move.To
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.tracker.Observe(now, call)
+	bad := m.tracker.Observe(now, call)
 	if !call.New || m.braked.Load() {
 		return
 	}
+	if bad {
+		r.alert(m)
+	}
 	if reason, fault := r.host.Decisions.Rollout.Brake(now, m.spec(), m.evidence(now)); fault {
 		r.brake(m, now, string(reason))
 	}
--- a/plugins/rollout/rollout_test.go
+++ b/plugins/rollout/rollout_test.go
@@ -188,6 +188,17 @@
 				f.eventually("share", func() bool { return picksNew(a) })
 			})
 		})
+		Convey("a fault that each instance sees only once is put together by an alert", func() {
+			f.eventually("share", func() bool { return picksNew(a) && picksNew(b) })
+			a.observe("answer", "v2", 1, false)
+			b.observe("answer", "v2", 1, false)
+			So(picksNew(a) && picksNew(b), ShouldBeTrue)
+			m := b.moves.Load().byRoute["answer"]
+			alert := encodeDigest(digest{Moves: []moveDigest{{ID: m.id, Evidence: m.own(time.Now())}}})
+			_, err := a.hearAlert(context.Background(), "b", alert)
+			So(err, ShouldBeNil)
+			So(picksNew(a), ShouldBeFalse)
+		})
 		Convey("a version without servers gets no requests, and a zone taken out is listed", func() {
 			f.eventually("share", func() bool { return picksNew(a) })
 			out := movingTables(t, 6, start, "")
--- a/policy/rollout_evidence.go
+++ b/policy/rollout_evidence.go
@@ -15,7 +15,7 @@
 const (
 	slowQuantile = 0.95
 	slowFactor   = 1.5
-	coldFactor   = 4 // for calls on cold servers
+	coldFactor   = 3 // for calls on cold servers
 	// quantileStep is the relative change of the estimate for one call.
 	quantileStep = 0.05
 	// quantileCalls is the number of calls before the estimate is used.
@@ -49,8 +49,8 @@
 	counts [2]VersionEvidence
 }
 
-// Observe takes a finished call.
-func (t *MoveTracker) Observe(now time.Time, c MoveCall) {
+// Observe takes a finished call. It reports whether the call failed or was slow.
+func (t *MoveTracker) Observe(now time.Time, c MoveCall) bool {
 	loaded := c.Load > loadedPart
 	q := t.reference(loaded)
 	factor := slowFactor
@@ -76,6 +76,7 @@
 	t.total[index] = t.total[index].Plus(one)
 	slot := t.slot(now)
 	slot.counts[index] = slot.counts[index].Plus(one)
+	return one.Failures+one.Slow > 0
 }
 
 // own is the old version's quantile at a load.
--- a/policy/rollout_standard.go
+++ b/policy/rollout_standard.go
@@ -48,10 +48,10 @@
 // Bounds of the test for a fault.
 const (
 	// faultEvidence is the log-likelihood ratio at which a difference from the
-	// old version counts as a fault: about 1 in 3,000 by chance.
-	faultEvidence = 8
-	minFailures   = 3
-	minSlow       = 8
+	// old version counts as a fault: about 1 in 1,000 by chance.
+	faultEvidence = 7
+	minFailures   = 2
+	minSlow       = 5
 	// enoughCalls of the old version give its own rate.
 	enoughCalls = 20
 )
