Count a silent call as slow for its version

Change: a silent call counts as slow, with the time of its silence, for the version; slow and failed calls no longer prove one.

--- a/kernel/stage.go
+++ b/kernel/stage.go
@@ -240,16 +240,17 @@
 		server.Report(now, *answer.Load)
 	}
 	switch answer.Result {
-	case CallCancelled, CallRejected, CallSilent:
-		return // silence is judged once the server was tried on a new connection
+	case CallCancelled, CallRejected:
+		return
+	case CallSilent:
+		// The server is judged once it was tried on a new connection. For its
+		// version the call was at least as slow as it was silent.
+		sample.OK = true
+		s.teachVersion(now, server, sample)
+		return
 	}
 	server.observe(now, sample)
-	if v := s.host.Versions; v != nil && s.pool.Config.Versioned {
-		v.Observe(now, s.route.Name, server.Config.Version, policy.MoveCall{
-			OK: sample.OK, Latency: sample.Latency, Cold: server.cold.Load(),
-			Load: float64(sample.InFlight) / float64(max(1, server.allowance.Load())),
-		})
-	}
+	s.teachVersion(now, server, sample)
 	if g := s.host.CrashGuard; g != nil && answer.Result == CallBroken {
 		g.Broken(now, s.fingerprint, server.ID)
 	}
--- a/kernel/stage_version.go
+++ b/kernel/stage_version.go
@@ -1,6 +1,24 @@
 package kernel
 
-import "github.com/savoryfold/savoryfold/config"
+import (
+	"time"
+
+	"github.com/savoryfold/savoryfold/config"
+	"github.com/savoryfold/savoryfold/policy"
+)
+
+// teachVersion tells the module of versions what a call showed of its server's
+// version.
+func (s *stageRun) teachVersion(now time.Time, server *Server, sample policy.CallSample) {
+	v := s.host.Versions
+	if v == nil || !s.pool.Config.Versioned {
+		return
+	}
+	v.Observe(now, s.route.Name, server.Config.Version, policy.MoveCall{
+		OK: sample.OK, Latency: sample.Latency, Cold: server.cold.Load(),
+		Load: float64(sample.InFlight) / float64(max(1, server.allowance.Load())),
+	})
+}
 
 // nextVersion chooses the version for further calls of the stage after one that
 // failed on the server. A stream that has begun stays with its version, whose
--- a/kernel/stage_version_test.go
+++ b/kernel/stage_version_test.go
@@ -37,11 +37,11 @@
 server.s2 = zone=hobart addr=127.0.0.1:2 version=v2
 `
 
-// allNew sends every request to the new version.
-type allNew struct{}
+// allNew sends every request to the new version and counts what it is told.
+type allNew struct{ told *int }
 
-func (allNew) Pick(_ time.Time, r *config.Route, _ uint64) string  { return r.Move.To }
-func (allNew) Observe(_ time.Time, _, _ string, _ policy.MoveCall) {}
+func (allNew) Pick(_ time.Time, r *config.Route, _ uint64) string    { return r.Move.To }
+func (a allNew) Observe(_ time.Time, _, _ string, _ policy.MoveCall) { *a.told++ }
 
 func TestOldVersionTakesOver(t *testing.T) {
 	Convey("Given a move to a version whose calls fail", t, func() {
@@ -51,7 +51,8 @@
 		So(err, ShouldBeNil)
 		tables.Revision = 2
 		So(h.SetTables(tables), ShouldBeTrue)
-		h.Versions = allNew{}
+		told := 0
+		h.Versions = allNew{&told}
 		versions := func(route string) (OutcomeKind, []string) {
 			result := h.Serve(context.Background(), &Request{Account: "alto", Route: route, Body: []byte("{}")})
 			var used []string
@@ -83,6 +84,18 @@
 			So(kind, ShouldEqual, NotRun)
 			So(used, ShouldBeEmpty)
 		})
+		Convey("a call that stays silent shows that its version is slow", func() {
+			transport.renewed = true
+			transport.answer = func(n int, _ *StageCall) StageAnswer {
+				if n == 1 {
+					return StageAnswer{Result: CallSilent}
+				}
+				return okAnswer(`1`)
+			}
+			kind, _ := versions("one")
+			So(kind, ShouldEqual, Served)
+			So(told, ShouldEqual, 2)
+		})
 		Convey("later stages use the old version too", func() {
 			transport.answer = func(n int, _ *StageCall) StageAnswer {
 				if n == 1 {
--- a/policy/rollout_standard.go
+++ b/policy/rollout_standard.go
@@ -105,9 +105,10 @@
 	if e.Braked || rate(e.New.Failures, e.New.Calls) > rate(e.Old.Failures, e.Old.Calls)+failureTolerance {
 		return 0
 	}
+	good := e.New.Calls - e.New.Failures - e.New.Slow
 	proved := 0
 	for i, step := range rolloutSteps {
-		if e.New.Calls >= step.calls {
+		if good >= step.calls {
 			proved = i
 		}
 	}
