Judge a new version by its last seconds as well

Cause: a fault that begins late is thinned by the good calls of the last 20 s.

Change: a third span of 4 s. Another instance's last seconds count for 3 s.

Seen to fail with the mechanism off: policy/rollout_test.go (slow later).

--- a/plugins/rollout/move.go
+++ b/plugins/rollout/move.go
@@ -18,6 +18,9 @@
 
 // Ages of what other instances said.
 const (
+	// lastAge is the age from which the evidence of their last seconds is left
+	// out.
+	lastAge = 3 * time.Second
 	// recentAge is the age from which their recent evidence is left out.
 	recentAge = 10 * time.Second
 	// totalAge is the age from which all their evidence is left out.
@@ -125,6 +128,9 @@
 			delete(m.heard, id)
 			continue
 		}
+		if age > lastAge {
+			h.evidence.LastOld, h.evidence.LastNew = policy.VersionEvidence{}, policy.VersionEvidence{}
+		}
 		if age > recentAge {
 			h.evidence.RecentOld, h.evidence.RecentNew = policy.VersionEvidence{}, policy.VersionEvidence{}
 		}
--- a/policy/rollout.go
+++ b/policy/rollout.go
@@ -56,6 +56,10 @@
 	// RecentOld and RecentNew count the last seconds.
 	RecentOld VersionEvidence `cbor:"3,keyasint" json:"recent_old"`
 	RecentNew VersionEvidence `cbor:"4,keyasint" json:"recent_new"`
+	// LastOld and LastNew count the last few of these seconds, which show a
+	// fault that has just begun.
+	LastOld VersionEvidence `cbor:"7,keyasint" json:"last_old"`
+	LastNew VersionEvidence `cbor:"8,keyasint" json:"last_new"`
 	// Step is the furthest step that any instance found proved.
 	Step int `cbor:"5,keyasint,omitempty" json:"step"`
 	// Braked is true once any instance has seen the new version's fault.
@@ -67,6 +71,7 @@
 	return MoveEvidence{
 		Old: e.Old.Plus(o.Old), New: e.New.Plus(o.New),
 		RecentOld: e.RecentOld.Plus(o.RecentOld), RecentNew: e.RecentNew.Plus(o.RecentNew),
+		LastOld: e.LastOld.Plus(o.LastOld), LastNew: e.LastNew.Plus(o.LastNew),
 		Step: max(e.Step, o.Step), Braked: e.Braked || o.Braked,
 	}
 }
--- a/policy/rollout_evidence.go
+++ b/policy/rollout_evidence.go
@@ -2,10 +2,11 @@
 
 import "time"
 
-// The span that counts as recent.
+// The spans that count as recent and as last.
 const (
 	evidenceBucket  = 2 * time.Second
 	evidenceBuckets = 10
+	lastBuckets     = 2
 )
 
 // loadedPart is the part of a server's limit above which it is under load.
@@ -115,6 +116,10 @@
 		if slot.number > newest-evidenceBuckets && slot.number <= newest {
 			e.RecentOld = e.RecentOld.Plus(slot.counts[0])
 			e.RecentNew = e.RecentNew.Plus(slot.counts[1])
+			if slot.number > newest-lastBuckets {
+				e.LastOld = e.LastOld.Plus(slot.counts[0])
+				e.LastNew = e.LastNew.Plus(slot.counts[1])
+			}
 		}
 	}
 	return e
--- a/policy/rollout_standard.go
+++ b/policy/rollout_standard.go
@@ -121,7 +121,7 @@
 	if m.progress(now) > 2 {
 		return "", false
 	}
-	for _, pair := range [...]struct{ old, new VersionEvidence }{{e.RecentOld, e.RecentNew}, {e.Old, e.New}} {
+	for _, pair := range [...]struct{ old, new VersionEvidence }{{e.LastOld, e.LastNew}, {e.RecentOld, e.RecentNew}, {e.Old, e.New}} {
 		if reason, ok := compare(e.Old, pair.old, pair.new); ok {
 			return reason, true
 		}
--- a/policy/rollout_test.go
+++ b/policy/rollout_test.go
@@ -62,6 +62,12 @@
 		}
 		return failing(c, 0.33, r)
 	}},
+	{name: "slow later, all calls", sudden: true, shows: 0.6, call: func(c simCall, p float64, _ *rand.Rand) simCall {
+		if p >= 0.6 {
+			c.Latency *= 3
+		}
+		return c
+	}},
 	{name: "three times as slow", call: func(c simCall, _ float64, _ *rand.Rand) simCall {
 		c.Latency *= 3
 		return c
