--- a/kernel/stage_version.go
+++ b/kernel/stage_version.go
@@ -22,15 +22,16 @@
 
 // nextVersion chooses the version for further calls of the stage after one that
 // failed on the server. A stream that has begun stays with its version, whose
-// text goes on where the first call ended. During a version move the old
-// version takes over from the new one, so that callers do not see its faults.
+// text goes on where the first call ended. Until the set time of a version move
+// the old version takes over from the new one, so that callers do not see its
+// faults.
 func (s *stageRun) nextVersion(server *Server) {
 	if s.call.Events != nil && s.call.Events.LastID() != "" {
 		s.want.version = server.Config.Version
 		return
 	}
 	m := s.route.Move
-	if m == nil || s.want.version != m.To || s.ranVersioned() || !s.pool.hasServer(m.From) {
+	if m == nil || !time.Now().Before(m.By) || s.want.version != m.To || s.ranVersioned() || !s.pool.hasServer(m.From) {
 		return
 	}
 	s.want.version = m.From
