Keep the cost of membership flat as zones and instances are added

Cause: a measurement with 340 instances of 11 zones (in one process, no sockets) needed 14.7 KB/s an instance both ways with the digests starved by news of the join, up to 26.9 KB/s at the busiest, and with 120 instances some saw whole zones as suspect.

Change: two heartbeats a round in place of six; a summary tells with one byte for each member how lately it was heard, so that evidence spreads from one to the next; the zone with the newest news goes first; delegates are assigned so that no member speaks to many more zones than another; records of a table answer no want as news; digests that change seldom are urgent and go out at once, others cross zones the less often the more there are. The header no longer repeats the sender and its boot, so the test that it matches the record became one that a sender cannot carry a verdict.

Ruled out: one summary turn for each receiver, which left whole zones without news for 10 s at 120 instances; rendezvous without a bound, which gave one instance five of its zone's roles.

--- a/peer/datagram.go
+++ b/peer/datagram.go
@@ -30,14 +30,13 @@
 	ErrDatagramSize   = errors.New("datagram is larger than 1200 bytes")
 )
 
-// Header identifies a datagram.
+// Header identifies a datagram, besides the sender's record in its message.
 type Header struct {
 	_        struct{} `cbor:",toarray"`
-	Sender   string
-	Boot     uint64
 	Sequence uint64
-	SentMS   int64
-	Kind     policy.MemberSendKind
+	// SentAt is the sender's time in Unix seconds.
+	SentAt int64
+	Kind   policy.MemberSendKind
 }
 
 // Datagram is what one instance sends to another over UDP.
@@ -126,7 +125,7 @@
 // valid checks what the decoder cannot.
 func (d *Datagram) valid() bool {
 	self := &d.Message.Self
-	if d.Header.Sender != self.ID || d.Header.Boot != self.Boot || self.Verdict != 0 || d.Header.Kind >= policy.SendKinds {
+	if self.Verdict != 0 || d.Header.Kind >= policy.SendKinds {
 		return false
 	}
 	if !validRecord(self) {
--- a/peer/packer.go
+++ b/peer/packer.go
@@ -7,7 +7,7 @@
 	// baseSize covers the prefix, the header and the own record.
 	baseSize     = prefixSize + 200 + 4*MaxName
 	recordSize   = 60
-	summarySize  = 40
+	summarySize  = 44
 	digestSlack  = 24
 	packLimit    = MaxDatagram - 16
 	smallestRoom = 64
@@ -53,7 +53,7 @@
 		n += sizeOfRecord(&m.Records[i])
 	}
 	for _, z := range m.Zones {
-		n += summarySize + len(z.Zone)
+		n += summarySize + len(z.Zone) + len(z.Ages)
 	}
 	for _, w := range m.Wants {
 		n += 2 + len(w)
--- a/peer/replay.go
+++ b/peer/replay.go
@@ -25,20 +25,21 @@
 }
 
 // Accept reports whether the datagram is a new one, and notes it.
-func (g *ReplayGuard) Accept(now time.Time, h Header) bool {
-	skew := now.Sub(time.UnixMilli(h.SentMS))
+func (g *ReplayGuard) Accept(now time.Time, d *Datagram) bool {
+	sender, boot := d.Message.Self.ID, d.Message.Self.Boot
+	skew := now.Sub(time.Unix(d.Header.SentAt, 0))
 	if skew > g.MaxSkew || skew < -g.MaxSkew {
 		return false
 	}
 	if g.senders == nil {
 		g.senders = make(map[string]*replaySender)
 	}
-	s := g.senders[h.Sender]
-	if s == nil || h.Boot > s.boot {
-		s = &replaySender{boot: h.Boot}
-		g.senders[h.Sender] = s
+	s := g.senders[sender]
+	if s == nil || boot > s.boot {
+		s = &replaySender{boot: boot}
+		g.senders[sender] = s
 	}
-	return h.Boot == s.boot && s.accept(h.Sequence)
+	return boot == s.boot && s.accept(d.Header.Sequence)
 }
 
 func (s *replaySender) accept(n uint64) bool {
--- a/plugins/membership/digests.go
+++ b/plugins/membership/digests.go
@@ -77,9 +77,13 @@
 			continue
 		}
 		g.count.digestReceived(digest.Kind, len(digest.Payload))
-		if !g.digests.Receive(now, digest, d.Message.Self.Zone, home) {
+		fresh, urgent := g.digests.Receive(now, digest, d.Message.Self.Zone, home)
+		if !fresh {
 			continue
 		}
+		if urgent {
+			g.table.Hurry()
+		}
 		news = append(news, delivery{
 			sinks: slices.Clone(g.sinks[digest.Kind]), from: g.memberByID(digest.Origin),
 			age: g.digests.Age(now, digest.Origin, digest.Kind), payload: digest.Payload,
--- a/plugins/membership/gossip.go
+++ b/plugins/membership/gossip.go
@@ -20,7 +20,7 @@
 // The times and sizes that no setting changes.
 const (
 	forgetAfter    = time.Hour
-	fanout         = 6
+	fanout         = 2
 	maxSkew        = 30 * time.Second
 	inboxSize      = 1024
 	keepInterval   = 30 * time.Second
@@ -257,7 +257,9 @@
 	said := g.ask()
 	g.mu.Lock()
 	for kind, payload := range said {
-		g.digests.Publish(now, kind, payload)
+		if g.digests.Publish(now, kind, payload) {
+			g.table.Hurry()
+		}
 	}
 	g.announce()
 	start := time.Now()
@@ -284,7 +286,7 @@
 	now := time.Now()
 	d := a.datagram
 	g.mu.Lock()
-	if !g.guard.Accept(now, d.Header) {
+	if !g.guard.Accept(now, d) {
 		g.mu.Unlock()
 		g.count.refused("replayed")
 		return
--- a/plugins/membership/socket.go
+++ b/plugins/membership/socket.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
-	"github.com/panjf2000/gnet/v2/pkg/logging"
 	"github.com/pkg/errors"
 )
 
@@ -31,9 +30,11 @@
 // openSocket listens on a UDP address. The function receive gets each datagram
 // and must not keep the bytes.
 func openSocket(address string, receive func(raw []byte)) (*socket, error) {
+	gnetStart.Lock()
+	defer gnetStart.Unlock()
 	s := &socket{receive: receive, booted: make(chan struct{}), ended: make(chan error, 1)}
 	go func() {
-		s.ended <- gnet.Run(s, "udp://"+address, gnet.WithNumEventLoop(1), gnet.WithLogLevel(logging.ErrorLevel))
+		s.ended <- gnet.Run(s, "udp://"+address, gnet.WithNumEventLoop(1), gnet.WithLogger(gnetLogger{}))
 	}()
 	select {
 	case <-s.booted:
--- a/plugins/membership/wire.go
+++ b/plugins/membership/wire.go
@@ -51,9 +51,7 @@
 
 func (g *Gossip) encode(now time.Time, kind policy.MemberSendKind, d *peer.Datagram, s peer.Secrets) ([]byte, error) {
 	g.sequence++
-	d.Header = peer.Header{
-		Sender: d.Message.Self.ID, Boot: d.Message.Self.Boot, Sequence: g.sequence, SentMS: now.UnixMilli(), Kind: kind,
-	}
+	d.Header = peer.Header{Sequence: g.sequence, SentAt: now.Unix(), Kind: kind}
 	return d.Encode(s)
 }
 
--- a/policy/member.go
+++ b/policy/member.go
@@ -14,7 +14,7 @@
 	Interval time.Duration
 	// SuspectAfter and GoneAfter are the silences after which a member of the
 	// own zone is suspect and gone. In large zones both are stretched to the
-	// time that heartbeats take to come round.
+	// time that news take to spread.
 	SuspectAfter time.Duration
 	GoneAfter    time.Duration
 	// ForgetAfter is how long a member that is gone is remembered.
@@ -28,20 +28,22 @@
 
 // Bounds of one message and of how often things are said.
 const (
-	recordsPerMessage   = 6
-	bridgeRounds        = 2 // rounds between two messages to another zone
-	probeRounds         = 4 // rounds between two probes
-	hotCopies           = 3 // times the logarithm of the zone's size
-	missedHeartbeats    = 3 // heartbeats in a row whose loss makes a suspect
-	remoteSlack         = 2 // stretches the silences of other zones' members
-	lapseFactor         = 3 // silences of a suspect after which a member of a zone in touch lapses
-	maxMembers          = 4096
-	maxZones            = 256
-	wantInterval        = time.Second
-	tellInterval        = 500 * time.Millisecond
-	pauseRounds         = 4   // a longer gap between ticks is a pause of the process
-	lostZoneEpochRounds = 16  // rounds after which other members of a lost zone are tried
-	maxRecordAge        = 1e9 // milliseconds
+	recordsPerMessage = 6
+	bridgeRounds      = 4 // rounds between two messages to another zone
+	probeRounds       = 4 // rounds between two probes
+	hotCopies         = 2 // of each news, and more with the logarithm of the zone's size
+	missedCycles      = 3 // cycles of heartbeats without news that make a suspect
+	missedSpreads     = 2 // times in which news spread, likewise, in large zones
+	spreadRounds      = 3 // rounds in which news spread, and more with the logarithm of the zone's size
+	remoteSlack       = 2 // stretches the silences of other zones' members
+	lapseFactor       = 3 // silences of a suspect after which a member of a zone in touch lapses
+	maxMembers        = 4096
+	maxZones          = 256
+	wantInterval      = time.Second
+	tellInterval      = 500 * time.Millisecond
+	pauseRounds       = 4   // a longer gap between ticks is a pause of the process
+	lostZoneRounds    = 16  // rounds after which other members of a lost zone are tried
+	maxRecordAge      = 1e9 // milliseconds
 )
 
 // MemberTable is the state machine of membership at one instance. Its inputs
@@ -51,11 +53,11 @@
 //   - The instance is never suspect or gone in its own table: a verdict on it
 //     is refuted with a higher incarnation.
 //   - A record with a lower boot or incarnation never replaces a higher one.
-//   - A verdict is passed only by members of the same availability zone, which
-//     hear the member directly; members of other zones merely lose touch with
-//     the whole zone, and find it again with the first summary that matches.
-//   - A member heard directly within SuspectAfter is not judged by hearsay; it
-//     is told of the verdict instead, and refutes it.
+//   - A verdict is passed only by members of the same availability zone; members
+//     of other zones merely lose touch with the zone, and find it again with the
+//     first summary that matches.
+//   - A member of which there was news within SuspectAfter is not judged by
+//     hearsay; it is told of the verdict instead, and refutes it.
 //
 // It is not safe for concurrent use.
 type MemberTable struct {
@@ -89,16 +91,18 @@
 	told   time.Time
 	shown  MemberStatus // status at the last sweep
 	hot    int          // copies still to send
-	turn   int          // counts the summaries sent to the member
 }
 
 type memberZone struct {
 	members []*memberEntry // sorted by ID
-	vouched time.Time
 	wanted  time.Time
+	told    time.Time // when the newest news was heard that was passed on
 	rotate  int
 }
 
+// Hurry has the next round tell the whole zone.
+func (t *MemberTable) Hurry() { t.urgent = true }
+
 // NewMemberTable makes a table that knows the instance only.
 func NewMemberTable(self MemberRecord, c MemberConfig, now time.Time) *MemberTable {
 	self.Incarnation = max(self.Incarnation, 1)
@@ -144,9 +148,14 @@
 func (t *MemberTable) Receive(now time.Time, m *MemberMessage) []MemberSend {
 	var out []MemberSend
 	out = t.merge(out, now, &m.Self, true)
+	hot := len(t.hot)
 	for i := range m.Records {
 		out = t.merge(out, now, &m.Records[i], false)
 	}
+	if len(m.Records) > recordsPerMessage {
+		// A table answers a want; its records are no news to others.
+		t.cool(hot)
+	}
 	for i := range m.Zones {
 		out = t.compareZone(out, now, &m.Self, &m.Zones[i])
 	}
@@ -241,24 +250,27 @@
 	if r.Verdict != 0 {
 		return out
 	}
-	t.touch(e, now.Add(-r.age()))
-	switch {
-	case e.verdict == MemberGone && (direct || now.Sub(e.heard) <= t.suspectAfter()):
+	t.touch(e, now, now.Add(-r.age()))
+	if e.verdict == MemberGone && (direct || now.Sub(e.heard) <= t.suspectAfter()) {
 		return t.tell(out, e, now, MemberGone)
-	case e.verdict == MemberSuspect && (direct || now.Sub(e.heard) <= t.suspectAfter()/2):
-		e.verdict = 0
-		t.version++
 	}
 	return out
 }
 
-// touch notes that a member was alive at a time.
-func (t *MemberTable) touch(e *memberEntry, at time.Time) {
+// touch notes that a member was alive at a time. Fresh news end a suspicion.
+func (t *MemberTable) touch(e *memberEntry, now, at time.Time) {
 	if !at.After(e.heard) {
 		return
 	}
 	e.heard = at
+	if now.Sub(at) > t.suspectAfter()/2 {
+		return
+	}
 	e.lapsed = false
+	if e.verdict == MemberSuspect {
+		e.verdict = 0
+		t.version++
+	}
 }
 
 // judge passes or takes over a verdict and spreads it.
--- /dev/null
+++ b/policy/memberbridge.go
@@ -0,0 +1,107 @@
+package policy
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// bridges writes to the delegates of every other zone for which the instance
+// is a delegate of its own.
+func (t *MemberTable) bridges(out []MemberSend, now time.Time) []MemberSend {
+	own := t.delegates(t.self.Zone, now)
+	for _, zone := range t.peopled() {
+		rank := slices.Index(own[zone], t.self.ID)
+		if zone == t.self.Zone || rank < 0 {
+			continue
+		}
+		for _, e := range t.targets(zone, now) {
+			m := &MemberMessage{Self: t.self, Records: t.bridgeRecords(now), Zones: []ZoneSummary{t.summary(t.self.Zone, now)}}
+			s := e.send(SendBridge, m)
+			s.Rank = rank
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// targets returns the members that speak for another zone to the own one. Of a
+// zone out of touch it tries all members in turn.
+func (t *MemberTable) targets(zone string, now time.Time) []*memberEntry {
+	var out []*memberEntry
+	for _, id := range t.delegates(zone, now)[t.self.Zone] {
+		out = append(out, t.entries[id])
+	}
+	if len(out) > 0 {
+		return out
+	}
+	members := t.zones[zone].members
+	first := int(t.round/lostZoneRounds) % len(members)
+	for i := range min(len(members), t.config.Delegates) {
+		out = append(out, members[(first+i)%len(members)])
+	}
+	return out
+}
+
+// peopled returns the names of the zones that have members, in order.
+func (t *MemberTable) peopled() []string {
+	return slices.DeleteFunc(t.zoneNames(), func(name string) bool {
+		return name != t.self.Zone && len(t.zones[name].members) == 0
+	})
+}
+
+// delegates assigns members of a zone to every other zone by rendezvous, so
+// that no member speaks to many more zones than another. Two instances with
+// the same view find the same delegates.
+func (t *MemberTable) delegates(zone string, now time.Time) map[string][]string {
+	ids := t.reachableIDs(zone, now)
+	if len(ids) == 0 {
+		return nil
+	}
+	others := t.peopled()
+	share := (t.config.Delegates*(len(others)-1) + len(ids) - 1) / len(ids)
+	roles := make(map[string]int, len(ids))
+	out := make(map[string][]string, len(others))
+	for _, other := range others {
+		if other == zone {
+			continue
+		}
+		out[other] = t.assign(ids, zone, other, roles, share)
+	}
+	return out
+}
+
+// assign chooses the delegates of one zone to another among those who have
+// fewer roles than their share.
+func (t *MemberTable) assign(ids []string, zone, other string, roles map[string]int, share int) []string {
+	weights := make(map[string]uint64, len(ids))
+	var free []string
+	for _, id := range ids {
+		if roles[id] < share {
+			free = append(free, id)
+			weights[id] = xxhash.Sum64String(id + "\x00" + zone + "\x00" + other)
+		}
+	}
+	slices.SortFunc(free, func(a, b string) int { return order(weights[b], weights[a]) })
+	free = free[:min(len(free), t.config.Delegates)]
+	for _, id := range free {
+		roles[id]++
+	}
+	return free
+}
+
+// reachableIDs returns the members of a zone that are neither suspect nor gone.
+func (t *MemberTable) reachableIDs(zone string, now time.Time) []string {
+	var ids []string
+	if zone == t.self.Zone {
+		ids = append(ids, t.self.ID)
+	}
+	for _, e := range t.zones[zone].members {
+		if s := t.status(e, now); s != MemberGone && s != MemberSuspect {
+			ids = append(ids, e.record.ID)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
--- a/policy/memberdigest.go
+++ b/policy/memberdigest.go
@@ -13,28 +13,36 @@
 	// Version grows with every change, also over starts of the origin.
 	Version uint64
 	// AgeMS is how long ago the origin said it.
-	AgeMS   uint32
+	AgeMS uint32
+	// Urgent is true if the digest changes seldom.
+	Urgent  bool
 	Payload []byte
 }
 
 // Times of the spread of digests.
 const (
-	digestRepeat        = time.Second      // after which a change is sent a second time
-	digestCopies        = 2                // copies of each change to each receiver
-	digestRefresh       = 5 * time.Second  // between copies of an unchanged digest, within the zone
-	digestRemoteGap     = 8 * time.Second  // between changes of one digest, to another zone
-	digestRemoteRefresh = 60 * time.Second // between copies of an unchanged digest, to and from other zones
-	digestBackupFactor  = 3                // stretches the gap at delegates after the first
-	digestOverhead      = 16               // bytes of a digest besides its texts
+	digestCalm          = 5 * time.Second        // between changes of a digest that is urgent
+	digestRepeat        = time.Second            // after which a change is sent a second time
+	digestCopies        = 2                      // copies of each change to each receiver
+	digestRefresh       = 10 * time.Second       // between copies of an unchanged digest, within the zone
+	digestRemoteRefresh = 60 * time.Second       // between copies of an unchanged digest, to and from other zones
+	digestRemoteGap     = 2 * time.Second        // between changes of one digest, to another zone
+	digestRemotePace    = 200 * time.Millisecond // stretches that gap, for each digest known
+	digestBackupFactor  = 3                      // stretches it at delegates after the first
+	digestOverhead      = 16                     // bytes of a digest besides its texts
 	maxDigests          = 16384
+	// paceWeight is the weight of the last change in the smoothed time between
+	// changes: 1/4.
+	paceWeight = 4
 )
 
 // DigestTable holds the newest digest of each origin and kind and decides which
 // to send to whom. An instance tells its own zone of its own digests; the
 // delegates of a zone carry the zone's digests to other zones; the instance
 // that gets one from another zone first passes it on within its own. A digest
-// that changes seldom goes out at once; one that changes all the time crosses
-// zones only every few seconds.
+// that changes seldom is urgent and goes out at once; one that changes all the
+// time crosses zones the less often the more digests there are, so that the
+// cost to an instance stays flat.
 //
 // It is not safe for concurrent use.
 type DigestTable struct {
@@ -49,6 +57,7 @@
 type digestEntry struct {
 	digest Digest
 	born   time.Time
+	pace   time.Duration // smoothed time between changes, of own digests
 	zone   string
 	// relay is true for a digest of another zone that came straight from there.
 	relay bool
@@ -74,32 +83,39 @@
 	return &DigestTable{self: self, zone: zone, entries: make(map[digestKey]*digestEntry)}
 }
 
-// Publish sets a digest of the instance itself.
-func (t *DigestTable) Publish(now time.Time, kind string, payload []byte) {
+// Publish sets a digest of the instance itself. It reports whether the digest
+// is a new and urgent one.
+func (t *DigestTable) Publish(now time.Time, kind string, payload []byte) bool {
 	key := digestKey{t.self, kind}
 	e := t.entries[key]
 	if e != nil && bytes.Equal(e.digest.Payload, payload) {
-		return
+		return false
 	}
 	if e == nil {
 		e = t.add(key, t.zone)
+		e.pace = paceWeight * digestCalm
+	} else {
+		e.pace += (now.Sub(e.born) - e.pace) / paceWeight
 	}
 	version := max(e.digest.Version+1, uint64(now.UnixMilli()))
-	e.digest = Digest{Origin: t.self, Kind: kind, Version: version, Payload: bytes.Clone(payload)}
+	urgent := e.pace >= digestCalm
+	e.digest = Digest{Origin: t.self, Kind: kind, Version: version, Urgent: urgent, Payload: bytes.Clone(payload)}
 	e.born = now
+	return urgent
 }
 
 // Receive takes a digest that came from an instance of the zone from; home is
-// the zone of its origin. It reports whether it is news.
-func (t *DigestTable) Receive(now time.Time, d Digest, from, home string) bool {
+// the zone of its origin. It reports whether it is news. Urgent news that
+// crossed zones are to be passed on at once.
+func (t *DigestTable) Receive(now time.Time, d Digest, from, home string) (news, urgent bool) {
 	key := digestKey{d.Origin, d.Kind}
 	e := t.entries[key]
 	if d.Origin == t.self || (e != nil && d.Version <= e.digest.Version) {
-		return false
+		return false, false
 	}
 	if e == nil {
 		if len(t.list) >= maxDigests {
-			return false
+			return false, false
 		}
 		e = t.add(key, home)
 	}
@@ -107,7 +123,7 @@
 	e.born = now.Add(-time.Duration(d.AgeMS) * time.Millisecond)
 	e.zone = home
 	e.relay = home != t.zone && from != t.zone
-	return true
+	return true, e.relay && d.Urgent
 }
 
 func (t *DigestTable) add(key digestKey, zone string) *digestEntry {
@@ -131,7 +147,7 @@
 	start := t.cursor
 	for i := range t.list {
 		e := t.list[(start+i)%len(t.list)]
-		if !t.concerns(e, to) || !e.due(now, t.zone, to) {
+		if !t.concerns(e, to) || !t.due(e, now, to) {
 			continue
 		}
 		size := digestOverhead + len(e.digest.Origin) + len(e.digest.Kind) + len(e.digest.Payload)
@@ -157,28 +173,30 @@
 }
 
 // due reports whether the receiver should get the digest now.
-func (e *digestEntry) due(now time.Time, zone string, to DigestReceiver) bool {
+func (t *DigestTable) due(e *digestEntry, now time.Time, to DigestReceiver) bool {
 	m, sent := e.sent[to.ID]
 	since := now.Sub(m.at)
-	remote := to.Zone != zone
+	remote := to.Zone != t.zone
 	switch {
 	case !sent:
 		return true
 	case m.version != e.digest.Version:
-		return !remote || since >= remoteGap(to.Rank)
+		return !remote || e.digest.Urgent || since >= t.remoteGap(to.Rank)
 	case m.copies < digestCopies:
-		return since >= digestRepeat && now.Sub(e.born) >= digestRepeat
+		return e.digest.Urgent && since >= digestRepeat
 	case remote || e.relay:
 		return since >= digestRemoteRefresh
 	}
 	return since >= digestRefresh
 }
 
-func remoteGap(rank int) time.Duration {
-	if rank == 0 {
-		return digestRemoteGap
+// remoteGap is the least time between changes of a digest to another zone.
+func (t *DigestTable) remoteGap(rank int) time.Duration {
+	gap := max(digestRemoteGap, time.Duration(len(t.list))*digestRemotePace)
+	if rank > 0 {
+		gap *= digestBackupFactor
 	}
-	return digestBackupFactor * digestRemoteGap
+	return gap
 }
 
 func (e *digestEntry) mark(now time.Time, id string) {
--- /dev/null
+++ b/policy/memberdigest_test.go
@@ -0,0 +1,69 @@
+package policy
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+)
+
+const digestRoom = 1000
+
+func TestDigestTable(t *testing.T) {
+	now := simStart
+	mate := DigestReceiver{ID: "mate", Zone: "here"}
+	far := DigestReceiver{ID: "far", Zone: "there"}
+	Convey("A digest that changes seldom goes out at once to the zone and beyond", t, func() {
+		d := NewDigestTable("self", "here")
+		So(d.Publish(now, "brake", []byte{1}), ShouldBeTrue)
+		So(len(d.Take(now, mate, digestRoom)), ShouldEqual, 1)
+		So(len(d.Take(now, far, digestRoom)), ShouldEqual, 1)
+		later := now.Add(10 * time.Second)
+		So(d.Publish(later, "brake", []byte{2}), ShouldBeTrue)
+		So(len(d.Take(later, far, digestRoom)), ShouldEqual, 1)
+		So(len(d.Take(later, far, digestRoom)), ShouldEqual, 0)
+	})
+	Convey("One that changes all the time is no longer urgent, and crosses zones seldom", t, func() {
+		d := NewDigestTable("self", "here")
+		toMate, toFar := 0, 0
+		for i := range 120 {
+			at := now.Add(time.Duration(i) * 500 * time.Millisecond)
+			d.Publish(at, "load", []byte{byte(i)})
+			toMate += len(d.Take(at, mate, digestRoom))
+			toFar += len(d.Take(at, far, digestRoom))
+		}
+		So(toMate, ShouldEqual, 120)
+		So(toFar, ShouldBeBetween, 20, 50)
+	})
+	Convey("A digest of another zone is passed on within the own one only", t, func() {
+		d := NewDigestTable("self", "here")
+		news, urgent := d.Receive(now, Digest{Origin: "far", Kind: "brake", Version: 1, AgeMS: 700, Urgent: true}, "there", "there")
+		So(news, ShouldBeTrue)
+		So(urgent, ShouldBeTrue)
+		So(d.Age(now, "far", "brake"), ShouldEqual, 700*time.Millisecond)
+		So(len(d.Take(now, mate, digestRoom)), ShouldEqual, 1)
+		So(len(d.Take(now, DigestReceiver{ID: "third", Zone: "elsewhere"}, digestRoom)), ShouldEqual, 0)
+	})
+	Convey("Digests that do not fit wait for the next message", t, func() {
+		d := NewDigestTable("self", "here")
+		for _, kind := range []string{"a", "b", "c"} {
+			d.Publish(now, kind, make([]byte, 400))
+		}
+		So(len(d.Take(now, mate, digestRoom)), ShouldEqual, 2)
+		So(len(d.Take(now, mate, digestRoom)), ShouldEqual, 1)
+	})
+	Convey("Whatever order versions come in, the newest stays", t, func() {
+		rapid.Check(t, func(t *rapid.T) {
+			d := NewDigestTable("self", "here")
+			var highest uint64
+			for _, v := range rapid.SliceOf(rapid.Uint64Range(1, 20)).Draw(t, "versions") {
+				news, _ := d.Receive(now, Digest{Origin: "far", Kind: "k", Version: v}, "there", "there")
+				if news != (v > highest) {
+					t.Fatalf("version %d after %d: news is %v", v, highest, news)
+				}
+				highest = max(highest, v)
+			}
+		})
+	})
+}
--- a/policy/memberrecord.go
+++ b/policy/memberrecord.go
@@ -98,15 +98,16 @@
 }
 
 // ZoneSummary stands for all records of an availability zone. Two instances
-// whose hashes are equal hold the same records, so a summary refreshes them all.
+// whose hashes are equal hold the same records in the same order, so that one
+// byte tells how lately each member was heard.
 type ZoneSummary struct {
 	_    struct{} `cbor:",toarray"`
 	Zone string
-	// Hash covers the boots and incarnations of the members that are neither suspect nor
-	// gone.
-	Hash uint64
-	// AgeMS is how long ago the zone's own members last vouched for the hash.
-	AgeMS uint32
+	// Hash covers the boots and incarnations of the members that are not gone.
+	Hash uint32
+	// Ages holds, for each of these members by ID, how long ago there was news
+	// of it, in units of 100 ms; 255 stands for longer.
+	Ages []byte
 	// Oldest and Newest bound the revisions of the tables in force in the zone.
 	Oldest uint64
 	Newest uint64
--- a/policy/memberround.go
+++ b/policy/memberround.go
@@ -3,18 +3,16 @@
 import (
 	"math/bits"
 	"slices"
-	"strings"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // Tick runs one round and returns the messages to send.
 func (t *MemberTable) Tick(now time.Time) []MemberSend {
 	t.round++
 	t.sweep(now)
+	urgent := t.urgent
 	out := t.heartbeats(nil, now)
-	if t.round%bridgeRounds == 0 {
+	if urgent || t.round%bridgeRounds == 0 {
 		out = t.bridges(out, now)
 	}
 	if t.round%probeRounds == 0 {
@@ -43,82 +41,12 @@
 		if e.gone() {
 			continue
 		}
-		m := &MemberMessage{Self: t.self, Records: t.hotRecords(now), Zones: t.nextSummary(e, now)}
+		m := &MemberMessage{Self: t.self, Records: t.hotRecords(now), Zones: t.nextSummaries(e, now)}
 		out = append(out, e.send(SendHeartbeat, m))
 	}
 	return out
 }
 
-// bridges writes to the delegates of every other zone for which the instance
-// is a delegate of its own.
-func (t *MemberTable) bridges(out []MemberSend, now time.Time) []MemberSend {
-	for _, zone := range t.zoneNames() {
-		if zone == t.self.Zone {
-			continue
-		}
-		rank := t.ownRank(zone, now)
-		if rank >= t.config.Delegates {
-			continue
-		}
-		for _, e := range t.delegates(zone, now) {
-			m := &MemberMessage{Self: t.self, Records: t.bridgeRecords(now), Zones: []ZoneSummary{t.summary(t.self.Zone, now)}}
-			s := e.send(SendBridge, m)
-			s.Rank = rank
-			out = append(out, s)
-		}
-	}
-	return out
-}
-
-// ownRank is the instance's place among the delegates of its own zone towards
-// another, from 0.
-func (t *MemberTable) ownRank(zone string, now time.Time) int {
-	key := pairKey(t.self.Zone, zone)
-	own := delegateWeight(t.self.ID, key)
-	rank := 0
-	for _, e := range t.zones[t.self.Zone].members {
-		if t.reachable(e, now) && delegateWeight(e.record.ID, key) > own {
-			rank++
-		}
-	}
-	return rank
-}
-
-// delegates returns the members that speak for another zone to the own one. Of
-// a zone out of touch it tries all members in turn.
-func (t *MemberTable) delegates(zone string, now time.Time) []*memberEntry {
-	key := pairKey(t.self.Zone, zone)
-	members := t.zones[zone].members
-	var usable []*memberEntry
-	for _, e := range members {
-		if t.reachable(e, now) {
-			usable = append(usable, e)
-		}
-	}
-	if len(usable) == 0 {
-		usable = slices.Clone(members)
-		key += string(rune('a' + t.round/lostZoneEpochRounds%26))
-	}
-	weight := func(e *memberEntry) uint64 { return delegateWeight(e.record.ID, key) }
-	slices.SortFunc(usable, func(a, b *memberEntry) int { return order(weight(b), weight(a)) })
-	return usable[:min(len(usable), t.config.Delegates)]
-}
-
-func (t *MemberTable) reachable(e *memberEntry, now time.Time) bool {
-	s := t.status(e, now)
-	return s != MemberGone && s != MemberSuspect
-}
-
-// pairKey names a pair of zones, whichever comes first.
-func pairKey(a, b string) string {
-	if strings.Compare(a, b) > 0 {
-		a, b = b, a
-	}
-	return a + "\x00" + b
-}
-
-func delegateWeight(id, key string) uint64 { return xxhash.Sum64String(id + "\x00" + key) }
-
 // probes looks for members that the table does not know or holds for gone.
 func (t *MemberTable) probes(out []MemberSend, now time.Time) []MemberSend {
 	lost, alone := t.lost(now)
@@ -174,7 +102,15 @@
 	if e.hot == 0 {
 		t.hot = append(t.hot, e)
 	}
-	e.hot = hotCopies * (1 + bits.Len(uint(len(t.order))))
+	e.hot = hotCopies + bits.Len(uint(len(t.order)))
+}
+
+// cool takes back the marks of all news but the first n.
+func (t *MemberTable) cool(n int) {
+	for _, e := range t.hot[n:] {
+		e.hot = 0
+	}
+	t.hot = t.hot[:n]
 }
 
 // hotRecords returns the next news and cools them.
--- a/policy/memberview.go
+++ b/policy/memberview.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"math/bits"
 	"slices"
 	"strings"
 	"time"
@@ -46,7 +47,7 @@
 		if silent > remoteSlack*t.goneAfter() {
 			return MemberGone
 		}
-		suspect = suspect || silent > remoteSlack*t.suspectAfter()
+		suspect = suspect || silent > t.remoteSuspectAfter()
 	}
 	// A member that is not ready carries no requests, and suspicion would only
 	// hide that.
@@ -67,8 +68,19 @@
 	return time.Duration(max(rounds, 1)) * t.config.Interval
 }
 
+// spread is the time in which news reach the whole zone from one to the next.
+func (t *MemberTable) spread() time.Duration {
+	return time.Duration(spreadRounds+bits.Len(uint(len(t.order)))) * t.config.Interval
+}
+
 func (t *MemberTable) suspectAfter() time.Duration {
-	return max(t.config.SuspectAfter, missedHeartbeats*t.cycle())
+	return max(t.config.SuspectAfter, min(missedCycles*t.cycle(), missedSpreads*t.spread()))
+}
+
+// remoteSuspectAfter is the silence that makes a member of another zone
+// suspect. Its news come by way of delegates.
+func (t *MemberTable) remoteSuspectAfter() time.Duration {
+	return remoteSlack*t.suspectAfter() + t.spread()
 }
 
 func (t *MemberTable) goneAfter() time.Duration {
@@ -122,7 +134,7 @@
 
 // lastHeard is when any member of the zone was last heard.
 func (z *memberZone) lastHeard() time.Time {
-	last := z.vouched
+	var last time.Time
 	for _, e := range z.members {
 		if !e.gone() {
 			last = later(last, e.heard)
@@ -142,11 +154,6 @@
 	for _, e := range t.entries {
 		e.heard = e.heard.Add(gap)
 	}
-	for _, z := range t.zones {
-		if !z.vouched.IsZero() {
-			z.vouched = z.vouched.Add(gap)
-		}
-	}
 }
 
 func later(a, b time.Time) time.Time {
--- a/policy/memberzone.go
+++ b/policy/memberzone.go
@@ -1,20 +1,72 @@
 package policy
 
 import (
+	"encoding/binary"
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Units of the ages in a summary.
+const (
+	ageUnit = 100 * time.Millisecond
+	ageMax  = 255
+	// zonesPerSummary is the number of other zones for each summary of another
+	// zone that goes with a heartbeat.
+	zonesPerSummary = 4
 )
 
-// nextSummary returns the summary of the zone whose turn it is with a member.
-func (t *MemberTable) nextSummary(e *memberEntry, now time.Time) []ZoneSummary {
-	names := t.zoneNames()
-	e.turn++
-	name := names[e.turn%len(names)]
-	if name != t.self.Zone && t.zones[name].vouched.IsZero() {
-		return nil
+// nextSummaries returns the own zone's summary and those of a few other zones,
+// in an order that differs between receivers and rounds.
+func (t *MemberTable) nextSummaries(e *memberEntry, now time.Time) []ZoneSummary {
+	out := []ZoneSummary{t.summary(t.self.Zone, now)}
+	var others []string
+	for _, name := range t.zoneNames() {
+		if name != t.self.Zone && len(t.zones[name].members) > 0 {
+			others = append(others, name)
+		}
+	}
+	count := (len(others) + zonesPerSummary - 1) / zonesPerSummary
+	first := mixTurn(e.fingerprint, t.round)
+	var chosen []string
+	if news := t.newestZone(others); news != "" {
+		chosen = append(chosen, news)
+	}
+	for i := uint64(0); len(chosen) < count; i++ {
+		if name := others[(first+i)%uint64(len(others))]; !slices.Contains(chosen, name) {
+			chosen = append(chosen, name)
+		}
+	}
+	for _, name := range chosen {
+		z := t.zones[name]
+		z.told = z.lastHeard()
+		out = append(out, t.summary(name, now))
+	}
+	return out
+}
+
+// newestZone returns the zone with the most news since it was last told of, or
+// "" if there are none.
+func (t *MemberTable) newestZone(names []string) string {
+	var best string
+	var most time.Duration
+	for _, name := range names {
+		z := t.zones[name]
+		if gain := z.lastHeard().Sub(z.told); gain > most {
+			best, most = name, gain
+		}
 	}
-	return []ZoneSummary{t.summary(name, now)}
+	return best
+}
+
+// mixTurn draws a number for a receiver and a round.
+func mixTurn(receiver, round uint64) uint64 {
+	var key [16]byte
+	binary.LittleEndian.PutUint64(key[:8], receiver)
+	binary.LittleEndian.PutUint64(key[8:], round)
+	return xxhash.Sum64(key[:])
 }
 
 // zoneNames returns the names of all known zones in order.
@@ -22,57 +74,56 @@
 
 // summary describes a zone's records as this instance holds them.
 func (t *MemberTable) summary(name string, now time.Time) ZoneSummary {
-	z := t.zones[name]
-	s := ZoneSummary{Zone: name, Hash: t.zoneHash(name)}
-	s.Oldest = ^uint64(0)
-	if name == t.self.Zone {
-		s.Oldest, s.Newest = t.self.Revision, t.self.Revision
-	} else {
-		s.AgeMS = toAgeMS(now.Sub(z.vouched))
-	}
-	for _, e := range z.members {
-		if !e.vouchable() {
-			continue
-		}
+	s := ZoneSummary{Zone: name, Oldest: ^uint64(0)}
+	t.eachInZone(name, func(e *memberEntry) {
+		s.Hash += uint32(e.fingerprint)
+		s.Ages = append(s.Ages, toAgeUnits(now.Sub(e.heard)))
 		s.Oldest = min(s.Oldest, e.record.Revision)
 		s.Newest = max(s.Newest, e.record.Revision)
-	}
-	if s.Oldest > s.Newest {
+	})
+	if len(s.Ages) == 0 {
 		s.Oldest = 0
 	}
 	return s
 }
 
-// vouchable reports whether the entry counts in its zone's summary: nobody
-// holds it for suspect or gone.
-func (e *memberEntry) vouchable() bool { return e.verdict == 0 && !e.gone() && !e.lapsed }
+func toAgeUnits(d time.Duration) byte {
+	return byte(min(max((d+ageUnit-1)/ageUnit, 0), ageMax))
+}
 
-// zoneHash covers the members of a zone that nobody suspects, in any order.
-func (t *MemberTable) zoneHash(name string) uint64 {
-	var sum uint64
-	if name == t.self.Zone {
-		sum = t.self.fingerprint()
-	}
+// eachInZone calls f for the members of a zone that are not gone, by ID. In the
+// own zone this instance is one of them.
+func (t *MemberTable) eachInZone(name string, f func(*memberEntry)) {
 	z := t.zones[name]
 	if z == nil {
-		return sum
+		return
 	}
+	self := name == t.self.Zone
 	for _, e := range z.members {
-		if e.vouchable() {
-			sum += e.fingerprint
+		if self && e.record.ID > t.self.ID {
+			f(t.selfEntry())
+			self = false
+		}
+		if !e.gone() && !e.lapsed {
+			f(e)
 		}
 	}
-	return sum
+	if self {
+		f(t.selfEntry())
+	}
+}
+
+// selfEntry shows the instance itself as an entry heard at the last tick.
+func (t *MemberTable) selfEntry() *memberEntry {
+	return &memberEntry{record: t.self, fingerprint: t.self.fingerprint(), heard: t.last}
 }
 
-// compareZone takes a summary in: if the records are the same, it refreshes
-// them, and if not, it asks for them.
+// compareZone takes a summary in: if the records are the same, it takes over
+// the later news of each, and if not, it asks for the records.
 func (t *MemberTable) compareZone(out []MemberSend, now time.Time, from *MemberRecord, s *ZoneSummary) []MemberSend {
 	z := t.zones[s.Zone]
-	if z != nil && s.Hash == t.zoneHash(s.Zone) {
-		if s.Zone != t.self.Zone {
-			t.vouch(z, now.Add(-time.Duration(s.AgeMS)*time.Millisecond), s.Oldest)
-		}
+	if z != nil && t.matches(s) {
+		t.takeAges(now, s)
 		return out
 	}
 	if z == nil {
@@ -90,19 +141,26 @@
 	return append(out, MemberSend{Kind: SendWant, Address: from.GossipAddress, ID: from.ID, Zone: from.Zone, Message: m})
 }
 
-// vouch refreshes all members of another zone.
-func (t *MemberTable) vouch(z *memberZone, at time.Time, oldest uint64) {
-	if !at.After(z.vouched) {
-		return
-	}
-	z.vouched = at
-	for _, e := range z.members {
-		if !e.vouchable() {
-			continue
+func (t *MemberTable) matches(s *ZoneSummary) bool {
+	var hash uint32
+	count := 0
+	t.eachInZone(s.Zone, func(e *memberEntry) {
+		hash += uint32(e.fingerprint)
+		count++
+	})
+	return hash == s.Hash && count == len(s.Ages)
+}
+
+// takeAges refreshes the members of a zone.
+func (t *MemberTable) takeAges(now time.Time, s *ZoneSummary) {
+	i := 0
+	t.eachInZone(s.Zone, func(e *memberEntry) {
+		if s.Ages[i] < ageMax {
+			t.touch(e, now, now.Add(-time.Duration(s.Ages[i])*ageUnit))
 		}
-		t.touch(e, at)
-		e.record.Revision = max(e.record.Revision, oldest)
-	}
+		e.record.Revision = max(e.record.Revision, s.Oldest)
+		i++
+	})
 }
 
 // answer returns the records that another instance asked for.
