--- a/test/harness/cluster.go
+++ b/test/harness/cluster.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"maps"
 	"net"
 	"net/http"
 	"os"
@@ -69,7 +68,7 @@
 	// LogLink and ListLink are the relays in front of the platform.
 	LogLink  *relay.TCP
 	ListLink *relay.TCP
-	tables   string
+	pids     pidTable
 	closers  []func()
 	client   *http.Client
 }
@@ -81,13 +80,17 @@
 		Spec: s, Links: make(map[string]*relay.TCP), Direct: make(map[string]string),
 		client: &http.Client{Timeout: 5 * time.Second},
 	}
-	for _, step := range []func() error{c.startPlatform, c.startFleets, c.writeTables, c.startInstances} {
+	for _, step := range []func() error{c.startPlatform, c.startFleets, c.startInstances} {
 		if err := step(); err != nil {
 			c.Close()
 			return nil, err
 		}
 	}
-	if err := c.WaitReady(ctx); err != nil {
+	err := c.PutTables(ctx)
+	if err == nil {
+		err = c.WaitReady(ctx)
+	}
+	if err != nil {
 		logs := c.Logs()
 		c.Close()
 		return nil, errors.Wrap(err, logs)
@@ -122,7 +125,7 @@
 		return nil, nil, err
 	}
 	c.closers = append(c.closers, p.Kill)
-	link, err := relay.NewTCP(p.Line)
+	link, err := relay.NewTCP(p.Line, c.owner)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -178,7 +181,7 @@
 		return errors.Wrap(err, "fleet")
 	}
 	for name, address := range addresses {
-		link, err := relay.NewTCP(address)
+		link, err := relay.NewTCP(address, c.owner)
 		if err != nil {
 			return err
 		}
@@ -189,6 +192,31 @@
 	return nil
 }
 
+// CutZone cuts an availability zone's instances and backend servers off from
+// the other zones and, if platform is true, from the platform; or heals it.
+func (c *Cluster) CutZone(zone string, cut, platform bool) {
+	f := relay.Fault{Blackhole: cut}
+	for _, b := range c.Spec.Backends {
+		for _, in := range c.Instances {
+			if (in.Zone == zone) != (b.Zone == zone) {
+				c.Links[b.Name].SetFor(in.ID, f)
+			}
+		}
+	}
+	for _, in := range c.Instances {
+		for _, other := range c.Instances {
+			if (in.Zone == zone) != (other.Zone == zone) && other.Gossip != nil {
+				other.Gossip.SetFor(in.ID, f)
+				other.Peer.SetFor(in.ID, f)
+			}
+		}
+		if in.Zone == zone && platform {
+			c.LogLink.SetFor(in.ID, f)
+			c.ListLink.SetFor(in.ID, f)
+		}
+	}
+}
+
 // PoolBody is the body of a pool's section.
 func (c *Cluster) PoolBody(pool string) string {
 	var b strings.Builder
@@ -224,16 +252,6 @@
 	return out
 }
 
-func (c *Cluster) writeTables() error {
-	sections := c.Sections()
-	var b strings.Builder
-	for _, name := range slices.Sorted(maps.Keys(sections)) {
-		fmt.Fprintf(&b, "[%s]\n%s\n", name, sections[name])
-	}
-	c.tables = filepath.Join(c.Spec.Dir, "tables.ini")
-	return os.WriteFile(c.tables, []byte(b.String()), 0o600)
-}
-
 // Backend returns the stand-in's own address with http://, past the relay.
 func (c *Cluster) Backend(name string) string { return "http://" + c.Direct[name] }
 
