Leave ejection out of the experiments' baseline

Cause: the baselines name no ejection, and the harness left it on.

Change: the harness selects ejection.baseline with the other baselines.

Conclusion: go test ./policy passes.

--- a/test/harness/instance.go
+++ b/test/harness/instance.go
@@ -106,7 +106,7 @@
 		}
 	}
 	if c.Spec.Baseline {
-		for _, slot := range []string{"admission", "placement", "limits", "retry", "queue", "rollout"} {
+		for _, slot := range []string{"admission", "placement", "limits", "retry", "queue", "ejection", "rollout"} {
 			settings["policy"][slot] = "baseline"
 		}
 		settings["policy"]["claims"] = "memory"
