Queue before borrowing, and follow reports after a decrease too

Cause: a call asked other instances for a slot before it joined the queue, up to 100 ms each, and lost its place to later ones; an instance whose limit had once been lowered and that has few calls on a server kept the low limit.

Change: a call joins the queue, then borrows; five seconds after a decrease a limit rises to what a warm server runs without waiting calls.

Conclusion: go test ./kernel (with -race) ./policy ./plugins/slots ./test/integration passes.

--- a/kernel/pool.go
+++ b/kernel/pool.go
@@ -59,7 +59,7 @@
 }
 
 // acquire takes a call slot on the server that placement chooses. While all are
-// taken it borrows one of another instance, or waits in the pool's queue. It
+// taken it waits in the pool's queue and tries to borrow one meanwhile. It
 // returns nil when the context ends or the call can no longer be done in time.
 func (p *Pool) acquire(ctx context.Context, w *want) *Server {
 	if !p.waiters.busy() {
@@ -67,9 +67,6 @@
 			return s
 		}
 	}
-	if s := p.borrow(ctx, w); s != nil {
-		return s
-	}
 	return p.waiters.wait(ctx, p, w)
 }
 
--- a/kernel/waiters.go
+++ b/kernel/waiters.go
@@ -134,6 +134,9 @@
 func (w *waiters) wait(ctx context.Context, p *Pool, want *want) *Server {
 	c := w.join(time.Now(), p, want)
 	w.dispatch()
+	if s := w.first(ctx, c); s != nil {
+		return s
+	}
 	late := time.NewTimer(time.Until(want.ticket.Latest()))
 	defer late.Stop()
 	retry := time.NewTicker(borrowInterval)
@@ -156,6 +159,17 @@
 	}
 }
 
+// first returns the slot that a call was granted when it joined, or that is
+// lent to it at once, or nil.
+func (w *waiters) first(ctx context.Context, c *waitingCall) *Server {
+	select {
+	case s := <-c.granted:
+		return s
+	default:
+		return w.borrow(ctx, c)
+	}
+}
+
 // giveUp takes a call out; a slot that was granted meanwhile is used.
 func (w *waiters) giveUp(c *waitingCall) *Server {
 	if w.leave(c) {
--- a/policy/limit_adaptive.go
+++ b/policy/limit_adaptive.go
@@ -23,6 +23,9 @@
 	reportInterval = 200 * time.Millisecond
 	// reportGrowth is the factor of an increase by a load report.
 	reportGrowth = 1.25
+	// followPause is the time after a decrease in which reports of other
+	// instances' calls do not raise the limit.
+	followPause = 5 * time.Second
 	// busyPart is the part of the limit that counts as using it.
 	busyPart = 0.75
 	// additiveStep is the part of the largest limit by which a limit grows in
@@ -231,10 +234,16 @@
 // follow raises the limit of a warm server that carries the calls of other
 // instances well. Without it an instance whose share is 0 would learn nothing.
 func (l *adaptiveLimit) follow(now time.Time, r LoadReport) {
-	if !l.ramping || r.Waiting > 0 || now.Sub(l.lastGrown) < reportInterval {
+	if r.Waiting > 0 || now.Sub(l.lastGrown) < reportInterval {
 		return
 	}
 	running := float64(r.Running)
+	if !l.ramping {
+		if now.Sub(l.lastCut) >= followPause {
+			l.limit = min(l.high, max(running, l.limit))
+		}
+		return
+	}
 	if running < busyPart*l.limit {
 		return
 	}
