Keep borrowed slots out of other calls' reach, and lent ones out of stalls

Cause: a call slot that was just borrowed or about to be given back could be taken by another call of the same instance, one above the limit; a lender took a server for stalled while a slot that it had lent was in use for long.

Change: a borrowed call counts before its slot and its slot goes before the call; only own calls make a server stalled.

Conclusion: go test -race ./kernel ./plugins/slots passes; the first fault was found by reading, no test brings it about.

--- a/kernel/eject_test.go
+++ b/kernel/eject_test.go
@@ -10,7 +10,7 @@
 )
 
 func TestStalledServer(t *testing.T) {
-	Convey("A server on which calls hang is cold at once", t, func() {
+	Convey("A server on which own calls hang is cold at once", t, func() {
 		h := testHost(t, "i0", standardDecisions())
 		h.SetTables(testTables(t, 1, 1, ""))
 		pool := h.Snapshot().Pool("encode")
@@ -21,6 +21,11 @@
 			s.observe(now, policy.CallSample{OK: true, Latency: time.Millisecond, InFlight: 4})
 		}
 		So(s.allowance.Load(), ShouldEqual, 4)
+		release, ok := h.Lend(s.ID)
+		So(ok, ShouldBeTrue)
+		pool.refresh(now.Add(time.Hour), rosterOf(members(1)))
+		So(s.allowance.Load(), ShouldEqual, 4)
+		release()
 		So(s.acquire(), ShouldBeTrue)
 		pool.refresh(now.Add(time.Hour), rosterOf(members(1)))
 		So(s.cold.Load(), ShouldBeTrue)
--- a/kernel/lend.go
+++ b/kernel/lend.go
@@ -15,7 +15,9 @@
 	if s == nil || p.waiters.busy() || !p.usable(s) || !s.take() {
 		return nil, false
 	}
+	s.lent.Add(1)
 	return func() {
+		s.lent.Add(-1)
 		s.inFlight.Add(-1)
 		p.slotFreed()
 	}, true
--- a/kernel/server.go
+++ b/kernel/server.go
@@ -29,6 +29,7 @@
 
 	inFlight  atomic.Int64
 	borrowed  atomic.Int64 // call slots on loan from other instances
+	lent      atomic.Int64 // call slots on loan to other instances, part of inFlight
 	sent      atomic.Int64 // calls sent since the last load report
 	done      atomic.Int64 // calls finished since the last load report
 	expected  atomic.Int64 // smoothed call time in nanoseconds
@@ -110,7 +111,7 @@
 			return false
 		}
 		if s.inFlight.CompareAndSwap(n, n+1) {
-			if n == 0 {
+			if n <= s.lent.Load() {
 				s.progress.Store(time.Now().UnixNano())
 			}
 			return true
@@ -118,42 +119,48 @@
 	}
 }
 
-// acquireBorrowed takes a call slot that another instance lends.
+// acquireBorrowed takes a call slot that another instance lends. The call counts
+// before the slot does, so that no other call takes the slot.
 func (s *serverState) acquireBorrowed(l slotLoan) {
 	s.mu.Lock()
 	at, _ := slices.BinarySearchFunc(s.loans, l, func(a, b slotLoan) int { return a.until.Compare(b.until) })
 	s.loans = slices.Insert(s.loans, at, l)
 	s.mu.Unlock()
-	s.borrowed.Add(1)
-	if s.inFlight.Add(1) == 1 {
+	if s.inFlight.Add(1) <= s.lent.Load()+1 {
 		s.progress.Store(time.Now().UnixNano())
 	}
+	s.borrowed.Add(1)
 	s.sent.Add(1)
 }
 
-// release gives a call slot back, a borrowed one first.
+// release gives a call slot back, a borrowed one first. A borrowed slot is gone
+// before its call is, so that no other call takes it.
 func (s *serverState) release() {
+	repay := s.takeLoan()
 	s.inFlight.Add(-1)
 	s.done.Add(1)
 	s.progress.Store(time.Now().UnixNano())
-	if s.borrowed.Load() > 0 {
-		s.repay()
+	if repay != nil {
+		repay()
 	}
 }
 
-// repay ends the loan that would end first. Calls are not tied to slots, so the
-// calls that go on keep the loans that last longest.
-func (s *serverState) repay() {
+// takeLoan ends the loan that would end first, and returns the function that
+// gives the slot back, or nil if there is no loan. Calls are not tied to slots,
+// so the calls that go on keep the loans that last longest.
+func (s *serverState) takeLoan() func() {
+	if s.borrowed.Load() == 0 {
+		return nil
+	}
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	if len(s.loans) == 0 {
-		s.mu.Unlock()
-		return
+		return nil
 	}
 	first := s.loans[0]
 	s.loans = slices.Delete(s.loans, 0, 1)
 	s.borrowed.Add(-1)
-	s.mu.Unlock()
-	first.release()
+	return first.release
 }
 
 // observe takes the result of a call into the server's state.
@@ -211,7 +218,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	since := time.Duration(now.UnixNano() - s.progress.Load())
-	if s.inFlight.Load() > 0 && policy.Stalled(since, usual) {
+	if s.inFlight.Load() > s.lent.Load() && policy.Stalled(since, usual) {
 		s.limit.Stalled(now)
 	}
 	p := &s.place
