Let instances without calls on a server learn its limit from reports

Reports from other zones come 2 to 3 s apart, and raised the limit by a quarter each, and only if the server was busy. A server that broke connections when it started anew was taken for cold by each instance only once its report came.

Change: reports raise a limit by the time since the last one, at most four times each; an instance without calls of its own for 2 s does not ask that the server be busy; a jump of latency is forgotten after 10 s without calls; a broken connection puts a server back to its cold limit at once.

--- a/kernel/stage.go
+++ b/kernel/stage.go
@@ -194,6 +194,7 @@
 	done.answer = s.host.Transport.Call(ctx, &call)
 	done.sample.Latency = time.Since(start)
 	done.sample.OK = done.answer.Result == CallOK
+	done.sample.Broken = done.answer.Result == CallBroken
 	done.sample.Refused = done.answer.Result == CallRefused
 	done.sample.Cut = done.answer.Result == CallDeadline
 	return done
--- a/policy/limit.go
+++ b/policy/limit.go
@@ -19,6 +19,9 @@
 	// Cut is true if the request's deadline ended the call, so that Latency is
 	// less than the call would have taken.
 	Cut bool
+	// Broken is true if the connection broke during the call, as it does when the
+	// server starts anew.
+	Broken bool
 	// Refused is true if the server answered that it did not run the call.
 	Refused bool
 	// InFlight counts this instance's calls when the call was sent, Allowance is
--- a/policy/limit_adaptive.go
+++ b/policy/limit_adaptive.go
@@ -1,6 +1,9 @@
 package policy
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// warmEnough is the reported warmth from which a server counts as warm.
@@ -21,11 +24,18 @@
 	minCutInterval = 100 * time.Millisecond
 	// reportInterval is the least time between two increases by load reports.
 	reportInterval = 200 * time.Millisecond
-	// reportGrowth is the factor of an increase by a load report.
-	reportGrowth = 1.25
+	// reportGrowth is the factor by which load reports raise a limit in one
+	// reportInterval, reportGrowthMost that of one report, however late it comes.
+	reportGrowth     = 1.25
+	reportGrowthMost = 4
 	// followPause is the time after a decrease in which reports of other
 	// instances' calls do not raise the limit.
 	followPause = 5 * time.Second
+	// quietTime is the time without calls of its own from which an instance lets
+	// a warm server's limit grow by its reports alone, suspectTime that after
+	// which it forgets a jump of latency.
+	quietTime   = 2 * time.Second
+	suspectTime = 10 * time.Second
 	// busyPart is the part of the limit that counts as using it.
 	busyPart = 0.75
 	// additiveStep is the part of the largest limit by which a limit grows in
@@ -66,13 +76,15 @@
 	limit     float64
 	lastCut   time.Time
 	lastGrown time.Time // last increase by a load report
-	boot      string
-	version   string
-	warmth    float64
-	classes   [sizeClasses]classLatency
-	evidence  int32 // successes at the limit since the server became cold
-	failures  int32 // in a row
-	cold      bool
+	// lastSample is the time of the last call that ended.
+	lastSample time.Time
+	boot       string
+	version    string
+	warmth     float64
+	classes    [sizeClasses]classLatency
+	evidence   int32 // successes at the limit since the server became cold
+	failures   int32 // in a row
+	cold       bool
 	// ramping is true from the end of cold to the first decrease.
 	ramping bool
 	// suspect is true after a jump of latency until a call was fast again; no
@@ -101,7 +113,12 @@
 
 // Observe implements ServerLimit.
 func (l *adaptiveLimit) Observe(now time.Time, s CallSample) {
+	l.lastSample = now
 	class := &l.classes[classIndex(s.Class)]
+	if s.Broken {
+		l.chill(now, true)
+		return
+	}
 	if s.Cut {
 		if class.cut(s.Latency) {
 			l.chill(now, true)
@@ -120,19 +137,19 @@
 		l.cut(now, latencyCut, time.Duration(class.smoothed))
 	case latencyNormal:
 		l.suspect = false
-		l.succeeded(s)
+		l.succeeded(now, s)
 	}
 }
 
 // succeeded takes a call of normal latency.
-func (l *adaptiveLimit) succeeded(s CallSample) {
+func (l *adaptiveLimit) succeeded(now time.Time, s CallSample) {
 	if s.Allowance <= 0 || s.InFlight < s.Allowance {
 		return
 	}
 	if l.cold {
 		l.evidence++
 		if l.evidence >= l.evidenceNeeded() {
-			l.warmUp()
+			l.warmUp(now)
 		}
 		return
 	}
@@ -159,9 +176,10 @@
 
 func (l *adaptiveLimit) grow(by float64) { l.limit = min(l.high, l.limit+by) }
 
-func (l *adaptiveLimit) warmUp() {
+func (l *adaptiveLimit) warmUp(now time.Time) {
 	l.cold = false
 	l.ramping = true
+	l.lastGrown = now
 	l.evidence = 0
 }
 
@@ -222,33 +240,40 @@
 	if rebooted || (r.Warm < warmEnough && l.tellsWarmth && !l.cold) {
 		l.chill(now, false)
 	}
+	quiet := now.Sub(l.lastSample)
+	l.suspect = l.suspect && quiet < suspectTime
 	if r.Warm < warmEnough || l.suspect {
 		return
 	}
 	if l.cold {
-		l.warmUp()
+		l.warmUp(now)
 	}
 	l.follow(now, r)
 }
 
 // follow raises the limit of a warm server that carries the calls of other
-// instances well. Without it an instance whose share is 0 would learn nothing.
+// instances well. An instance whose share is 0 has no calls of its own and would
+// learn nothing else; the server's own word that it is warm has to do for it, as
+// the others use no more than their shares.
 func (l *adaptiveLimit) follow(now time.Time, r LoadReport) {
 	if r.Waiting > 0 || now.Sub(l.lastGrown) < reportInterval {
 		return
 	}
 	running := float64(r.Running)
-	if !l.ramping {
-		if now.Sub(l.lastCut) >= followPause {
-			l.limit = min(l.high, max(running, l.limit))
-		}
+	quiet := now.Sub(l.lastSample) >= quietTime
+	switch {
+	case !l.ramping && now.Sub(l.lastCut) < followPause:
 		return
-	}
-	if running < busyPart*l.limit {
+	case !l.ramping && !quiet:
+		l.limit = min(l.high, max(running, l.limit))
+		return
+	case !quiet && running < busyPart*l.limit:
 		return
 	}
+	steps := float64(now.Sub(l.lastGrown)) / float64(reportInterval)
 	l.lastGrown = now
-	l.limit = min(l.high, max(running, l.limit*reportGrowth))
+	growth := min(math.Pow(reportGrowth, steps), reportGrowthMost)
+	l.limit = min(l.high, max(running, l.limit*growth))
 }
 
 func (l *adaptiveLimit) forgetLatency() {
--- a/policy/limit_test.go
+++ b/policy/limit_test.go
@@ -112,6 +112,14 @@
 			}
 			So(l.Limit(epoch), ShouldEqual, 2)
 		})
+		Convey("an instance without calls of its own learns from the reports of a warm server", func() {
+			now := epoch
+			for range 20 {
+				now = now.Add(time.Second)
+				l.Report(now, LoadReport{Warm: 1, Boot: "a", Running: 3})
+			}
+			So(l.Limit(now), ShouldEqual, 32)
+		})
 		Convey("an instance without a share follows what the others make it carry", func() {
 			now := epoch
 			for running := 2; running <= 32; running += 2 {
@@ -140,6 +148,10 @@
 			now = feed(l, now, 40, fast)
 			So(l.Limit(now), ShouldEqual, 32)
 		})
+		Convey("a broken connection does so", func() {
+			l.Observe(now, CallSample{Broken: true})
+			So(l.Limit(now), ShouldEqual, 2)
+		})
 		Convey("failures in a row do so", func() {
 			for range failureRun {
 				l.Observe(now, CallSample{})
