--- a/kernel/interfaces.go
+++ b/kernel/interfaces.go
@@ -271,7 +271,8 @@
 // and Doubt ends it.
 type Claim interface {
 	// MayDispatch reports whether a non-idempotent call may be sent now. After
-	// it returned true, Release is no longer allowed.
+	// it returned true, Release is allowed only if every call since then surely
+	// did not run. After Release it returns false.
 	MayDispatch(now time.Time) bool
 	// Release gives the claim back: nothing was sent and nothing will be.
 	Release()
--- a/plugins/claims/fake_test.go
+++ b/plugins/claims/fake_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/savoryfold/savoryfold/kernel"
 	"github.com/savoryfold/savoryfold/platform"
+	"github.com/savoryfold/savoryfold/policy/claim"
 	"github.com/savoryfold/savoryfold/standin"
 )
 
@@ -147,6 +148,11 @@
 	c.cut = cut
 }
 
+// idOf is the claim's ID of a key in these tests.
+func idOf(key string) claim.ID {
+	return claim.ID{Account: "authority", Route: "certificate", Key: key}
+}
+
 func newKey() string { return uuid.Must(uuid.NewV7()).String() }
 
 // ask claims a key.
