Bound the memory for answers that are kept for repeats

Cause: at 630 requests a second and the largest kept answers, a window of answers would take hundreds of megabytes at the owner of a shard.

Change: [claims] answer_memory bounds the bodies that a process keeps; older ones are read from the log at the offset of their outcome when a repeat asks.

Conclusion: a repeat gets its answer whether the body is in memory or not.

--- a/plugins/claims/claim.go
+++ b/plugins/claims/claim.go
@@ -187,7 +187,7 @@
 		case !known:
 			return f, kernel.ErrLogUnavailable
 		case f.Verdict != claim.Taken || f.Slot.State != claim.Held:
-			return f, nil
+			return s.recall(ctx, f), nil
 		}
 		select {
 		case <-changed:
--- a/plugins/claims/log.go
+++ b/plugins/claims/log.go
@@ -27,6 +27,7 @@
 			{Section: section, Name: "skew", Kind: config.Duration, Default: "30s", Doc: "how far the time of a key may be ahead; the same on all instances"},
 			{Section: section, Name: "appends_per_second", Kind: config.Float, Default: "200", Doc: "appends of claims a second, of all instances together"},
 			{Section: section, Name: "max_answer", Kind: config.Size, Default: "16KiB", Doc: "largest answer that is kept for repeats"},
+			{Section: section, Name: "answer_memory", Kind: config.Size, Default: "32MiB", Doc: "memory for answers in this process; older ones are read from the log"},
 			{Section: section, Name: "restate", Kind: config.Duration, Default: "10m", Doc: "time after which an unfinished claim is written again; less than a third of the log's retention"},
 		},
 		New: func() kernel.Module { return &Log{} },
@@ -49,11 +50,13 @@
 	pace      rate.Limit // appends a second of one shard
 	restate   time.Duration
 	maxAnswer int
-	boot      string
-	circuit   circuit
-	shards    []*shardLog
-	owners    owners
-	abandoned abandoned
+	// answerMemory bounds the answers in memory, in bytes.
+	answerMemory int
+	boot         string
+	circuit      circuit
+	shards       []*shardLog
+	owners       owners
+	abandoned    abandoned
 
 	life    context.Context
 	end     context.CancelFunc
@@ -75,6 +78,7 @@
 	}
 	m.restate = s.Duration(section, "restate")
 	m.maxAnswer = int(s.Bytes(section, "max_answer"))
+	m.answerMemory = int(s.Bytes(section, "answer_memory"))
 	m.life, m.end = context.WithCancel(context.Background())
 	if h.Peers != nil {
 		h.Peers.Handle(methodAppend, m.serveAppend)
--- a/plugins/claims/log_test.go
+++ b/plugins/claims/log_test.go
@@ -119,6 +119,22 @@
 			g.Claim.Release()
 		})
 	})
+	Convey("An answer beyond the memory for answers is read from the log", t, func() {
+		inCluster(t, 0, "shards = 1\nanswer_memory = 100\n", func(c *cluster) {
+			first := newKey()
+			served := c.nodes[0].serve(first, lastLimit)
+			for range 3 {
+				So(c.nodes[0].serve(newKey(), lastLimit).Outcome.Kind, ShouldEqual, kernel.Served)
+			}
+			c.service.Set(standin.LogFaults{Down: true})
+			So(c.nodes[1].serve(first, lastLimit).Outcome.Kind, ShouldEqual, kernel.Unknown)
+			c.service.Set(standin.LogFaults{})
+			So(eventually(func() bool {
+				return string(c.nodes[1].serve(first, lastLimit).Answer.Body) == string(served.Answer.Body)
+			}), ShouldBeTrue)
+			So(c.ran(first), ShouldEqual, 1)
+		})
+	})
 	Convey("A holder that wakes past its deadline does not dispatch", t, func() {
 		inCluster(t, 0, "", func(c *cluster) {
 			g := c.nodes[0].ask(newKey(), "body", lastLimit)
--- a/plugins/claims/owner.go
+++ b/plugins/claims/owner.go
@@ -187,7 +187,7 @@
 	}
 	f, known := s.find(first.ID, first.Attempt, first.Origin.BodyHash)
 	if known && f.Verdict != claim.Open {
-		return f, nil
+		return s.recall(ctx, f), nil
 	}
 	if m.circuit.open(time.Now()) {
 		return claim.Finding{}, kernel.ErrLogUnavailable
@@ -202,7 +202,7 @@
 	case !known || f.Verdict == claim.Open:
 		return claim.Finding{}, kernel.ErrAppendUnknown
 	}
-	return f, nil
+	return s.recall(ctx, f), nil
 }
 
 // serveAppend implements methodAppend.
--- a/plugins/claims/result.go
+++ b/plugins/claims/result.go
@@ -36,6 +36,9 @@
 	}
 	switch f.Slot.State {
 	case claim.Done:
+		if f.Slot.Evicted {
+			return refuseFor(kernel.Unknown, kernel.ReasonLogUnavailable, "an earlier request with this key ran; its answer is on the log, which is out of reach", retryLog)
+		}
 		return replay(f.Slot.Answer)
 	case claim.Settled:
 		return settled(f.Slot.Verdict)
--- a/plugins/claims/shard.go
+++ b/plugins/claims/shard.go
@@ -155,19 +155,45 @@
 func (s *shardLog) place(b kernel.LogBatch) {
 	switch {
 	case s.fold == nil:
-		s.fold = claim.NewShard(s.owner.rules, b.First)
+		s.restart(b.First)
 	case b.First > s.fold.Next():
 		s.owner.count("claim_restarts", "why", "retention")
 		s.owner.host.Logger.Warn("records of claims were dropped before they were read", "stream", s.stream, "first", b.First)
-		s.fold = claim.NewShard(s.owner.rules, b.First)
+		s.restart(b.First)
 	case b.Next < s.fold.Next():
 		s.owner.count("claim_restarts", "why", "lost")
 		s.owner.host.Logger.Error("the log lost records of claims", "stream", s.stream, "next", b.Next)
-		s.fold = claim.NewShard(s.owner.rules, b.First)
+		s.restart(b.First)
 		s.fold.Mistrust()
 	}
 }
 
+// restart begins a new fold. The caller holds mu.
+func (s *shardLog) restart(first uint64) {
+	s.fold = claim.NewShard(s.owner.rules, first)
+	s.fold.LimitAnswers(s.owner.answerMemory / len(s.owner.shards))
+}
+
+// recall fetches the answer of a finding from the log if the fold evicted it.
+func (s *shardLog) recall(ctx context.Context, f claim.Finding) claim.Finding {
+	if f.Verdict != claim.Taken || f.Slot.State != claim.Done || !f.Slot.Evicted {
+		return f
+	}
+	b, err := s.owner.host.Log.Read(ctx, s.stream, f.Slot.Stored, 0)
+	s.owner.note(ctx, err)
+	if err != nil || len(b.Records) == 0 {
+		return f
+	}
+	s.owner.host.Counter("claim_answers_recalled").Inc(1)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := b.Records[0]
+	if s.fold == nil || !s.fold.Restore(f.Slot.ID, claim.Record{Offset: r.Offset, Time: r.Time, Data: r.Data}) {
+		return f
+	}
+	return s.fold.Find(f.Slot.ID, claim.Attempt{}, f.Slot.Origin.BodyHash)
+}
+
 // remember notes a batch that is on the log. The caller holds mu.
 func (s *shardLog) remember(id claim.Attempt) {
 	if _, ok := s.batches[id]; ok {
--- /dev/null
+++ b/policy/claim/answers_test.go
@@ -0,0 +1,28 @@
+package claim
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+func TestAnswers(t *testing.T) {
+	Convey("Answers beyond the limit are evicted, oldest first, and restored from the log", t, func() {
+		m := newModel()
+		m.oracle.LimitAnswers(25)
+		for i := range 3 {
+			id, a := m.keyAt(m.now), m.number()
+			m.keys = append(m.keys, id)
+			m.land(Entry{Kind: KindClaim, ID: id, Attempt: a, Origin: &Origin{}},
+				Entry{Kind: KindOutcome, ID: id, Attempt: a, Answer: &Answer{Body: make([]byte, 10+i)}})
+		}
+		find := func(i int) Slot { return m.oracle.Find(m.keys[i], Attempt{}, Hash{}).Slot }
+		So(find(0).Evicted, ShouldBeTrue)
+		So(find(0).Answer.Body, ShouldBeEmpty)
+		So(find(2).Evicted, ShouldBeFalse)
+		So(m.oracle.Restore(m.keys[0], m.records[1]), ShouldBeFalse)
+		So(m.oracle.Restore(m.keys[0], m.records[find(0).Stored-1]), ShouldBeTrue)
+		So(find(0).Answer.Body, ShouldHaveLength, 10)
+		So(find(1).Evicted, ShouldBeTrue)
+	})
+}
--- a/policy/claim/shard.go
+++ b/policy/claim/shard.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -29,12 +30,13 @@
 	// foreign is the time of the newest record of other rules.
 	foreign time.Time
 	swept   time.Time
+	answers answers
 }
 
 // NewShard makes a fold that expects the stream's record at the offset first,
 // which is 1 unless older records are gone.
 func NewShard(rules Rules, first uint64) *Shard {
-	return &Shard{rules: rules, slots: make(map[ID]*Slot), next: max(1, first), whole: first <= 1}
+	return &Shard{rules: rules, slots: make(map[ID]*Slot), next: max(1, first), whole: first <= 1, answers: answers{limit: math.MaxInt}}
 }
 
 // Next returns the offset of the record that the fold expects.
@@ -101,7 +103,9 @@
 	case KindRelease:
 		slot.release(e.Attempt, s.last)
 	case KindOutcome:
-		slot.finish(e, s.last)
+		if slot.finish(e, s.last, s.next-1) {
+			s.answers.keep(slot)
+		}
 	case KindDoubt:
 		slot.doubt(e)
 	case KindSettle:
@@ -151,6 +155,7 @@
 		return
 	}
 	s.swept = s.last
+	s.answers.drop(s.gone)
 	maps.DeleteFunc(s.slots, func(_ ID, slot *Slot) bool { return s.gone(slot) })
 }
 
--- a/policy/claim/slot.go
+++ b/policy/claim/slot.go
@@ -33,6 +33,10 @@
 	Answer  Answer     `cbor:"6,keyasint"`
 	Why     string     `cbor:"7,keyasint"`
 	Verdict Settlement `cbor:"8,keyasint"`
+	// Stored is the offset of the record that holds the answer, and Evicted is
+	// true if the body is only there.
+	Stored  uint64 `cbor:"9,keyasint"`
+	Evicted bool   `cbor:"10,keyasint"`
 
 	keyTime time.Time
 	// stated is the log's time of the newest record that holds the claim whole.
@@ -96,15 +100,18 @@
 	}
 }
 
-// finish keeps the outcome. It counts after a settlement too, since the
-// holder's own word is better than an operator's finding.
-func (s *Slot) finish(e Entry, at time.Time) {
+// finish keeps the outcome and reports whether it is a new one. It counts after
+// a settlement too, since the holder's own word is better than an operator's
+// finding.
+func (s *Slot) finish(e Entry, at time.Time, offset uint64) bool {
 	s.over(e.Attempt, at)
 	if s.Attempt != e.Attempt || s.State == Free || s.State == Done {
-		return
+		return false
 	}
 	s.State = Done
 	s.Answer = *e.Answer
+	s.Stored = offset
+	return true
 }
 
 func (s *Slot) doubt(e Entry) {
