--- a/plugins/claims/shard.go
+++ b/plugins/claims/shard.go
@@ -16,9 +16,6 @@
 // answer.
 const recentBatches = 256
 
-// errNoRead says that the shard's records could not be read.
-var errNoRead = kernel.ErrLogUnavailable
-
 // shardLog is one stream of claims as this instance sees it: the fold of the
 // records read so far, and the entries that wait to be appended.
 type shardLog struct {
@@ -101,22 +98,26 @@
 
 // readAll reads batch after batch. The caller holds reading.
 func (s *shardLog) readAll(ctx context.Context, offset uint64) error {
+	if !s.opened() {
+		if err := s.open(ctx); err != nil {
+			return err
+		}
+	}
 	for {
 		next := s.next()
 		if offset > 0 && next > offset {
 			return nil
 		}
-		batch, err := s.owner.host.Log.Read(ctx, s.stream, max(1, next), 0)
-		s.owner.note(ctx, err)
+		batch, err := s.read(ctx, max(1, next))
 		if err != nil {
-			return errNoRead
+			return err
 		}
 		s.apply(batch)
 		if offset == 0 && s.next() >= batch.Next {
 			return nil
 		}
 		if ctx.Err() != nil {
-			return errNoRead
+			return kernel.ErrLogUnavailable
 		}
 	}
 }
@@ -179,8 +180,7 @@
 	if f.Verdict != claim.Taken || f.Slot.State != claim.Done || !f.Slot.Evicted {
 		return f
 	}
-	b, err := s.owner.host.Log.Read(ctx, s.stream, f.Slot.Stored, 0)
-	s.owner.note(ctx, err)
+	b, err := s.read(ctx, f.Slot.Stored)
 	if err != nil || len(b.Records) == 0 {
 		return f
 	}
