Read a batch while it is appended, and ask owners for claims in doubt

Cause: with a slow log each claim waited for two answers, the append's and the read's. Listing claims in doubt read all shards, hundreds of megabytes at the peak, into the instance that an operator asked. A paused owner stayed the owner while it was suspect.

--- a/plugins/claims/batcher.go
+++ b/plugins/claims/batcher.go
@@ -173,7 +173,9 @@
 // sent means that it may be.
 func (s *shardLog) try(ctx context.Context, b claim.Batch, data []byte) (landed, sent bool) {
 	m := s.owner
+	stopTail := s.tail(ctx)
 	offset, err := m.host.Log.Append(ctx, s.stream, data)
+	stopTail(err == nil)
 	m.note(ctx, err)
 	m.host.Counter("claim_appends").Inc(1)
 	m.host.Counter("claim_entries").Inc(int64(len(b.Entries)))
@@ -189,6 +191,25 @@
 	return s.catchUp(reading) == nil && s.has(b.ID), true
 }
 
+// tail reads the stream's next records while an append is on its way, which
+// saves the time of a read after it. The function that it returns waits for the
+// read if the append went well, and ends it otherwise.
+func (s *shardLog) tail(ctx context.Context) func(appended bool) {
+	ctx, cancel := context.WithTimeout(ctx, readBackTime)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = s.readNext(ctx)
+	}()
+	return func(appended bool) {
+		if !appended {
+			cancel()
+		}
+		<-done
+		cancel()
+	}
+}
+
 // note tells the circuit how a call of the log went. A call that was cut short
 // by its caller says nothing of the log.
 func (m *Log) note(ctx context.Context, err error) {
--- a/plugins/claims/fake_test.go
+++ b/plugins/claims/fake_test.go
@@ -33,6 +33,7 @@
 	mu      sync.Mutex
 	nodes   []*node // guarded by mu
 	cut     bool    // no calls between instances; guarded by mu
+	mute    bool    // calls take effect, and their answers get lost; guarded by mu
 	runs    map[string]int
 	started int
 }
@@ -137,15 +138,19 @@
 		n.cluster.mu.Unlock()
 		return nil, errors.New("peer out of reach")
 	}
-	o := n.cluster.nodes[i]
+	o, mute := n.cluster.nodes[i], n.cluster.mute
 	n.cluster.mu.Unlock()
-	return o.handlers[method](ctx, n.member.ID, body)
+	answer, err := o.handlers[method](ctx, n.member.ID, body)
+	if mute {
+		return nil, errors.New("answer lost")
+	}
+	return answer, err
 }
 
-func (c *cluster) setCut(cut bool) {
+func (c *cluster) setPeers(cut, mute bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.cut = cut
+	c.cut, c.mute = cut, mute
 }
 
 // idOf is the claim's ID of a key in these tests.
--- a/plugins/claims/load_test.go
+++ b/plugins/claims/load_test.go
@@ -10,6 +10,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"github.com/savoryfold/savoryfold/kernel"
+	"github.com/savoryfold/savoryfold/standin"
 )
 
 // The load of the benchmark: what a tenth of 6,300 requests a second asks for.
@@ -37,16 +38,22 @@
 		for _, perSecond := range []int{quietRate, peakRate} {
 			b.Run(fmt.Sprintf("shards=%d/rate=%d", shards, perSecond), func(b *testing.B) {
 				for range b.N {
-					load(b, shards, perSecond)
+					load(b, shards, perSecond, standin.LogFaults{})
 				}
 			})
 		}
 	}
+	b.Run("slow", func(b *testing.B) {
+		for range b.N {
+			load(b, 16, quietRate, standin.LogFaults{DelayMS: 50})
+		}
+	})
 }
 
-func load(b *testing.B, shards, perSecond int) {
+func load(b *testing.B, shards, perSecond int, faults standin.LogFaults) {
 	c := newCluster(b, 3, 0, serviceLimit, fmt.Sprintf("shards = %d\nappends_per_second = 200\n", shards))
 	defer c.close()
+	c.service.Set(faults)
 	r := &loadResult{
 		claim: hdrhistogram.New(1, 60_000_000, 3), complete: hdrhistogram.New(1, 60_000_000, 3),
 		refused: make(map[kernel.OutcomeReason]int),
--- a/plugins/claims/log.go
+++ b/plugins/claims/log.go
@@ -83,6 +83,7 @@
 	if h.Peers != nil {
 		h.Peers.Handle(methodAppend, m.serveAppend)
 		h.Peers.Handle(methodRead, m.serveRead)
+		h.Peers.Handle(methodOpen, m.serveOpen)
 	}
 	return m.check()
 }
--- a/plugins/claims/log_test.go
+++ b/plugins/claims/log_test.go
@@ -59,7 +59,7 @@
 	Convey("The same while append answers are lost and instances cannot call each other", t, func() {
 		inCluster(t, 0, "", func(c *cluster) {
 			c.service.Set(standin.LogFaults{LoseAnswers: 0.4})
-			c.setCut(true)
+			c.setPeers(true, false)
 			keys := make([]string, 25)
 			for i := range keys {
 				keys[i] = newKey()
@@ -74,6 +74,18 @@
 			}
 		})
 	})
+	Convey("The same while the answers of the shards' owners are lost", t, func() {
+		inCluster(t, 0, "", func(c *cluster) {
+			c.setPeers(false, true)
+			keys := []string{newKey(), newKey(), newKey(), newKey(), newKey()}
+			for key, results := range c.storm(keys) {
+				So(c.ran(key), ShouldEqual, 1)
+				for _, r := range results {
+					So(r.Answer, ShouldResemble, results[0].Answer)
+				}
+			}
+		})
+	})
 }
 
 func TestRepeats(t *testing.T) {
@@ -240,7 +252,7 @@
 	Convey("A claim whose append got lost is given back before a repeat may run", t, func() {
 		inCluster(t, 0, "", func(c *cluster) {
 			n := c.nodes[0]
-			c.setCut(true)
+			c.setPeers(true, false)
 			_ = n.serve(newKey(), lastLimit)
 			c.service.Set(standin.LogFaults{DelayMS: 400})
 			key := newKey()
--- a/plugins/claims/operator.go
+++ b/plugins/claims/operator.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -14,36 +15,60 @@
 // holder is still at work on it.
 var ErrNotInDoubt = errors.New("the claim is not in doubt")
 
+// operatorTimeout bounds one call for an operator.
+const operatorTimeout = 10 * time.Second
+
 const whyHolderGone = "the instance that held the claim is gone"
 
-// InDoubt implements kernel.ClaimsOperator. It reads all shards.
+// InDoubt implements kernel.ClaimsOperator. It asks the owners of all shards.
 func (m *Log) InDoubt(ctx context.Context) ([]kernel.ClaimInfo, error) {
 	var out []kernel.ClaimInfo
-	for _, s := range m.shards {
-		if err := s.catchUp(ctx); err != nil {
+	for n := range m.shards {
+		open, err := m.open(ctx, n)
+		if err != nil {
 			return nil, errors.Wrap(err, "claims in doubt")
 		}
-		for _, slot := range s.unfinished() {
+		for _, slot := range open {
 			if m.inDoubt(slot) {
-				out = append(out, s.info(slot))
+				out = append(out, info(n, slot))
 			}
 		}
 	}
 	return out, nil
 }
 
+// open returns the claims of a shard without an end, by its owner's fold or,
+// if the owner cannot be asked, by this instance's.
+func (m *Log) open(ctx context.Context, shard int) ([]claim.Slot, error) {
+	if owner, ok := m.remote(shard); ok {
+		r, err := m.call(ctx, owner, methodOpen, operatorTimeout, openCall{Shard: shard})
+		if err == nil && r.Code == codeOK {
+			return r.Open, nil
+		}
+	}
+	return m.openHere(ctx, shard)
+}
+
+func (m *Log) openHere(ctx context.Context, shard int) ([]claim.Slot, error) {
+	s := m.shards[shard]
+	if err := s.catchUp(ctx); err != nil {
+		return nil, err
+	}
+	return s.unfinished(), nil
+}
+
 // inDoubt reports whether only an operator can end the claim.
 func (m *Log) inDoubt(slot claim.Slot) bool {
 	return slot.State == claim.InDoubt || (slot.State == claim.Held && !m.alive(slot.Origin.Boot))
 }
 
-func (s *shardLog) info(slot claim.Slot) kernel.ClaimInfo {
+func info(shard int, slot claim.Slot) kernel.ClaimInfo {
 	why := slot.Why
 	if why == "" {
 		why = whyHolderGone
 	}
 	return kernel.ClaimInfo{
-		Shard: s.number, Account: slot.ID.Account, Route: slot.ID.Route, Key: slot.ID.Key,
+		Shard: shard, Account: slot.ID.Account, Route: slot.ID.Route, Key: slot.ID.Key,
 		Attempt: slot.Attempt.String(), Holder: slot.Origin.Holder, Claimed: slot.Claimed.In(time.UTC), Why: why,
 	}
 }
@@ -53,35 +78,35 @@
 	if v != kernel.VerdictRan && v != kernel.VerdictNotRun {
 		return errors.Errorf("verdict %q: want %s or %s", v, kernel.VerdictRan, kernel.VerdictNotRun)
 	}
-	id := claim.ID{Account: c.Account, Route: c.Route, Key: c.Key}
-	s := m.shards[m.rules.ShardOf(id)]
-	if err := s.catchUp(ctx); err != nil {
+	req := request{id: claim.ID{Account: c.Account, Route: c.Route, Key: c.Key}}
+	req.shard = m.rules.ShardOf(req.id)
+	open, err := m.open(ctx, req.shard)
+	if err != nil {
 		return errors.Wrap(err, "settle")
 	}
-	slot, ok := s.slotInDoubt(id, c.Attempt)
-	if !ok || !m.inDoubt(slot) {
+	i := slices.IndexFunc(open, func(s claim.Slot) bool {
+		return s.ID == req.id && (c.Attempt == "" || c.Attempt == s.Attempt.String())
+	})
+	if i < 0 || !m.inDoubt(open[i]) {
 		return ErrNotInDoubt
 	}
-	settlement := claim.Settlement{Ran: v == kernel.VerdictRan, Operator: operator}
-	err := s.submit(ctx, claim.Entry{Kind: claim.KindSettle, ID: id, Attempt: slot.Attempt, Settlement: &settlement})
+	req.body = open[i].Origin.BodyHash
+	return m.settle(ctx, req, open[i].Attempt, claim.Settlement{Ran: v == kernel.VerdictRan, Operator: operator})
+}
+
+// settle appends a verdict and checks that it counted.
+func (m *Log) settle(ctx context.Context, req request, a claim.Attempt, v claim.Settlement) error {
+	_, _, err := m.send(ctx, req.shard, claim.Entry{Kind: claim.KindSettle, ID: req.id, Attempt: a, Settlement: &v})
+	if err != nil {
+		return errors.Wrap(err, "settle")
+	}
+	f, err := m.read(ctx, req, 0)
 	if err != nil {
 		return errors.Wrap(err, "settle")
 	}
-	f, _ := s.find(id, claim.Attempt{}, slot.Origin.BodyHash)
-	if f.Slot.State != claim.Settled || f.Slot.Verdict != settlement {
+	if f.Slot.State != claim.Settled || f.Slot.Verdict != v {
 		return ErrNotInDoubt
 	}
-	m.host.Logger.Info("claim settled", "key", id.Key, "route", id.Route, "verdict", string(v), "operator", operator)
+	m.host.Logger.Info("claim settled", "key", req.id.Key, "route", req.id.Route, "ran", v.Ran, "operator", v.Operator)
 	return nil
 }
-
-// slotInDoubt returns the unfinished claim of a key. An empty attempt stands
-// for any.
-func (s *shardLog) slotInDoubt(id claim.ID, attempt string) (claim.Slot, bool) {
-	for _, slot := range s.unfinished() {
-		if slot.ID == id && (attempt == "" || attempt == slot.Attempt.String()) {
-			return slot, true
-		}
-	}
-	return claim.Slot{}, false
-}
--- a/plugins/claims/owner.go
+++ b/plugins/claims/owner.go
@@ -18,6 +18,7 @@
 const (
 	methodAppend = "claims.append"
 	methodRead   = "claims.read"
+	methodOpen   = "claims.unfinished"
 )
 
 // Times of calls between instances.
@@ -42,6 +43,11 @@
 	WaitMS int64      `cbor:"4,keyasint"`
 }
 
+// openCall asks a shard's owner for the claims without an end.
+type openCall struct {
+	Shard int `cbor:"1,keyasint"`
+}
+
 // replyCode says whether a call reached the log.
 type replyCode uint8
 
@@ -54,6 +60,8 @@
 type reply struct {
 	Code    replyCode     `cbor:"1,keyasint"`
 	Finding claim.Finding `cbor:"2,keyasint"`
+	// Open answers an openCall.
+	Open []claim.Slot `cbor:"3,keyasint,omitempty"`
 }
 
 func replyOf(f claim.Finding, err error) reply {
@@ -102,8 +110,8 @@
 	o.avoid[boot] = now.Add(avoidTime)
 }
 
-// ownerOf returns the live member that batches a shard's appends, by
-// rendezvous hashing, and whether it is this instance. Nothing but speed
+// ownerOf returns the member that batches a shard's appends, by rendezvous
+// hashing over the ready ones, and whether it is this instance. Nothing but speed
 // depends on it.
 func (m *Log) ownerOf(shard int) (kernel.Member, bool) {
 	if m.host.Membership == nil || m.host.Membership.View() == nil {
@@ -112,9 +120,9 @@
 	view := m.host.Membership.View()
 	best, found := view.Self, false
 	var score uint64
-	for _, member := range view.Live() {
+	for _, member := range view.Members {
 		h := xxhash.Sum64String(member.ID + "/" + strconv.Itoa(shard))
-		if !found || h > score {
+		if member.State == kernel.MemberReady && (!found || h > score) {
 			best, score, found = member, h, true
 		}
 	}
@@ -204,37 +212,3 @@
 	}
 	return s.recall(ctx, f), nil
 }
-
-// serveAppend implements methodAppend.
-func (m *Log) serveAppend(ctx context.Context, _ string, body []byte) ([]byte, error) {
-	var c appendCall
-	if err := cbor.Unmarshal(body, &c); err != nil {
-		return nil, errors.Wrap(err, methodAppend)
-	}
-	if c.Shard < 0 || c.Shard >= len(m.shards) || len(c.Entries) == 0 || len(c.Entries) > claim.MaxEntries {
-		return nil, errors.New(methodAppend + ": no such shard, or no entries")
-	}
-	for _, e := range c.Entries {
-		if err := e.Check(); err != nil {
-			return nil, errors.Wrap(err, methodAppend)
-		}
-	}
-	if !m.enter() {
-		return nil, errors.New(methodAppend + ": this instance has stopped")
-	}
-	defer m.landing.Done()
-	return cbor.Marshal(replyOf(m.appendHere(ctx, c.Shard, c.Entries)))
-}
-
-// serveRead implements methodRead.
-func (m *Log) serveRead(ctx context.Context, _ string, body []byte) ([]byte, error) {
-	var c readCall
-	if err := cbor.Unmarshal(body, &c); err != nil {
-		return nil, errors.Wrap(err, methodRead)
-	}
-	if c.Shard < 0 || c.Shard >= len(m.shards) {
-		return nil, errors.New(methodRead + ": no such shard")
-	}
-	wait := min(time.Duration(c.WaitMS)*time.Millisecond, maxReadWait)
-	return cbor.Marshal(replyOf(m.readHere(ctx, c, wait)))
-}
--- /dev/null
+++ b/plugins/claims/serve.go
@@ -0,0 +1,81 @@
+package claims
+
+import (
+	"context"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"github.com/savoryfold/savoryfold/policy/claim"
+)
+
+// maxOpenSlots bounds the answer to an openCall.
+const maxOpenSlots = 2000
+
+// decodeAppend reads and checks an appendCall.
+func decodeAppend(body []byte, shards int) (appendCall, error) {
+	var c appendCall
+	if err := claim.Unmarshal(body, &c); err != nil {
+		return c, errors.Wrap(err, methodAppend)
+	}
+	if c.Shard < 0 || c.Shard >= shards || len(c.Entries) == 0 || len(c.Entries) > claim.MaxEntries {
+		return c, errors.New(methodAppend + ": no such shard, or no entries")
+	}
+	for _, e := range c.Entries {
+		if err := e.Check(); err != nil {
+			return c, errors.Wrap(err, methodAppend)
+		}
+	}
+	return c, nil
+}
+
+// decodeRead reads and checks a readCall.
+func decodeRead(body []byte, shards int) (readCall, error) {
+	var c readCall
+	if err := claim.Unmarshal(body, &c); err != nil {
+		return c, errors.Wrap(err, methodRead)
+	}
+	if c.Shard < 0 || c.Shard >= shards || c.WaitMS < 0 {
+		return c, errors.New(methodRead + ": no such shard, or a negative wait")
+	}
+	return c, nil
+}
+
+// serveAppend implements methodAppend.
+func (m *Log) serveAppend(ctx context.Context, _ string, body []byte) ([]byte, error) {
+	c, err := decodeAppend(body, len(m.shards))
+	if err != nil {
+		return nil, err
+	}
+	if !m.enter() {
+		return nil, errors.New(methodAppend + ": this instance has stopped")
+	}
+	defer m.landing.Done()
+	return cbor.Marshal(replyOf(m.appendHere(ctx, c.Shard, c.Entries)))
+}
+
+// serveRead implements methodRead.
+func (m *Log) serveRead(ctx context.Context, _ string, body []byte) ([]byte, error) {
+	c, err := decodeRead(body, len(m.shards))
+	if err != nil {
+		return nil, err
+	}
+	wait := min(time.Duration(c.WaitMS)*time.Millisecond, maxReadWait)
+	return cbor.Marshal(replyOf(m.readHere(ctx, c, wait)))
+}
+
+// serveOpen implements methodOpen.
+func (m *Log) serveOpen(ctx context.Context, _ string, body []byte) ([]byte, error) {
+	var c openCall
+	if err := claim.Unmarshal(body, &c); err != nil {
+		return nil, errors.Wrap(err, methodOpen)
+	}
+	if c.Shard < 0 || c.Shard >= len(m.shards) {
+		return nil, errors.New(methodOpen + ": no such shard")
+	}
+	open, err := m.openHere(ctx, c.Shard)
+	r := replyOf(claim.Finding{}, err)
+	r.Open = open[:min(len(open), maxOpenSlots)]
+	return cbor.Marshal(r)
+}
--- a/plugins/claims/shard.go
+++ b/plugins/claims/shard.go
@@ -122,6 +122,19 @@
 	}
 }
 
+// readNext waits for the next records and reads them.
+func (s *shardLog) readNext(ctx context.Context) error {
+	s.reading.Lock()
+	defer s.reading.Unlock()
+	b, err := s.owner.host.Log.Read(ctx, s.stream, max(1, s.next()), readBackTime)
+	s.owner.note(ctx, err)
+	if err != nil {
+		return kernel.ErrLogUnavailable
+	}
+	s.apply(b)
+	return nil
+}
+
 func (s *shardLog) next() uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/policy/claim/batch.go
+++ b/policy/claim/batch.go
@@ -81,6 +81,9 @@
 	return mode
 }()
 
+// Unmarshal reads CBOR under the bounds that hold for records.
+func Unmarshal(data []byte, v any) error { return decoding.Unmarshal(data, v) }
+
 // Encode returns the record of a batch.
 func (b Batch) Encode() []byte {
 	data, err := cbor.Marshal(b)
