Send a slot between instances only when its key is taken

Cause: every grant carried the whole slot back to the instance that asked; a test relied on a release landing later than a request of its own.

Change: replies hold the slot of a taken key only and are decoded under the bounds of records; tests that foreign rules and versions close a shard; the slow-log test holds calls back for longer than the client's timeout.

--- a/plugins/claims/fake_test.go
+++ b/plugins/claims/fake_test.go
@@ -107,7 +107,11 @@
 		cancel()
 		c.kill(n)
 	}
-	_ = c.server.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), lastLimit)
+	defer cancel()
+	if err := c.server.Shutdown(ctx); err != nil {
+		c.t.Error(err)
+	}
 }
 
 // View implements kernel.Membership.
--- a/plugins/claims/log_test.go
+++ b/plugins/claims/log_test.go
@@ -254,7 +254,8 @@
 			n := c.nodes[0]
 			c.setPeers(true, false)
 			_ = n.serve(newKey(), lastLimit)
-			c.service.Set(standin.LogFaults{DelayMS: 400})
+			// Longer than the client's timeout, so that no call succeeds.
+			c.service.Set(standin.LogFaults{DelayMS: 1500})
 			key := newKey()
 			out := n.ask(key, "body", 100*time.Millisecond).Result.Outcome
 			So(out.Kind, ShouldEqual, kernel.NotRun)
--- a/plugins/claims/owner.go
+++ b/plugins/claims/owner.go
@@ -57,6 +57,7 @@
 	codeUnknown
 )
 
+// reply answers all calls. Only a key that is taken comes with its slot.
 type reply struct {
 	Code    replyCode     `cbor:"1,keyasint"`
 	Finding claim.Finding `cbor:"2,keyasint"`
@@ -66,6 +67,8 @@
 
 func replyOf(f claim.Finding, err error) reply {
 	switch {
+	case err == nil && f.Verdict != claim.Taken:
+		return reply{Finding: claim.Finding{Verdict: f.Verdict, Early: f.Early}}
 	case err == nil:
 		return reply{Finding: f}
 	case errors.Is(err, kernel.ErrLogUnavailable):
@@ -156,7 +159,7 @@
 	answer, err := m.host.Peers.Call(ctx, to, method, data)
 	var r reply
 	if err == nil {
-		err = cbor.Unmarshal(answer, &r)
+		err = claim.Unmarshal(answer, &r)
 	}
 	if err != nil {
 		m.owners.failed(to.Boot, time.Now())
--- a/policy/claim/answers_test.go
+++ b/policy/claim/shard_test.go
@@ -26,3 +26,25 @@
 		So(find(1).Evicted, ShouldBeTrue)
 	})
 }
+
+func TestForeignRules(t *testing.T) {
+	Convey("A record of other rules or another version closes the shard until it is out of sight", t, func() {
+		for _, b := range []Batch{{Version: Version, Rules: 7}, {Version: Version + 1, Rules: modelRules.Fingerprint()}} {
+			m := newModel()
+			r := Record{Offset: 1, Time: m.now, Data: b.Encode()}
+			_, err := m.oracle.Apply(r)
+			So(err, ShouldEqual, ErrVersion)
+			m.next, m.records = 2, []Record{r}
+			claim := func() Verdict {
+				a := &modelAttempt{id: m.number(), key: m.keyAt(m.now)}
+				m.land(claimEntry(a))
+				return m.oracle.Find(a.key, a.id, a.body).Verdict
+			}
+			So(claim(), ShouldEqual, Uncovered)
+			m.now = m.now.Add(modelRules.Span())
+			So(claim(), ShouldEqual, Uncovered)
+			m.now = m.now.Add(1)
+			So(claim(), ShouldEqual, Won)
+		}
+	})
+}
