--- a/kernel/stage.go
+++ b/kernel/stage.go
@@ -241,16 +241,17 @@
 		server.Report(now, *answer.Load)
 	}
 	switch answer.Result {
-	case CallCancelled, CallRejected, CallSilent:
-		return // silence is judged once the server was tried on a new connection
+	case CallCancelled, CallRejected:
+		return
+	case CallSilent:
+		// The server is judged once it was tried on a new connection. For its
+		// version the call was at least as slow as it was silent.
+		sample.OK = true
+		s.teachVersion(now, server, sample)
+		return
 	}
 	server.observe(now, sample)
-	if v := s.host.Versions; v != nil && s.pool.Config.Versioned {
-		v.Observe(now, s.route.Name, server.Config.Version, policy.MoveCall{
-			OK: sample.OK, Latency: sample.Latency, Cold: server.cold.Load(),
-			Load: float64(sample.InFlight) / float64(max(1, server.allowance.Load())),
-		})
-	}
+	s.teachVersion(now, server, sample)
 	if g := s.host.CrashGuard; g != nil && answer.Result == CallBroken {
 		g.Broken(now, s.fingerprint, server.ID)
 	}
@@ -273,7 +274,7 @@
 		return s.fail(ReasonCrashes, "backend servers died while they ran this request")
 	}
 	s.want.tried = append(s.want.tried, server.ID)
-	s.keepVersion(server)
+	s.nextVersion(server)
 	decision := s.host.Decisions.Retry.Decide(time.Now(), s.retryAttempt(attempt, answer, server))
 	if !decision.Retry {
 		s.host.add(retriesRefusedFamily, s.stage.Pool, string(decision.Reason), 1)
@@ -295,14 +296,6 @@
 	}
 }
 
-// keepVersion makes further calls of a stream that has begun use servers of
-// the same version, whose text goes on where the first call ended.
-func (s *stageRun) keepVersion(server *Server) {
-	if s.call.Events != nil && s.call.Events.LastID() != "" {
-		s.want.version = server.Config.Version
-	}
-}
-
 // afterSilence tells a dead connection from a dead server. Only a dead server
 // counts as a failure of the server.
 func (s *stageRun) afterSilence(ctx context.Context, server *Server) {
--- /dev/null
+++ b/kernel/stage_version.go
@@ -0,0 +1,56 @@
+package kernel
+
+import (
+	"time"
+
+	"github.com/savoryfold/savoryfold/config"
+	"github.com/savoryfold/savoryfold/policy"
+)
+
+// teachVersion tells the module of versions what a call showed of its server's
+// version.
+func (s *stageRun) teachVersion(now time.Time, server *Server, sample policy.CallSample) {
+	v := s.host.Versions
+	if v == nil || !s.pool.Config.Versioned {
+		return
+	}
+	v.Observe(now, s.route.Name, server.Config.Version, policy.MoveCall{
+		OK: sample.OK, Latency: sample.Latency, Cold: server.cold.Load(),
+		Load: float64(sample.InFlight) / float64(max(1, server.allowance.Load())),
+	})
+}
+
+// nextVersion chooses the version for further calls of the stage after one that
+// failed on the server. A stream that has begun stays with its version, whose
+// text goes on where the first call ended. During a version move the old
+// version takes over from the new one, so that callers do not see its faults.
+func (s *stageRun) nextVersion(server *Server) {
+	if s.call.Events != nil && s.call.Events.LastID() != "" {
+		s.want.version = server.Config.Version
+		return
+	}
+	m := s.route.Move
+	if m == nil || s.want.version != m.To || s.ranVersioned() || !s.pool.hasServer(m.From) {
+		return
+	}
+	s.want.version = m.From
+	s.version = m.From
+}
+
+// ranVersioned reports whether an earlier stage ran on a versioned pool. All
+// stages of a request use the same version.
+func (s *stageRun) ranVersioned() bool {
+	for _, earlier := range s.route.Stages {
+		if earlier.Name == s.stage.Name {
+			break
+		}
+		if s.versioned(earlier) {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *stageRun) versioned(stage config.Stage) bool {
+	return s.snap.Pool(stage.Pool).Config.Versioned
+}
