--- a/test/experiment/version.go
+++ b/test/experiment/version.go
@@ -200,9 +200,12 @@
 		}
 	}
 	name := "bad " + l.name + ": "
+	for _, route := range l.routes {
+		e.figure(name+"attainment of route "+route, attainment(r.Routes[route]), "part")
+	}
+	e.figure(name+"share in the last second", share(calls, r.Start.Add(badRun-time.Second), r.Start.Add(badRun)), "part")
 	e.figure(name+"calls that met the fault", float64(bad), "calls")
 	if shown.IsZero() {
-		e.figure(name+"the fault did not show; share at the end", share(calls, r.Start.Add(badRun-time.Second), r.Start.Add(badRun)), "part")
 		return nil
 	}
 	e.figure(name+"time until the fault showed", shown.Sub(r.Start).Seconds(), "s")
