At most once under kills, pauses, lost appends and log outage, as a test

Change: TestAtMostOnce sends keyed requests to any instance while two instances are killed and append answers are lost, or one is paused and the log is down, sends every key again afterwards, and judges callers' answers against the services' executions. version-bad gave the lane with two routes twice the requests that its engines can take.

--- a/test/experiment/version.go
+++ b/test/experiment/version.go
@@ -16,7 +16,7 @@
 	newVersion = "v2"
 	// moveTime is the time from the start of a move to its set time.
 	moveTime    = 28 * time.Second
-	moveRate    = 80.0 // requests a second of one route
+	moveRate    = 80.0 // requests a second of one lane
 	badRun      = 34 * time.Second
 	goodRun     = 34 * time.Second
 	moveTokens  = 6
@@ -85,9 +85,10 @@
 			s := small("one", 1)
 			s.Route = r
 			s.Body = func(n int) string { return fmt.Sprintf(`{"n":%d,"route":%q}`, n, r) }
+			s.Weight = 1 / float64(len(l.routes))
 			mix = append(mix, s)
-			rate += moveRate
 		}
+		rate += moveRate
 	}
 	return mix, rate
 }
@@ -186,12 +187,14 @@
 	}
 	e.shareCurve(l.name, calls, r.Start)
 	var shown time.Time
+	var last time.Time
 	late, bad := 0, 0
 	for _, c := range calls {
 		if !c.Bad {
 			continue
 		}
 		bad++
+		last = c.Start
 		if shown.IsZero() {
 			shown = c.Start
 		}
@@ -209,6 +212,7 @@
 		return nil
 	}
 	e.figure(name+"time until the fault showed", shown.Sub(r.Start).Seconds(), "s")
+	e.figure(name+"time from the first to the last call that met the fault", last.Sub(shown).Seconds(), "s")
 	if l.bad.After == 0 && l.bad.Load == 0 {
 		e.atMost(name+"share until 3 s after the fault showed", share(calls, r.Start, shown.Add(changeTime)), maxBadShare, "part")
 	}
--- /dev/null
+++ b/test/integration/once_test.go
@@ -0,0 +1,125 @@
+package integration
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/savoryfold/savoryfold/internal/load"
+	"github.com/savoryfold/savoryfold/standin"
+	"github.com/savoryfold/savoryfold/test/harness"
+	"github.com/savoryfold/savoryfold/test/history"
+)
+
+// onceCallers send requests that may not be repeated.
+const onceCallers = 6
+
+// sendOnce sends a key to instances in turn until it is served, at most a
+// number of times, and returns what the caller saw.
+func sendOnce(ctx context.Context, c *harness.Cluster, client *load.Client, n int, key string, times int) []history.Attempt {
+	share := mix()[2]
+	var seen []history.Attempt
+	for i := range times {
+		call := load.NewCall(n, "", &share)
+		call.Key = key
+		call.Target = c.Instances[(n+i)%len(c.Instances)].Entry
+		start := time.Now()
+		r := client.Send(ctx, call, start)
+		seen = append(seen, history.Attempt{Key: key, Start: start, End: r.End, Outcome: r.Outcome, Answer: string(r.Answer)})
+		if r.Outcome == load.OutcomeServed {
+			break
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return seen
+}
+
+// ledgerRuns returns the calls of all ledgers by the caller's key.
+func ledgerRuns(ctx context.Context, c *harness.Cluster) map[string][]standin.CallRecord {
+	runs := make(map[string][]standin.CallRecord)
+	for _, zone := range c.Spec.Zones {
+		calls, err := c.Calls(ctx, "ledger-"+zone)
+		So(err, ShouldBeNil)
+		for _, call := range calls {
+			key := call.Key[strings.LastIndex(call.Key, "/")+1:]
+			runs[key] = append(runs[key], call)
+		}
+	}
+	return runs
+}
+
+func running(done <-chan struct{}) bool {
+	select {
+	case <-done:
+		return false
+	default:
+		return true
+	}
+}
+
+func TestAtMostOnce(t *testing.T) {
+	faults := map[string]func(context.Context, *harness.Cluster){
+		"a killed instance and lost append answers": func(ctx context.Context, c *harness.Cluster) {
+			So(c.SetLogFaults(ctx, standin.LogFaults{LoseAnswers: 0.3}), ShouldBeNil)
+			for _, in := range c.Instances[:2] {
+				time.Sleep(500 * time.Millisecond)
+				in.Kill()
+				So(c.Restart(in), ShouldBeNil)
+				So(c.WaitReady(ctx), ShouldBeNil)
+			}
+		},
+		"a paused instance and a log outage": func(ctx context.Context, c *harness.Cluster) {
+			c.Instances[2].Signal(syscall.SIGSTOP)
+			time.Sleep(time.Second)
+			So(c.SetLogFaults(ctx, standin.LogFaults{Down: true}), ShouldBeNil)
+			c.Instances[2].Signal(syscall.SIGCONT)
+			time.Sleep(time.Second)
+		},
+	}
+	for name, bringAbout := range faults {
+		Convey("No request runs twice and no 'not run' is false with "+name, t, func() {
+			ctx, cancel := context.WithTimeout(context.Background(), lastLimit)
+			defer cancel()
+			c := launch(t, threeZones(t.TempDir()))
+			client := load.NewClient()
+			defer client.Close()
+			var mu sync.Mutex
+			var h history.Requests
+			numbers := make(map[string]int)
+			done := make(chan struct{})
+			var callers sync.WaitGroup
+			for caller := range onceCallers {
+				callers.Go(func() {
+					for n := caller; running(done); n += onceCallers {
+						key := uuid.Must(uuid.NewV7()).String()
+						seen := sendOnce(ctx, c, client, n, key, 3)
+						mu.Lock()
+						h.Attempts = append(h.Attempts, seen...)
+						numbers[key] = n
+						mu.Unlock()
+					}
+				})
+			}
+			bringAbout(ctx, c)
+			close(done)
+			callers.Wait()
+			So(c.SetLogFaults(ctx, standin.LogFaults{}), ShouldBeNil)
+			// Every key is sent again once all is well.
+			for key, n := range numbers {
+				h.Attempts = append(h.Attempts, sendOnce(ctx, c, client, n, key, 1)...)
+			}
+			h.Executions = ledgerRuns(ctx, c)
+			v := h.Check()
+			So(v.Faults, ShouldBeEmpty)
+			So(v.Served, ShouldBeGreaterThan, 0)
+			t.Log(name, fmt.Sprintf("keys %d, served %d, ran %d, in doubt %d", v.Keys, v.Served, v.Ran, v.Unsettled))
+		})
+	}
+}
