End a claim also when its request panics

Cause: a panic between a claim and its end left the key in progress for its callers and held up a planned stop until its timeout.

Ruled out: releasing in every case, since the panic may come while a call that may not be repeated is under way.

Change: the end of a claim is deferred; a call that may not be repeated counts as sent from before it is made until it turns out not to have been.

Conclusion: without the change the test sees a claim without an end; with it, released before the call and in doubt during it.

--- a/kernel/run.go
+++ b/kernel/run.go
@@ -190,7 +190,7 @@
 func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
 // admitted claims the request if it may run at most once, and runs it.
-func (r *run) admitted(ctx context.Context) Result {
+func (r *run) admitted(ctx context.Context) (result Result) {
 	if r.route.Repeatable() {
 		return r.stages(ctx)
 	}
@@ -205,9 +205,9 @@
 		return grant.Result
 	}
 	r.claim = grant.Claim
-	result := r.stages(ctx)
-	r.endClaim(ctx, result)
-	return result
+	// Deferred, so that a panic does not leave the claim without an end.
+	defer func() { r.endClaim(ctx, result) }()
+	return r.stages(ctx)
 }
 
 // endClaim ends the claim as the outcome asks.
--- a/kernel/serve_test.go
+++ b/kernel/serve_test.go
@@ -203,6 +203,32 @@
 	})
 }
 
+func TestPanicEndsTheClaim(t *testing.T) {
+	cases := []struct {
+		name  string
+		call  int // the call in which the panic comes
+		ended string
+	}{
+		{"before the call that may not be repeated", 1, "release"},
+		{"in the call that may not be repeated", 2, "doubt"},
+	}
+	for _, c := range cases {
+		Convey("A panic "+c.name+" does not leave the claim without an end", t, func() {
+			h := serveHost(t, &fakeTransport{answer: func(n int, _ *StageCall) StageAnswer {
+				if n == c.call {
+					panic("broken invariant")
+				}
+				return okAnswer(`1`)
+			}})
+			claims := &fakeClaims{}
+			h.Claims = claims
+			req := &Request{Account: "alto", Route: "once", Key: "k", Body: []byte(`{}`)}
+			So(func() { h.Serve(context.Background(), req) }, ShouldPanic)
+			So(claims.ended, ShouldEqual, c.ended)
+		})
+	}
+}
+
 func TestRefusedRequests(t *testing.T) {
 	transport := &fakeTransport{answer: func(int, *StageCall) StageAnswer { return okAnswer(`1`) }}
 	h := serveHost(t, transport)
--- a/kernel/stage.go
+++ b/kernel/stage.go
@@ -175,7 +175,13 @@
 	if s.route.Hedge && s.stage.Idempotent && !s.stage.Stream {
 		return s.hedged(ctx, server)
 	}
+	// Until the call has ended it counts as sent, also if it ends in a panic.
+	before := s.sentOnce
+	s.sentOnce = before || !s.stage.Idempotent
 	done := s.send(ctx, server)
+	if !done.answer.Result.Sent() {
+		s.sentOnce = before
+	}
 	s.note(done)
 	return done
 }
@@ -227,7 +233,6 @@
 	}
 	if answer.Result.Sent() {
 		s.sent = true
-		s.sentOnce = s.sentOnce || !s.stage.Idempotent
 	}
 	s.host.add(stageCallsFamily, s.stage.Pool, answer.Result.String(), 1)
 	s.teach(done.server, answer, done.sample)
