--- a/internal/quickstart/quickstart.go
+++ b/internal/quickstart/quickstart.go
@@ -8,19 +8,16 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"log/slog"
 	"net/http"
-	"os"
-	"path/filepath"
+	"slices"
 	"strings"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"github.com/savoryfold/savoryfold/config"
 	"github.com/savoryfold/savoryfold/internal/httpapi"
 	"github.com/savoryfold/savoryfold/kernel"
-	"github.com/savoryfold/savoryfold/plugins/entryhttp"
-	_ "github.com/savoryfold/savoryfold/plugins/standard" // all plug-ins
 	"github.com/savoryfold/savoryfold/standin"
 )
 
@@ -35,34 +32,31 @@
 
 // Run runs the quickstart and writes what happens.
 func Run(ctx context.Context, out io.Writer) error {
-	dir, err := os.MkdirTemp("", "savoryfold-quickstart")
-	if err != nil {
-		return errors.Wrap(err, "quickstart")
-	}
-	defer os.RemoveAll(dir)
-	q := &quickstart{dir: dir, out: out}
+	q := &quickstart{out: out}
 	defer q.stop()
-	if err := q.startStandins(); err != nil {
-		return err
-	}
-	if err := q.startInstances(ctx); err != nil {
-		return err
+	for _, step := range []func(context.Context) error{q.startStandins, q.startInstances, q.loadTables, q.request} {
+		if err := step(ctx); err != nil {
+			return err
+		}
 	}
-	return q.request(ctx)
+	return nil
 }
 
 type quickstart struct {
-	dir       string
-	out       io.Writer
-	tables    strings.Builder
-	standins  []*standin.Server
-	nodes     []*node
-	addresses []string
+	out      io.Writer
+	tables   strings.Builder
+	log      string // address of the log service
+	standins []*standin.Server
+	nodes    []*node
 }
 
-// startStandins starts one backend server of each pool in each zone and writes
-// the tables.
-func (q *quickstart) startStandins() error {
+// startStandins starts the log service and one backend server of each pool in
+// each availability zone, and writes the tables.
+func (q *quickstart) startStandins(context.Context) error {
+	var err error
+	if q.log, err = q.startStandin(standin.NewLogService(0, 0).Handler()); err != nil {
+		return err
+	}
 	fmt.Fprintf(&q.tables, "[account demo]\nkey_sha256 = %s\n\n", httpapi.HashToken(apiKey))
 	q.tables.WriteString("[route answer]\ndeadline = 3s\nstages = encode, retrieve, rerank, generate\n")
 	for _, stage := range []string{"encode", "retrieve", "rerank", "generate"} {
@@ -72,15 +66,24 @@
 	for _, pool := range []string{"encode", "retrieve", "rerank", "generate"} {
 		fmt.Fprintf(&q.tables, "\n[pool %s]\n", pool)
 		for i, zone := range zones {
-			s, err := standin.Listen("127.0.0.1:0", backend(pool, zone))
+			address, err := q.startStandin(backend(pool, zone))
 			if err != nil {
 				return err
 			}
-			q.standins = append(q.standins, s)
-			fmt.Fprintf(&q.tables, "server.%s%d = zone=%s addr=%s\n", pool, i+1, zone, s.Address())
+			fmt.Fprintf(&q.tables, "server.%s%d = zone=%s addr=%s\n", pool, i+1, zone, address)
 		}
 	}
-	return os.WriteFile(filepath.Join(q.dir, "tables.ini"), []byte(q.tables.String()), 0o600)
+	return nil
+}
+
+// startStandin serves a stand-in on a free port and returns its address.
+func (q *quickstart) startStandin(h http.Handler) (string, error) {
+	s, err := standin.Listen("127.0.0.1:0", h)
+	if err != nil {
+		return "", err
+	}
+	q.standins = append(q.standins, s)
+	return s.Address(), nil
 }
 
 func backend(pool, zone string) http.Handler {
@@ -90,73 +93,58 @@
 	return (&standin.Service{Backend: standin.Backend{Name: pool + "-" + zone}, Work: 5 * time.Millisecond}).Handler()
 }
 
+// startInstances starts one instance in each availability zone. Each finds the
+// others by the one that was started first.
 func (q *quickstart) startInstances(ctx context.Context) error {
+	seed := ""
 	for _, zone := range zones {
-		if err := q.startInstance(ctx, zone); err != nil {
+		n, err := startNode(ctx, zone, q.log, seed)
+		if err != nil {
 			return err
 		}
-	}
-	for _, n := range q.nodes {
-		if err := n.waitReady(ctx); err != nil {
+		q.nodes = append(q.nodes, n)
+		if err := n.wait(ctx, func() bool { return n.in.State() == kernel.StateReady }); err != nil {
 			return err
 		}
-		q.addresses = append(q.addresses, n.in.Module("entryhttp").(*entryhttp.Entry).Address())
+		seed = q.nodes[0].in.Host.Membership.View().Self.GossipAddress
 	}
-	fmt.Fprintf(q.out, "three instances are ready: %s\n", strings.Join(q.addresses, ", "))
 	return nil
 }
 
-func (q *quickstart) startInstance(ctx context.Context, zone string) error {
-	text := fmt.Sprintf(`[instance]
-id = %s-1
-zone = %s
-[entry]
-listen = 127.0.0.1:0
-drain = 10ms
-[policy]
-configsource = file
-membership = static
-claims = memory
-[tables]
-file = %s
-`, zone, zone, filepath.Join(q.dir, "tables.ini"))
-	settings, err := kernel.Schema().Load("quickstart.ini", []byte(text))
+// loadTables puts each section on the log by the first instance and waits until
+// all instances have them in force.
+func (q *quickstart) loadTables(ctx context.Context) error {
+	tables, err := config.ParseTables("quickstart", []byte(q.tables.String()))
 	if err != nil {
 		return err
 	}
-	in, err := kernel.NewInstance(settings, slog.New(slog.DiscardHandler), &slog.LevelVar{})
-	if err != nil {
-		return err
+	names := tables.SectionNames()
+	slices.SortStableFunc(names, func(a, b string) int { return loadOrder(a) - loadOrder(b) })
+	var newest uint64
+	for _, name := range names {
+		e := config.Edit{ID: name, Operator: "quickstart", Section: name, Body: tables.Sections[name].Body}
+		result, err := q.nodes[0].in.Host.Config.Edit(ctx, e)
+		if err != nil {
+			return err
+		}
+		newest = result.Revision
 	}
-	n := &node{in: in, done: make(chan error, 1)}
-	go func() { n.done <- in.Run(ctx) }()
-	q.nodes = append(q.nodes, n)
+	for _, n := range q.nodes {
+		inForce := func() bool { return n.in.Ready() && n.in.Host.Snapshot().Tables.Revision >= newest }
+		if err := n.wait(ctx, inForce); err != nil {
+			return err
+		}
+	}
+	fmt.Fprintf(q.out, "three instances have revision %d of the tables in force\n", newest)
 	return nil
 }
 
-// node is one instance of the quickstart.
-type node struct {
-	in   *kernel.Instance
-	done chan error
-}
-
-// waitReady waits until the instance takes requests.
-func (n *node) waitReady(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, readyWait)
-	defer cancel()
-	ticker := time.NewTicker(readyCheck)
-	defer ticker.Stop()
-	for !n.in.Ready() {
-		select {
-		case err := <-n.done:
-			n.done <- err
-			return errors.Wrapf(err, "instance %s ended", n.in.Host.ID())
-		case <-ctx.Done():
-			return errors.Errorf("instance %s is not ready after %s", n.in.Host.ID(), readyWait)
-		case <-ticker.C:
-		}
+// loadOrder puts routes behind the pools and accounts that they name.
+func loadOrder(section string) int {
+	if strings.HasPrefix(section, string(config.RouteSection)) {
+		return 1
 	}
-	return nil
+	return 0
 }
 
 // request sends one streamed request and prints its events as they come.
@@ -164,7 +152,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	body := bytes.NewReader([]byte(`{"question": "Who is on duty on Sunday?"}`))
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+q.addresses[0]+"/v1/routes/answer", body)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+q.nodes[0].entry()+"/v1/routes/answer", body)
 	if err != nil {
 		return errors.Wrap(err, "quickstart")
 	}
