--- a/policy/member.go
+++ b/policy/member.go
@@ -36,7 +36,6 @@
 	missedSpreads     = 2 // times in which news spread, likewise, in large zones
 	spreadRounds      = 3 // rounds in which news spread, and more with the logarithm of the zone's size
 	remoteSlack       = 2 // stretches the silences of other zones' members
-	lapseFactor       = 3 // silences of a suspect after which a member of a zone in touch lapses
 	maxMembers        = 4096
 	maxZones          = 256
 	wantInterval      = time.Second
@@ -72,6 +71,7 @@
 	last    time.Time
 	seeds   []string
 	probe   int
+	turn    uint64 // counts summaries of other zones
 	hot     []*memberEntry
 	version uint64
 	// Conflicts counts records of a newer boot with this instance's ID.
@@ -97,6 +97,7 @@
 	members []*memberEntry // sorted by ID
 	wanted  time.Time
 	told    time.Time // when the newest news was heard that was passed on
+	turn    uint64    // when the zone was last told of, in summaries
 	rotate  int
 }
 
--- a/policy/member_test.go
+++ b/policy/member_test.go
@@ -141,6 +141,22 @@
 	})
 }
 
+func TestMemberTableStaysQuiet(t *testing.T) {
+	for _, size := range []struct{ zones, perZone int }{{1, 9}, {2, 4}, {3, 3}, {5, 3}, {7, 2}, {11, 4}, {11, 9}} {
+		Convey(fmt.Sprintf("Without faults nobody is ever suspect in %d zones of %d", size.zones, size.perZone), t, func() {
+			s := newMemberSim(11, size.zones, size.perZone)
+			s.still = true // equal delays bring out turns that repeat
+			s.run(10 * time.Second)
+			for range 160 {
+				s.round()
+				if wrong := s.disagreement(); wrong != "" {
+					So(wrong, ShouldBeEmpty)
+				}
+			}
+		})
+	}
+}
+
 // TestMemberTableUnderFaults draws schedules of partitions, loss and restarts,
 // and checks that the views agree once the network is whole again.
 func TestMemberTableUnderFaults(t *testing.T) {
--- a/policy/membersim_test.go
+++ b/policy/membersim_test.go
@@ -21,6 +21,8 @@
 	// instances cannot reach each other.
 	loss float64
 	cut  func(from, to *simNode) bool
+	// still is true if every message takes the same time.
+	still bool
 	// onSend sees every message that is sent.
 	onSend func(from *simNode, s MemberSend)
 }
@@ -91,6 +93,9 @@
 			continue
 		}
 		delay := time.Duration(s.random.IntN(40)) * time.Millisecond
+		if s.still {
+			delay = time.Millisecond
+		}
 		s.queue = append(s.queue, simPacket{s.now.Add(delay), from, to, m.Message})
 	}
 }
--- a/policy/memberview.go
+++ b/policy/memberview.go
@@ -80,7 +80,7 @@
 // remoteSuspectAfter is the silence that makes a member of another zone
 // suspect. Its news come by way of delegates.
 func (t *MemberTable) remoteSuspectAfter() time.Duration {
-	return remoteSlack*t.suspectAfter() + t.spread()
+	return remoteSlack * (t.suspectAfter() + t.spread())
 }
 
 func (t *MemberTable) goneAfter() time.Duration {
@@ -121,7 +121,7 @@
 		return
 	}
 	if e.record.Zone != t.self.Zone {
-		e.lapsed = e.lapsed || (zoneSilent <= t.suspectAfter() && silent > lapseFactor*t.suspectAfter())
+		e.lapsed = e.lapsed || (zoneSilent <= t.suspectAfter() && silent > t.remoteSuspectAfter()+t.suspectAfter())
 		return
 	}
 	switch {
--- a/policy/memberzone.go
+++ b/policy/memberzone.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"cmp"
 	"encoding/binary"
 	"maps"
 	"slices"
@@ -13,54 +14,38 @@
 const (
 	ageUnit = 100 * time.Millisecond
 	ageMax  = 255
-	// zonesPerSummary is the number of other zones for each summary of another
-	// zone that goes with a heartbeat.
-	zonesPerSummary = 4
+	// summaryRoom is the number of bytes for summaries of other zones in a
+	// heartbeat, and summaryBase that of one besides its ages.
+	summaryRoom = 160
+	summaryBase = 25
 )
 
-// nextSummaries returns the own zone's summary and those of a few other zones,
-// in an order that differs between receivers and rounds.
+// nextSummaries returns the own zone's summary and those of other zones: the one
+// with the newest news, one drawn for the receiver and the round, and those told
+// of the longest ago. The draw keeps a receiver from hearing of the same zones
+// in every turn.
 func (t *MemberTable) nextSummaries(e *memberEntry, now time.Time) []ZoneSummary {
 	out := []ZoneSummary{t.summary(t.self.Zone, now)}
-	var others []string
-	for _, name := range t.zoneNames() {
-		if name != t.self.Zone && len(t.zones[name].members) > 0 {
-			others = append(others, name)
+	others := slices.DeleteFunc(t.peopled(), func(name string) bool { return name == t.self.Zone })
+	room := summaryRoom
+	for len(others) > 0 && room > 0 {
+		var name string
+		switch len(out) {
+		case 1:
+			name = t.newestZone(others)
+		case 2:
+			name = others[mixTurn(e.fingerprint, t.round)%uint64(len(others))]
+		default:
+			name = slices.MinFunc(others, func(a, b string) int { return order(t.zones[a].turn, t.zones[b].turn) })
 		}
-	}
-	count := (len(others) + zonesPerSummary - 1) / zonesPerSummary
-	first := mixTurn(e.fingerprint, t.round)
-	var chosen []string
-	if news := t.newestZone(others); news != "" {
-		chosen = append(chosen, news)
-	}
-	for i := uint64(0); len(chosen) < count; i++ {
-		if name := others[(first+i)%uint64(len(others))]; !slices.Contains(chosen, name) {
-			chosen = append(chosen, name)
-		}
-	}
-	for _, name := range chosen {
-		z := t.zones[name]
-		z.told = z.lastHeard()
-		out = append(out, t.summary(name, now))
+		s := t.tellZone(name, now)
+		room -= summaryBase + len(s.Ages)
+		out = append(out, s)
+		others = slices.DeleteFunc(others, func(o string) bool { return o == name })
 	}
 	return out
 }
 
-// newestZone returns the zone with the most news since it was last told of, or
-// "" if there are none.
-func (t *MemberTable) newestZone(names []string) string {
-	var best string
-	var most time.Duration
-	for _, name := range names {
-		z := t.zones[name]
-		if gain := z.lastHeard().Sub(z.told); gain > most {
-			best, most = name, gain
-		}
-	}
-	return best
-}
-
 // mixTurn draws a number for a receiver and a round.
 func mixTurn(receiver, round uint64) uint64 {
 	var key [16]byte
@@ -69,6 +54,24 @@
 	return xxhash.Sum64(key[:])
 }
 
+// tellZone returns the summary of another zone and notes that it goes out.
+func (t *MemberTable) tellZone(name string, now time.Time) ZoneSummary {
+	z := t.zones[name]
+	z.told = z.lastHeard()
+	t.turn++
+	z.turn = t.turn
+	return t.summary(name, now)
+}
+
+// newestZone returns the zone with the most news since it was last told of.
+func (t *MemberTable) newestZone(names []string) string {
+	return slices.MaxFunc(names, func(a, b string) int {
+		return cmp.Compare(t.zones[a].gain(), t.zones[b].gain())
+	})
+}
+
+func (z *memberZone) gain() time.Duration { return z.lastHeard().Sub(z.told) }
+
 // zoneNames returns the names of all known zones in order.
 func (t *MemberTable) zoneNames() []string { return slices.Sorted(maps.Keys(t.zones)) }
 
