Look all senders up at once; a zone cut off with the log down, as a test

Cause: each connection that a fault asked about read the system's tables of sockets by itself, for hundreds of connections at the moment of a cut.

--- a/test/harness/cluster.go
+++ b/test/harness/cluster.go
@@ -69,6 +69,7 @@
 	LogLink  *relay.TCP
 	ListLink *relay.TCP
 	pids     pidTable
+	owners   owners
 	closers  []func()
 	client   *http.Client
 }
--- a/test/integration/pairs_test.go
+++ b/test/integration/pairs_test.go
@@ -68,3 +68,42 @@
 		So(leaving.Wait(lastLimit), ShouldEqual, 0)
 	})
 }
+
+func TestZoneCutWithLogOutage(t *testing.T) {
+	Convey("Every zone goes on serving what it can while one is cut off and the log is down", t, func() {
+		ctx, cancel := context.WithTimeout(context.Background(), lastLimit)
+		defer cancel()
+		s := threeZones(t.TempDir())
+		impatient(s.Pools)
+		c := launch(t, s)
+		kinds := mix()[:2]
+		allServed(drive(ctx, c, kinds, 60))
+		before, err := c.Tables(ctx, c.Instances[0])
+		So(err, ShouldBeNil)
+		So(c.SetLogFaults(ctx, standin.LogFaults{Down: true}), ShouldBeNil)
+		c.CutZone("hobart", true, true)
+		So(eventually(ctx, func() bool { return served(drive(ctx, c, kinds, 30)) == 30 }), ShouldBeTrue)
+		c.CutZone("hobart", false, true)
+		So(c.SetLogFaults(ctx, standin.LogFaults{}), ShouldBeNil)
+		So(eventually(ctx, func() bool { return served(drive(ctx, c, mix(), 30)) == 30 }), ShouldBeTrue)
+		for _, in := range c.Instances {
+			after, err := c.Tables(ctx, in)
+			So(err, ShouldBeNil)
+			So(after, ShouldResemble, before)
+		}
+	})
+}
+
+// served counts the requests that were served whole, and fails for an answer
+// that is cut, absent or another's.
+func served(results []*load.Result) int {
+	n := 0
+	for _, r := range results {
+		So(r.Fault, ShouldBeNil)
+		if r.Outcome == load.OutcomeServed {
+			So(check(r), ShouldBeNil)
+			n++
+		}
+	}
+	return n
+}
