--- a/policy/rollout_standard.go
+++ b/policy/rollout_standard.go
@@ -48,10 +48,10 @@
 // Bounds of the test for a fault.
 const (
 	// faultEvidence is the log-likelihood ratio at which a difference from the
-	// old version counts as a fault: about 1 in 3,000 by chance.
-	faultEvidence = 8
-	minFailures   = 3
-	minSlow       = 8
+	// old version counts as a fault: about 1 in 1,000 by chance.
+	faultEvidence = 7
+	minFailures   = 2
+	minSlow       = 5
 	// enoughCalls of the old version give its own rate.
 	enoughCalls = 20
 )
@@ -105,9 +105,10 @@
 	if e.Braked || rate(e.New.Failures, e.New.Calls) > rate(e.Old.Failures, e.Old.Calls)+failureTolerance {
 		return 0
 	}
+	good := e.New.Calls - e.New.Failures - e.New.Slow
 	proved := 0
 	for i, step := range rolloutSteps {
-		if e.New.Calls >= step.calls {
+		if good >= step.calls {
 			proved = i
 		}
 	}
