--- a/test/relay/relay.go
+++ b/test/relay/relay.go
@@ -125,4 +125,3 @@
 		return false
 	}
 }
-
