--- a/plugins/claims/log_test.go
+++ b/plugins/claims/log_test.go
@@ -59,7 +59,7 @@
 	Convey("The same while append answers are lost and instances cannot call each other", t, func() {
 		inCluster(t, 0, "", func(c *cluster) {
 			c.service.Set(standin.LogFaults{LoseAnswers: 0.4})
-			c.setCut(true)
+			c.setPeers(true, false)
 			keys := make([]string, 25)
 			for i := range keys {
 				keys[i] = newKey()
@@ -74,6 +74,18 @@
 			}
 		})
 	})
+	Convey("The same while the answers of the shards' owners are lost", t, func() {
+		inCluster(t, 0, "", func(c *cluster) {
+			c.setPeers(false, true)
+			keys := []string{newKey(), newKey(), newKey(), newKey(), newKey()}
+			for key, results := range c.storm(keys) {
+				So(c.ran(key), ShouldEqual, 1)
+				for _, r := range results {
+					So(r.Answer, ShouldResemble, results[0].Answer)
+				}
+			}
+		})
+	})
 }
 
 func TestRepeats(t *testing.T) {
@@ -119,6 +131,22 @@
 			g.Claim.Release()
 		})
 	})
+	Convey("An answer beyond the memory for answers is read from the log", t, func() {
+		inCluster(t, 0, "shards = 1\nanswer_memory = 100\n", func(c *cluster) {
+			first := newKey()
+			served := c.nodes[0].serve(first, lastLimit)
+			for range 3 {
+				So(c.nodes[0].serve(newKey(), lastLimit).Outcome.Kind, ShouldEqual, kernel.Served)
+			}
+			c.service.Set(standin.LogFaults{Down: true})
+			So(c.nodes[1].serve(first, lastLimit).Outcome.Kind, ShouldEqual, kernel.Unknown)
+			c.service.Set(standin.LogFaults{})
+			So(eventually(func() bool {
+				return string(c.nodes[1].serve(first, lastLimit).Answer.Body) == string(served.Answer.Body)
+			}), ShouldBeTrue)
+			So(c.ran(first), ShouldEqual, 1)
+		})
+	})
 	Convey("A holder that wakes past its deadline does not dispatch", t, func() {
 		inCluster(t, 0, "", func(c *cluster) {
 			g := c.nodes[0].ask(newKey(), "body", lastLimit)
@@ -224,9 +252,10 @@
 	Convey("A claim whose append got lost is given back before a repeat may run", t, func() {
 		inCluster(t, 0, "", func(c *cluster) {
 			n := c.nodes[0]
-			c.setCut(true)
+			c.setPeers(true, false)
 			_ = n.serve(newKey(), lastLimit)
-			c.service.Set(standin.LogFaults{DelayMS: 400})
+			// Longer than the client's timeout, so that no call succeeds.
+			c.service.Set(standin.LogFaults{DelayMS: 1500})
 			key := newKey()
 			out := n.ask(key, "body", 100*time.Millisecond).Result.Outcome
 			So(out.Kind, ShouldEqual, kernel.NotRun)
--- a/plugins/claims/shard.go
+++ b/plugins/claims/shard.go
@@ -16,9 +16,6 @@
 // answer.
 const recentBatches = 256
 
-// errNoRead says that the shard's records could not be read.
-var errNoRead = kernel.ErrLogUnavailable
-
 // shardLog is one stream of claims as this instance sees it: the fold of the
 // records read so far, and the entries that wait to be appended.
 type shardLog struct {
@@ -101,26 +98,43 @@
 
 // readAll reads batch after batch. The caller holds reading.
 func (s *shardLog) readAll(ctx context.Context, offset uint64) error {
+	if !s.opened() {
+		if err := s.open(ctx); err != nil {
+			return err
+		}
+	}
 	for {
 		next := s.next()
 		if offset > 0 && next > offset {
 			return nil
 		}
-		batch, err := s.owner.host.Log.Read(ctx, s.stream, max(1, next), 0)
-		s.owner.note(ctx, err)
+		batch, err := s.read(ctx, max(1, next))
 		if err != nil {
-			return errNoRead
+			return err
 		}
 		s.apply(batch)
 		if offset == 0 && s.next() >= batch.Next {
 			return nil
 		}
 		if ctx.Err() != nil {
-			return errNoRead
+			return kernel.ErrLogUnavailable
 		}
 	}
 }
 
+// readNext waits for the next records and reads them.
+func (s *shardLog) readNext(ctx context.Context) error {
+	s.reading.Lock()
+	defer s.reading.Unlock()
+	b, err := s.owner.host.Log.Read(ctx, s.stream, max(1, s.next()), readBackTime)
+	s.owner.note(ctx, err)
+	if err != nil {
+		return kernel.ErrLogUnavailable
+	}
+	s.apply(b)
+	return nil
+}
+
 func (s *shardLog) next() uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -155,19 +169,44 @@
 func (s *shardLog) place(b kernel.LogBatch) {
 	switch {
 	case s.fold == nil:
-		s.fold = claim.NewShard(s.owner.rules, b.First)
+		s.restart(b.First)
 	case b.First > s.fold.Next():
 		s.owner.count("claim_restarts", "why", "retention")
 		s.owner.host.Logger.Warn("records of claims were dropped before they were read", "stream", s.stream, "first", b.First)
-		s.fold = claim.NewShard(s.owner.rules, b.First)
+		s.restart(b.First)
 	case b.Next < s.fold.Next():
 		s.owner.count("claim_restarts", "why", "lost")
 		s.owner.host.Logger.Error("the log lost records of claims", "stream", s.stream, "next", b.Next)
-		s.fold = claim.NewShard(s.owner.rules, b.First)
+		s.restart(b.First)
 		s.fold.Mistrust()
 	}
 }
 
+// restart begins a new fold. The caller holds mu.
+func (s *shardLog) restart(first uint64) {
+	s.fold = claim.NewShard(s.owner.rules, first)
+	s.fold.LimitAnswers(s.owner.answerMemory / len(s.owner.shards))
+}
+
+// recall fetches the answer of a finding from the log if the fold evicted it.
+func (s *shardLog) recall(ctx context.Context, f claim.Finding) claim.Finding {
+	if f.Verdict != claim.Taken || f.Slot.State != claim.Done || !f.Slot.Evicted {
+		return f
+	}
+	b, err := s.read(ctx, f.Slot.Stored)
+	if err != nil || len(b.Records) == 0 {
+		return f
+	}
+	s.owner.host.Counter("claim_answers_recalled").Inc(1)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := b.Records[0]
+	if s.fold == nil || !s.fold.Restore(f.Slot.ID, claim.Record{Offset: r.Offset, Time: r.Time, Data: r.Data}) {
+		return f
+	}
+	return s.fold.Find(f.Slot.ID, claim.Attempt{}, f.Slot.Origin.BodyHash)
+}
+
 // remember notes a batch that is on the log. The caller holds mu.
 func (s *shardLog) remember(id claim.Attempt) {
 	if _, ok := s.batches[id]; ok {
--- a/plugins/membership/gossip.go
+++ b/plugins/membership/gossip.go
@@ -20,7 +20,7 @@
 // The times and sizes that no setting changes.
 const (
 	forgetAfter    = time.Hour
-	fanout         = 6
+	fanout         = 2
 	maxSkew        = 30 * time.Second
 	inboxSize      = 1024
 	keepInterval   = 30 * time.Second
@@ -123,7 +123,12 @@
 	if g.listens() && len(g.keyring.Secrets()) == 0 {
 		return errors.New("[membership] gossip_listen needs secrets or secrets_file")
 	}
-	return nil
+	for _, seed := range g.seeds {
+		if _, err := resolve(seed); err != nil {
+			return errors.Wrap(err, "[membership] seeds")
+		}
+	}
+	return peer.CheckAdvertised(s.String(section, "gossip_listen"), s.String(section, "gossip_advertise"))
 }
 
 func (g *Gossip) listens() bool { return g.host.Settings.String(section, "gossip_listen") != "" }
@@ -257,7 +262,9 @@
 	said := g.ask()
 	g.mu.Lock()
 	for kind, payload := range said {
-		g.digests.Publish(now, kind, payload)
+		if g.digests.Publish(now, kind, payload) {
+			g.table.Hurry()
+		}
 	}
 	g.announce()
 	start := time.Now()
@@ -284,7 +291,7 @@
 	now := time.Now()
 	d := a.datagram
 	g.mu.Lock()
-	if !g.guard.Accept(now, d.Header) {
+	if !g.guard.Accept(now, d) {
 		g.mu.Unlock()
 		g.count.refused("replayed")
 		return
--- a/plugins/membership/gossip_test.go
+++ b/plugins/membership/gossip_test.go
@@ -34,7 +34,12 @@
 
 // startGossip starts the module alone, outside an instance.
 func startGossip(id, zone string, lines ...string) *Gossip {
-	text := fmt.Sprintf("[instance]\nid = %s\nzone = %s\n[membership]\ninterval = 50ms\n%s\n", id, zone, strings.Join(lines, "\n"))
+	return startPlain(id, zone, append(lines, "interval = 50ms")...)
+}
+
+// startPlain starts the module at its standard interval.
+func startPlain(id, zone string, lines ...string) *Gossip {
+	text := fmt.Sprintf("[instance]\nid = %s\nzone = %s\n[membership]\n%s\n", id, zone, strings.Join(lines, "\n"))
 	settings, err := kernel.Schema().Load("test.ini", []byte(text))
 	So(err, ShouldBeNil)
 	level := &slog.LevelVar{}
@@ -149,6 +154,20 @@
 		So(a.host.Counter(`gossip_refused{reason="forged"}`).Count(), ShouldEqual, 0)
 		stopAll(a, b)
 	})
+	Convey("Settings that cannot work are refused", t, func() {
+		for _, lines := range []string{
+			listen,
+			"gossip_listen = 0.0.0.0:0\n" + secretsLine(secretA),
+			listen + "\n" + secretsLine(secretA) + "\nseeds = nowhere",
+			listen + "\n" + secretsLine("short"),
+		} {
+			settings, err := kernel.Schema().Load("test.ini", []byte("[instance]\nid = a\nzone = z\n[membership]\n"+lines+"\n"))
+			So(err, ShouldBeNil)
+			_, err = kernel.NewInstance(settings, slog.New(slog.DiscardHandler), &slog.LevelVar{})
+			So(err, ShouldNotBeNil)
+			So(err.Error(), ShouldNotContainSubstring, secretA)
+		}
+	})
 	Convey("Without an address to listen on the instance is alone", t, func() {
 		g := startGossip("a", "hobart")
 		So(len(g.View().Members), ShouldEqual, 1)
