Stop in time although a handler ignores its context

Cause: the stop of requests between instances waited for every handler without a limit.

Change: it waits as long as the stop may take, then closes; the caller is told unknown.

--- a/plugins/peerquic/peerquic.go
+++ b/plugins/peerquic/peerquic.go
@@ -179,13 +179,27 @@
 		l.close("instance stops")
 	}
 	// The connections say goodbye before the socket goes.
-	p.running.Wait()
+	p.awaitRunning(ctx)
 	_ = p.listener.Close()
 	_ = p.transport.Close()
 	_ = p.socket.Close()
 	return err
 }
 
+// awaitRunning waits for loops and connections, but not for a handler that
+// ignores its context longer than the stop may take.
+func (p *Peers) awaitRunning(ctx context.Context) {
+	ended := make(chan struct{})
+	go func() {
+		p.running.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+	case <-ctx.Done():
+	}
+}
+
 // Handle implements kernel.Peers.
 func (p *Peers) Handle(method string, h kernel.PeerHandler) {
 	p.mu.Lock()
--- a/plugins/peerquic/peerquic_test.go
+++ b/plugins/peerquic/peerquic_test.go
@@ -125,6 +125,26 @@
 			So(<-ended, ShouldNotBeNil)
 			stopAll(a, b)
 		})
+		Convey("a stop ends in time although a handler does not", func() {
+			entered, finish := make(chan struct{}), make(chan struct{})
+			b.Handle("stuck", func(context.Context, string, []byte) ([]byte, error) {
+				close(entered)
+				<-finish
+				return nil, nil
+			})
+			result := make(chan error, 1)
+			go func() {
+				_, err := call(a, b, "stuck")
+				result <- err
+			}()
+			<-entered
+			ctx, cancel := context.WithCancel(context.Background())
+			cancel()
+			So(b.Stop(ctx), ShouldNotBeNil)
+			So(errors.Is(<-result, kernel.ErrPeerUnknown), ShouldBeTrue)
+			close(finish)
+			stopAll(a)
+		})
 		Convey("a stop finishes requests that run, and refuses new ones as not run", func() {
 			entered, finish := make(chan struct{}), make(chan struct{})
 			b.Handle("slow", func(context.Context, string, []byte) ([]byte, error) {
