Have a request meet each revision in the test of one view

Ruled out: a pause between the revisions, which bends with the machine.

Change: each revision waits until a request has ended; the test is stricter, as every revision is now met.

Conclusion: the verdict no longer depends on the scheduler.

--- a/kernel/snapshot_test.go
+++ b/kernel/snapshot_test.go
@@ -29,12 +29,13 @@
 }
 
 // serveWhileTablesChange has four callers send requests while the revisions are
-// put in force, and returns the outcomes.
+// put in force, at least one request to each, and returns the outcomes.
 func serveWhileTablesChange(h *Host, revisions []*config.Tables) map[Outcome]int {
 	outcomes := make(map[Outcome]int)
 	var mu sync.Mutex
 	var callers sync.WaitGroup
 	done := make(chan struct{})
+	ended := make(chan struct{}) // one message a request while tables change
 	h.SetTables(revisions[1])
 	for range 4 {
 		callers.Go(func() {
@@ -48,10 +49,15 @@
 				mu.Lock()
 				outcomes[result.Outcome]++
 				mu.Unlock()
+				select {
+				case ended <- struct{}{}:
+				case <-done:
+				}
 			}
 		})
 	}
 	for _, tables := range revisions[2:] {
+		<-ended
 		h.SetTables(tables)
 	}
 	close(done)
