--- a/standin/doc.go
+++ b/standin/doc.go
@@ -30,6 +30,13 @@
 //	POST /v1/orders            {"fence": 17, "version": "v2", "role": "both"}; 409 for an older fence if the engine checks
 //	GET  /v1/orders            {"fence": 17, "version": "v2", "role": "both", "loading": false}
 //	GET  /executions           {"key": times run} (plain services)
+//	GET  /stats                counters: calls, most at once, most while cold, cancelled, restarts
+//	GET  /calls                the log of calls: call ID, key, version, start, end
+//
+// The fields tokens, prompt_tokens, prefix, prefix_tokens, work_ms and route of
+// the caller's request change the work; type Work describes them. A cold server
+// is slow, bears few calls and falls over when it gets more; type Warmth
+// describes how it gets warm.
 //
 // # Platform
 //
@@ -40,5 +47,6 @@
 //	GET  /v1/weights/{version}                   the weights, at the store's rate
 //
 // Every stand-in has a switchboard of faults at /faults, which can be changed
-// while it runs.
+// while it runs: GET returns them, PUT replaces them whole. Types Faults,
+// LogFaults, InstanceListFaults and WeightFaults describe them.
 package standin
