Watch certificate files in one way, and say truly what "not run" means

Change: package internal/filewatch serves both; a set of files that is not right is looked at again. The doc comments of not-run and rejected say what the code does: a call that a server refused, naming the call, did reach it.

Conclusion: the test renews a certificate beside a key with a newer time.

--- a/peer/files.go
+++ b/internal/filewatch/filewatch.go
@@ -1,4 +1,6 @@
-package peer
+// Package filewatch tells when files change, so that keys and certificates can
+// be renewed without a stop.
+package filewatch
 
 import (
 	"os"
@@ -7,12 +9,12 @@
 	"github.com/pkg/errors"
 )
 
-// fileCheckInterval is the least time between two looks at watched files.
-const fileCheckInterval = 500 * time.Millisecond
+// checkInterval is the least time between two looks at watched files.
+const checkInterval = 500 * time.Millisecond
 
-// FileWatch tells when files change, by their size and time of modification.
-// It is not safe for concurrent use.
-type FileWatch struct {
+// Watch tells when files change, by their sizes and times of modification. It
+// is not safe for concurrent use.
+type Watch struct {
 	Paths   []string
 	checked time.Time
 	stamps  []fileStamp
@@ -25,8 +27,8 @@
 
 // Changed reports whether a file changed since the last time that Changed
 // returned true. The first call returns true.
-func (w *FileWatch) Changed(now time.Time) (bool, error) {
-	if len(w.stamps) > 0 && now.Sub(w.checked) < fileCheckInterval {
+func (w *Watch) Changed(now time.Time) (bool, error) {
+	if len(w.stamps) > 0 && now.Sub(w.checked) < checkInterval {
 		return false, nil
 	}
 	w.checked = now
@@ -48,3 +50,7 @@
 	w.stamps = stamps
 	return changed, nil
 }
+
+// Retry makes the next look report a change, after the files were not right:
+// they may be half replaced.
+func (w *Watch) Retry() { w.stamps = nil }
--- a/internal/httpapi/tls_test.go
+++ b/internal/httpapi/tls_test.go
@@ -42,23 +42,29 @@
 func TestServerTLS(t *testing.T) {
 	dir := t.TempDir()
 	cert, key := filepath.Join(dir, "cert.pem"), filepath.Join(dir, "key.pem")
+	now := time.Now()
 	serial := func(c *certificateFiles) int64 {
-		c.checked = time.Time{}
-		pair, err := c.get(nil)
-		So(err, ShouldBeNil)
-		leaf, err := x509.ParseCertificate(pair.Certificate[0])
+		now = now.Add(time.Minute)
+		_ = c.reload(now)
+		leaf, err := x509.ParseCertificate(c.current.Certificate[0])
 		So(err, ShouldBeNil)
 		return leaf.SerialNumber.Int64()
 	}
+	// The key's file stays the newest, so that each file must be looked at.
+	setTimes := func(n int) {
+		So(os.Chtimes(key, now, now.Add(time.Hour)), ShouldBeNil)
+		So(os.Chtimes(cert, now, now.Add(time.Duration(n)*time.Second)), ShouldBeNil)
+	}
 	Convey("A renewed certificate comes into use, a broken one does not", t, func() {
 		writeCertificate(t, cert, key, 1)
-		c := &certificateFiles{cert: cert, key: key}
+		setTimes(1)
+		c := newCertificateFiles(cert, key)
 		So(serial(c), ShouldEqual, 1)
 		writeCertificate(t, cert, key, 2)
-		So(os.Chtimes(cert, time.Now(), time.Now().Add(time.Minute)), ShouldBeNil)
+		setTimes(2)
 		So(serial(c), ShouldEqual, 2)
 		So(os.WriteFile(cert, []byte("half a file"), 0o600), ShouldBeNil)
-		So(os.Chtimes(cert, time.Now(), time.Now().Add(2*time.Minute)), ShouldBeNil)
+		setTimes(3)
 		So(serial(c), ShouldEqual, 2)
 	})
 	Convey("Both files go together, and neither means no TLS", t, func() {
--- a/kernel/outcome.go
+++ b/kernel/outcome.go
@@ -9,7 +9,8 @@
 const (
 	// Served: the caller gets the whole answer.
 	Served OutcomeKind = "served"
-	// NotRun: no byte of any stage call left the instance and none will.
+	// NotRun: no stage ran, and none will. Calls that reached a backend server
+	// were refused there, by an answer that names the call.
 	NotRun OutcomeKind = "not-run"
 	// Incomplete: some idempotent stages ran, no other stage did or will. The
 	// request may be sent again.
@@ -17,7 +18,7 @@
 	// Unknown: a stage that may not be repeated ran or may have run, and its
 	// answer is not at hand.
 	Unknown OutcomeKind = "unknown"
-	// Rejected: the request itself is at fault. Nothing ran.
+	// Rejected: the request itself is at fault. No non-idempotent stage ran.
 	Rejected OutcomeKind = "rejected"
 )
 
--- a/peer/credentials.go
+++ b/peer/credentials.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/savoryfold/savoryfold/internal/filewatch"
 )
 
 // protocolName is the application protocol that both sides of a connection name.
@@ -32,7 +34,7 @@
 	files  CredentialFiles
 	state  atomic.Pointer[credentialState]
 	mu     sync.Mutex
-	watch  FileWatch // guarded by mu
+	watch  filewatch.Watch // guarded by mu
 	serial atomic.Uint64
 }
 
@@ -83,22 +85,31 @@
 	if err != nil || !changed {
 		return false, err
 	}
-	certificate, err := tls.LoadX509KeyPair(c.files.Cert, c.files.Key)
+	state, err := c.files.read()
+	if err != nil {
+		c.watch.Retry()
+		return false, err
+	}
+	c.state.Store(state)
+	c.serial.Add(1)
+	return true, nil
+}
+
+// read reads the certificate, its key and the authorities.
+func (f CredentialFiles) read() (*credentialState, error) {
+	certificate, err := tls.LoadX509KeyPair(f.Cert, f.Key)
 	if err != nil {
-		c.watch.stamps = nil // the files may be half replaced: look again
-		return false, errors.Wrap(err, "certificate")
+		return nil, errors.Wrap(err, "certificate")
 	}
-	ca, err := os.ReadFile(c.files.CA)
+	ca, err := os.ReadFile(f.CA)
 	if err != nil {
-		return false, errors.Wrap(err, "authorities")
+		return nil, errors.Wrap(err, "authorities")
 	}
 	roots := x509.NewCertPool()
 	if !roots.AppendCertsFromPEM(ca) {
-		return false, errors.New("tls_ca holds no certificate")
+		return nil, errors.New("tls_ca holds no certificate")
 	}
-	c.state.Store(&credentialState{certificate: certificate, roots: roots})
-	c.serial.Add(1)
-	return true, nil
+	return &credentialState{certificate: certificate, roots: roots}, nil
 }
 
 // ServerConfig is the TLS configuration of the listening side.
--- a/peer/secrets.go
+++ b/peer/secrets.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/savoryfold/savoryfold/internal/filewatch"
 )
 
 // minSecretLength is the least number of characters in a shared secret.
@@ -51,7 +53,7 @@
 type Keyring struct {
 	secrets atomic.Pointer[Secrets]
 	serial  atomic.Uint64
-	file    *FileWatch
+	file    *filewatch.Watch
 	mu      sync.Mutex
 }
 
@@ -66,7 +68,7 @@
 	if file == "" {
 		return k, nil
 	}
-	k.file = &FileWatch{Paths: []string{file}}
+	k.file = &filewatch.Watch{Paths: []string{file}}
 	_, err = k.Reload(time.Now())
 	return k, err
 }
--- a/standin/prefixcache.go
+++ b/standin/prefixcache.go
@@ -40,7 +40,7 @@
 	Events []CacheEvent `json:"events"`
 }
 
-// prefixCache remembers the least recently used prefixes in limited memory.
+// prefixCache remembers prefixes in limited memory and evicts the least recently used one.
 type prefixCache struct {
 	limit int
 	lag   time.Duration
