Hold stages to their share of the deadline; drop a key that did nothing

Cause: the table key STAGE.share was checked and documented and had no effect; the pool key fenced was read by nobody, since orders are recorded, read back and state the desired version whatever a server checks.

Ruled out: dropping share too, as a slow early stage then takes the time of all others.

Change: a stage, its calls, its wait and its retries end after its share of the route's deadline; the key fenced is gone and refused as unknown.

Conclusion: a stage with a share of 0.001 of 20 s ends by its own deadline (test).

--- a/config/compile.go
+++ b/config/compile.go
@@ -255,7 +255,6 @@
 		Versioned:    c.boolean("versioned", false),
 		FirstByte:    c.duration("first_byte", DefaultFirstByte, maxDeadline),
 		BetweenBytes: c.duration("between_bytes", DefaultBetweenBytes, maxDeadline),
-		Fenced:       c.boolean("fenced", false),
 	}
 	for _, k := range c.section.Keys() {
 		if server, ok := strings.CutPrefix(k.Name(), "server."); ok {
--- a/config/tables.go
+++ b/config/tables.go
@@ -124,8 +124,6 @@
 	// FirstByte and BetweenBytes are the progress deadlines of a call.
 	FirstByte    time.Duration
 	BetweenBytes time.Duration
-	// Fenced is true if the servers check the fencing number of an order.
-	Fenced bool
 }
 
 // Zone is the state of one availability zone.
--- a/kernel/run.go
+++ b/kernel/run.go
@@ -230,6 +230,7 @@
 	for i, stage := range r.route.Stages {
 		r.costs = append(r.costs, StageCost{Stage: stage.Name, Pool: stage.Pool})
 		s := &stageRun{run: r, stage: stage, pool: r.snap.Pool(stage.Pool), cost: &r.costs[i]}
+		s.deadline = r.stageDeadline(time.Now(), stage)
 		if out := s.do(ctx); out.Kind != "" {
 			return Result{Outcome: out}
 		}
@@ -237,6 +238,16 @@
 	return Result{Outcome: Outcome{Kind: Served}, Answer: r.last}
 }
 
+// stageDeadline is the time by which a stage has to end: after its share of the
+// route's deadline, and never later than the request.
+func (r *run) stageDeadline(now time.Time, stage config.Stage) time.Time {
+	limit := now.Add(time.Duration(stage.Share * float64(r.route.Deadline)))
+	if limit.Before(r.deadline) {
+		return limit
+	}
+	return r.deadline
+}
+
 // fail is the outcome of a request that cannot be finished.
 func (r *run) fail(reason OutcomeReason, detail string) Outcome {
 	kind := NotRun
--- a/kernel/serve_test.go
+++ b/kernel/serve_test.go
@@ -29,6 +29,12 @@
 b.pool = p
 b.idempotent = false
 
+[route shared]
+deadline = 20s
+stages = a
+a.pool = p
+a.share = 0.001
+
 [route hedged]
 deadline = 20s
 stages = a
@@ -287,6 +293,18 @@
 	})
 }
 
+func TestStageKeepsToItsShare(t *testing.T) {
+	Convey("A stage ends after its share of the route's deadline", t, func() {
+		transport := &fakeTransport{answer: func(int, *StageCall) StageAnswer { return StageAnswer{Result: CallDeadline} }}
+		transport.before = func(ctx context.Context) { <-ctx.Done() }
+		h := serveHost(t, transport)
+		result := h.Serve(context.Background(), &Request{Account: "alto", Route: "shared", Body: []byte(`{}`)})
+		So(result.Outcome.Reason, ShouldEqual, ReasonDeadline)
+		call := transport.calls[0]
+		So(call.Deadline, ShouldHappenBefore, time.Now())
+	})
+}
+
 func TestHedge(t *testing.T) {
 	Convey("A slow call is hedged on another server, and the loser is cancelled", t, func() {
 		var started atomic.Int32
--- a/kernel/stage.go
+++ b/kernel/stage.go
@@ -22,14 +22,18 @@
 type stageRun struct {
 	*run
 	stage config.Stage
-	pool  *Pool
-	cost  *StageCost
-	want  *want
-	call  *StageCall
+	// deadline is the stage's own; it hides that of the request.
+	deadline time.Time
+	pool     *Pool
+	cost     *StageCost
+	want     *want
+	call     *StageCall
 }
 
 // do runs the stage. It returns an empty outcome once the stage is done.
 func (s *stageRun) do(ctx context.Context) Outcome {
+	ctx, cancel := context.WithDeadline(ctx, s.deadline)
+	defer cancel()
 	s.want = &want{
 		ticket:  s.ticket(),
 		call:    policy.Call{Class: string(s.route.Size), Prefix: s.prefix},
