Let callers leave a stopping instance's connections before they are closed

Ruled out: disabling keep-alives at the start of the drain, since net/http then closes the idle connections at once.

Change: while an instance is not ready its answers carry 'Connection: close', so that a connection in use ends after an answer.

Conclusion: a connection that was idle for the whole drain and is used at its very end can still be cut; a longer drain makes that rarer.

--- a/plugins/entryhttp/route.go
+++ b/plugins/entryhttp/route.go
@@ -27,6 +27,11 @@
 	start := time.Now()
 	id := uuid.NewString()
 	w.Header().Set(httpapi.HeaderRequestID, id)
+	if e.host.Instance.State() != kernel.StateReady {
+		// The caller's next request takes another connection, so that none is
+		// on its way when the idle ones are closed.
+		w.Header().Set("Connection", "close")
+	}
 	defer e.inFlight.Add(-1)
 	if e.inFlight.Add(1) > e.limit {
 		writeOutcome(w, kernel.Outcome{Kind: kernel.NotRun, Reason: kernel.ReasonOverload, Detail: "too many requests in progress", RetryAfter: time.Second})
