Let logic stand once: pauses, server IDs, digests with their age

Cause: a review as a newcomer found the wait with a context four times, jitter twice, a server's ID made in two places, an optional second interface of digests that the only implementation had, and two exported names that only passed on.

Ruled out: one package for all decoders' bounds, as each message's bounds are its own.

Change: backoff.Sleep and backoff.Jitter serve kernel, claims and the load tool; claims land by backoff.Backoff; config.Server.ID; kernel.Digest carries sender, age and payload to every sink; Pool.HasServer without its twin; Instance.Refresh had no caller and goes.

Conclusion: tests of the packages pass under -race.

--- a/config/tables.go
+++ b/config/tables.go
@@ -109,6 +109,9 @@
 	Leaving bool
 }
 
+// ID is "pool/name", which no other server has.
+func (s Server) ID() string { return s.Pool + "/" + s.Name }
+
 // Pool says which backend servers may do a kind of work.
 type Pool struct {
 	Name     string
--- a/internal/backoff/backoff.go
+++ b/internal/backoff/backoff.go
@@ -19,16 +19,27 @@
 // exponential time to all of it.
 func (b *Backoff) Next() time.Duration {
 	b.current = min(max(2*b.current, b.Min), b.Max)
-	half := b.current / 2
-	return half + rand.N(half+1)
+	return Jitter(b.current)
 }
 
 // Reset begins anew after a success.
 func (b *Backoff) Reset() { b.current = 0 }
 
 // Wait waits for the next try and reports whether the context lives on.
-func (b *Backoff) Wait(ctx context.Context) bool {
-	timer := time.NewTimer(b.Next())
+func (b *Backoff) Wait(ctx context.Context) bool { return Sleep(ctx, b.Next()) }
+
+// Jitter returns a random time from half of d to all of it.
+func Jitter(d time.Duration) time.Duration {
+	half := d / 2
+	return half + rand.N(half+1)
+}
+
+// Sleep waits and reports whether the context lives on.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/savoryfold/savoryfold/internal/backoff"
 )
 
 // Share is one kind of request in a mix.
@@ -134,7 +136,7 @@
 	defer stop()
 	for i := range shots {
 		s := &shots[i]
-		if !sleepUntil(ctx, start.Add(s.at)) {
+		if !backoff.Sleep(ctx, time.Until(start.Add(s.at))) {
 			break
 		}
 		sent.Add(1)
@@ -155,21 +157,6 @@
 	return report, nil
 }
 
-func sleepUntil(ctx context.Context, t time.Time) bool {
-	d := time.Until(t)
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // schedule draws the requests: independent arrivals at each phase's rate.
 func schedule(c Config) ([]shot, error) {
 	random := rand.New(rand.NewPCG(c.Seed, c.Seed))
--- a/kernel/eject_test.go
+++ b/kernel/eject_test.go
@@ -51,6 +51,6 @@
 			}
 		}
 		So(ejected, ShouldEqual, 2)
-		So(pool.hasServer(""), ShouldBeTrue)
+		So(pool.HasServer(""), ShouldBeTrue)
 	})
 }
--- a/kernel/instance.go
+++ b/kernel/instance.go
@@ -186,11 +186,3 @@
 		in.Host.Membership.SetState(m)
 	}
 }
-
-// Refresh works out the share of every server's limit anew, after members or
-// servers changed.
-func (in *Instance) Refresh() {
-	if snap := in.Host.Snapshot(); snap != nil {
-		in.Host.fleet.refresh(in.Host, snap, time.Now())
-	}
-}
--- a/kernel/interfaces.go
+++ b/kernel/interfaces.go
@@ -224,14 +224,17 @@
 type Digests interface {
 	// Source registers what this instance says. It is called for every round.
 	Source(kind string, f func() []byte)
-	// Sink registers who hears what other instances say.
-	Sink(kind string, f func(from Member, payload []byte))
+	// Sink registers who receives the digests of other instances.
+	Sink(kind string, f func(Digest))
 }
 
-// AgedDigests is what a Digests may also offer: sinks that are told how long
-// ago the origin said the digest.
-type AgedDigests interface {
-	SinkAged(kind string, f func(from Member, age time.Duration, payload []byte))
+// Digest is one digest as received.
+type Digest struct {
+	// From is the instance that it is about.
+	From Member
+	// Age is how long ago that instance made it.
+	Age     time.Duration
+	Payload []byte
 }
 
 // SlotBorrower takes call slots of other instances, for an instance whose own
--- a/kernel/pool.go
+++ b/kernel/pool.go
@@ -115,8 +115,8 @@
 	p.slotFreed()
 }
 
-// hasServer reports whether any server of the pool may get calls of a version.
-func (p *Pool) hasServer(version string) bool {
+// HasServer reports whether any server of the pool may get calls of a version.
+func (p *Pool) HasServer(version string) bool {
 	v := p.view(&want{version: version})
 	defer v.free()
 	return slices.ContainsFunc(p.Servers, v.usable)
@@ -130,7 +130,7 @@
 // servers while the request was on its way. It reports whether the returned
 // pool has a server for the call.
 func (p *Pool) successor(w *want) (*Pool, bool) {
-	for !p.hasServer(w.version) {
+	for !p.HasServer(w.version) {
 		now := p.host.Snapshot().Pool(p.Config.Name)
 		if now == nil || now == p || now.poolState != p.poolState {
 			return p, false
--- a/kernel/server.go
+++ b/kernel/server.go
@@ -71,7 +71,7 @@
 const smoothing = 8
 
 func newServerState(c config.Server, pool *config.Pool, d *Decisions, now time.Time) *serverState {
-	s := &serverState{ID: c.Pool + "/" + c.Name}
+	s := &serverState{ID: c.ID()}
 	s.hash = xxhash.Sum64String(s.ID)
 	s.limits = d.Limits
 	s.limit = d.Limits.New(now, limitConfig(pool))
--- a/kernel/server_version.go
+++ b/kernel/server_version.go
@@ -10,6 +10,3 @@
 	r := s.report.Load()
 	return r == nil || r.Version == "" || r.Version == version
 }
-
-// HasServer reports whether any server of the pool may get calls of a version.
-func (p *Pool) HasServer(version string) bool { return p.hasServer(version) }
--- a/kernel/sharers_test.go
+++ b/kernel/sharers_test.go
@@ -99,9 +99,9 @@
 		h := testHost(t, "i0", standardDecisions())
 		So(h.SetTables(testTables(t, 1, 2, "")), ShouldBeTrue)
 		pool := h.Snapshot().Pool("encode")
-		So(pool.hasServer(""), ShouldBeTrue)
+		So(pool.HasServer(""), ShouldBeTrue)
 		So(h.SetTables(testTables(t, 2, 2, "[zone hobart]\nstate = out\n[zone burnie]\nstate = out\n")), ShouldBeTrue)
-		So(pool.hasServer(""), ShouldBeFalse)
+		So(pool.HasServer(""), ShouldBeFalse)
 	})
 	Convey("A slot that is lent is taken from the own share, a borrowed one adds to it", t, func() {
 		h := testHost(t, "i0", standardDecisions())
--- a/kernel/stage.go
+++ b/kernel/stage.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/savoryfold/savoryfold/config"
+	"github.com/savoryfold/savoryfold/internal/backoff"
 	"github.com/savoryfold/savoryfold/policy"
 )
 
@@ -155,7 +156,7 @@
 			return server
 		}
 		s.pool.release(server)
-		if !sleep(ctx, suspectWait) {
+		if !backoff.Sleep(ctx, suspectWait) {
 			return nil
 		}
 	}
@@ -290,7 +291,7 @@
 		return s.fail(ReasonStageFailed, "stage "+s.stage.Name+": "+answer.Result.String())
 	}
 	s.host.add(retriesFamily, s.stage.Pool, "", 1)
-	if !sleep(ctx, decision.Delay) {
+	if !backoff.Sleep(ctx, decision.Delay) {
 		return s.fail(ReasonDeadline, "the deadline passed before another call of stage "+s.stage.Name)
 	}
 	return Outcome{}
@@ -327,18 +328,3 @@
 	}
 	return Outcome{Kind: Rejected, Reason: ReasonBadRequest, Detail: detail}
 }
-
-// sleep waits and reports whether the context lives on.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/kernel/stage_version.go
+++ b/kernel/stage_version.go
@@ -31,7 +31,7 @@
 		return
 	}
 	m := s.route.Move
-	if m == nil || !time.Now().Before(m.By) || s.want.version != m.To || s.ranVersioned() || !s.pool.hasServer(m.From) {
+	if m == nil || !time.Now().Before(m.By) || s.want.version != m.To || s.ranVersioned() || !s.pool.HasServer(m.From) {
 		return
 	}
 	s.want.version = m.From
--- a/plugins/claims/batcher.go
+++ b/plugins/claims/batcher.go
@@ -8,6 +8,7 @@
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
+	"github.com/savoryfold/savoryfold/internal/backoff"
 	"github.com/savoryfold/savoryfold/kernel"
 	"github.com/savoryfold/savoryfold/policy/claim"
 )
@@ -151,7 +152,7 @@
 	data := b.Encode()
 	maybe := false
 	for try := range maxAppendTries {
-		if try > 0 && !(s.pace.Wait(ctx) == nil && sleep(ctx.Done(), jitter(retryPause))) {
+		if try > 0 && !(s.pace.Wait(ctx) == nil && backoff.Sleep(ctx, backoff.Jitter(retryPause))) {
 			break
 		}
 		if !s.owner.circuit.allow(time.Now()) {
--- a/plugins/claims/circuit.go
+++ b/plugins/claims/circuit.go
@@ -1,9 +1,10 @@
 package claims
 
 import (
-	"math/rand/v2"
 	"sync"
 	"time"
+
+	"github.com/savoryfold/savoryfold/internal/backoff"
 )
 
 // The circuit's bounds.
@@ -33,7 +34,7 @@
 	if now.Before(c.until) {
 		return false
 	}
-	c.until = now.Add(jitter(c.openTime()))
+	c.until = now.Add(backoff.Jitter(c.openTime()))
 	return true
 }
 
@@ -61,7 +62,7 @@
 	}
 	c.failures++
 	if c.failures >= tripFailures {
-		c.until = now.Add(jitter(c.openTime()))
+		c.until = now.Add(backoff.Jitter(c.openTime()))
 	}
 	return !was && c.failures >= tripFailures
 }
@@ -73,23 +74,3 @@
 	}
 	return "closed"
 }
-
-// jitter returns a random time between half of d and d.
-func jitter(d time.Duration) time.Duration {
-	return d/2 + rand.N(d/2+1)
-}
-
-// sleep waits and reports whether it was not cut short.
-func sleep(done <-chan struct{}, d time.Duration) bool {
-	if d <= 0 {
-		return true
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-done:
-		return false
-	}
-}
--- a/plugins/claims/claim.go
+++ b/plugins/claims/claim.go
@@ -7,6 +7,7 @@
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
+	"github.com/savoryfold/savoryfold/internal/backoff"
 	"github.com/savoryfold/savoryfold/kernel"
 	"github.com/savoryfold/savoryfold/policy/claim"
 )
@@ -154,7 +155,7 @@
 			return claim.Finding{Verdict: claim.Taken, Slot: claim.Slot{State: claim.Held, Origin: claim.Origin{Boot: m.boot}}}
 		}
 		if err != nil {
-			sleep(ctx.Done(), min(wait, jitter(pollInterval)))
+			backoff.Sleep(ctx, min(wait, backoff.Jitter(pollInterval)))
 		}
 	}
 }
--- a/plugins/claims/landing.go
+++ b/plugins/claims/landing.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/savoryfold/savoryfold/internal/backoff"
 	"github.com/savoryfold/savoryfold/policy/claim"
 )
 
@@ -23,16 +24,14 @@
 	go func() {
 		defer m.landing.Done()
 		defer func() { m.host.Gauge("claim_entries_landing").Update(m.onWay.Add(-1)) }()
-		for pause := minLandPause; ; pause = min(2*pause, maxLandPause) {
-			if m.landOnce(shard, e) {
-				landed()
-				return
-			}
-			if !sleep(m.life.Done(), jitter(pause)) {
+		retry := backoff.Backoff{Min: minLandPause, Max: maxLandPause}
+		for !m.landOnce(shard, e) {
+			if !retry.Wait(m.life) {
 				m.host.Counter("claim_entries_lost").Inc(1)
 				return
 			}
 		}
+		landed()
 	}()
 }
 
--- a/plugins/claims/upkeep.go
+++ b/plugins/claims/upkeep.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/savoryfold/savoryfold/internal/backoff"
 	"github.com/savoryfold/savoryfold/policy/claim"
 )
 
@@ -23,7 +24,7 @@
 // upkeep restates unfinished claims and marks quiet streams, for the shards
 // that this instance owns, until the context ends.
 func (m *Log) upkeep(ctx context.Context) {
-	for sleep(ctx.Done(), jitter(min(upkeepInterval, m.markInterval()))) {
+	for backoff.Sleep(ctx, backoff.Jitter(min(upkeepInterval, m.markInterval()))) {
 		for _, s := range m.shards {
 			if _, own := m.ownerOf(s.number); own {
 				m.tend(ctx, s)
--- a/plugins/crashguard/crashguard.go
+++ b/plugins/crashguard/crashguard.go
@@ -93,9 +93,9 @@
 }
 
 // merge takes in the charges of another instance.
-func (g *Guard) merge(_ kernel.Member, payload []byte) {
+func (g *Guard) merge(d kernel.Digest) {
 	var records []policy.CrashRecord
-	if err := cbor.Unmarshal(payload, &records); err != nil || len(records) > digestRecords {
+	if err := cbor.Unmarshal(d.Payload, &records); err != nil || len(records) > digestRecords {
 		g.host.Counter(`digest_errors{kind="crash"}`).Inc(1)
 		return
 	}
--- a/plugins/loadreport/digest.go
+++ b/plugins/loadreport/digest.go
@@ -67,18 +67,13 @@
 	if m.host.Digests == nil {
 		return
 	}
-	aged, ok := m.host.Digests.(kernel.AgedDigests)
 	for i := range maxChunks {
 		m.host.Digests.Source(kind(i), func() []byte {
 			m.mu.Lock()
 			defer m.mu.Unlock()
 			return m.chunks[i]
 		})
-		if ok {
-			aged.SinkAged(kind(i), func(_ kernel.Member, age time.Duration, payload []byte) { m.take(age, payload) })
-			continue
-		}
-		m.host.Digests.Sink(kind(i), func(_ kernel.Member, payload []byte) { m.take(0, payload) })
+		m.host.Digests.Sink(kind(i), m.take)
 	}
 }
 
@@ -146,8 +141,8 @@
 func clampMS(ms int64) uint32 { return uint32(min(max(ms, 0), math.MaxUint32)) }
 
 // take hands the reports of another instance's digest to the kernel.
-func (m *Module) take(age time.Duration, payload []byte) {
-	d, err := decode(payload)
+func (m *Module) take(digest kernel.Digest) {
+	d, err := decode(digest.Payload)
 	if err != nil {
 		m.host.Counter("loadreport_digests_refused").Inc(1)
 		return
@@ -156,7 +151,7 @@
 	targets := m.targets()
 	for _, r := range d.Reports {
 		t := targets[r.Server]
-		old := age + time.Duration(r.AgeMS)*time.Millisecond
+		old := digest.Age + time.Duration(r.AgeMS)*time.Millisecond
 		if t == nil || old > maxTaken {
 			m.host.Counter("loadreport_reports_ignored").Inc(1)
 			continue
--- a/plugins/membership/digests.go
+++ b/plugins/membership/digests.go
@@ -8,20 +8,18 @@
 	"github.com/savoryfold/savoryfold/peer"
 )
 
-// digestSink hears digests of one kind.
-type digestSink func(from kernel.Member, age time.Duration, payload []byte)
+// digestSink receives digests of one kind.
+type digestSink func(kernel.Digest)
 
 // delivery is a digest on its way to its sinks.
 type delivery struct {
-	sinks   []digestSink
-	from    kernel.Member
-	age     time.Duration
-	payload []byte
+	sinks  []digestSink
+	digest kernel.Digest
 }
 
 func (d delivery) deliver() {
 	for _, sink := range d.sinks {
-		sink(d.from, d.age, d.payload)
+		sink(d.digest)
 	}
 }
 
@@ -33,12 +31,7 @@
 }
 
 // Sink implements kernel.Digests.
-func (g *Gossip) Sink(kind string, f func(from kernel.Member, payload []byte)) {
-	g.SinkAged(kind, func(from kernel.Member, _ time.Duration, payload []byte) { f(from, payload) })
-}
-
-// SinkAged implements kernel.AgedDigests.
-func (g *Gossip) SinkAged(kind string, f func(from kernel.Member, age time.Duration, payload []byte)) {
+func (g *Gossip) Sink(kind string, f func(kernel.Digest)) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.sinks[kind] = append(g.sinks[kind], f)
@@ -85,8 +78,12 @@
 			g.table.Hurry()
 		}
 		news = append(news, delivery{
-			sinks: slices.Clone(g.sinks[digest.Kind]), from: g.memberByID(digest.Origin),
-			age: g.digests.Age(now, digest.Origin, digest.Kind), payload: digest.Payload,
+			sinks: slices.Clone(g.sinks[digest.Kind]),
+			digest: kernel.Digest{
+				From:    g.memberByID(digest.Origin),
+				Age:     g.digests.Age(now, digest.Origin, digest.Kind),
+				Payload: digest.Payload,
+			},
 		})
 	}
 	return news
--- a/plugins/membership/gossip.go
+++ b/plugins/membership/gossip.go
@@ -52,8 +52,8 @@
 	})
 }
 
-// Gossip implements kernel.Membership, kernel.Digests and kernel.AgedDigests
-// with heartbeats over UDP.
+// Gossip implements kernel.Membership and kernel.Digests with heartbeats over
+// UDP.
 type Gossip struct {
 	host    *kernel.Host
 	keyring *peer.Keyring
--- a/plugins/membership/gossip_test.go
+++ b/plugins/membership/gossip_test.go
@@ -92,7 +92,7 @@
 
 		Convey("digests reach all of them, with their origin", func() {
 			heard := make(chan string, 16)
-			c.Sink("test", func(from kernel.Member, payload []byte) { heard <- from.ID + from.Zone + string(payload) })
+			c.Sink("test", func(d kernel.Digest) { heard <- d.From.ID + d.From.Zone + string(d.Payload) })
 			b.Source("test", func() []byte { return []byte("!") })
 			select {
 			case text := <-heard:
--- a/plugins/orders/orders.go
+++ b/plugins/orders/orders.go
@@ -152,16 +152,16 @@
 	dump := orderDump{Issuer: true, Differ: make(map[string]string)}
 	var differ []config.Server
 	for _, s := range own {
-		state, ok := states[serverID(s)]
+		state, ok := states[s.ID()]
 		switch {
 		case !ok:
 		case state.Loading:
-			dump.Loading = append(dump.Loading, serverID(s))
+			dump.Loading = append(dump.Loading, s.ID())
 		case state.Version != s.Version:
-			dump.Differ[serverID(s)] = state.Version
+			dump.Differ[s.ID()] = state.Version
 			differ = append(differ, s)
 		default:
-			delete(o.pauses, serverID(s))
+			delete(o.pauses, s.ID())
 		}
 	}
 	o.note(dump)
@@ -170,12 +170,12 @@
 		if room <= 0 {
 			return
 		}
-		if time.Now().Before(o.pauses[serverID(s)].until) {
+		if time.Now().Before(o.pauses[s.ID()].until) {
 			continue
 		}
 		if o.order(ctx, snap.Tables, s) {
 			room--
-			o.pause(serverID(s))
+			o.pause(s.ID())
 		}
 	}
 }
@@ -200,8 +200,6 @@
 	return out
 }
 
-func serverID(s config.Server) string { return s.Pool + "/" + s.Name }
-
 func (o *Orders) note(d orderDump) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -226,7 +224,7 @@
 			}
 			mu.Lock()
 			defer mu.Unlock()
-			states[serverID(s)] = state
+			states[s.ID()] = state
 			return nil
 		})
 	}
@@ -243,16 +241,16 @@
 		o.count("unrecorded")
 		return false
 	}
-	if o.ledger.newest[serverID(s)] > t.Revision || !mayLoad(pool, s, states, o.ledger.underWay(math.MaxUint64, states)) {
+	if o.ledger.newest[s.ID()] > t.Revision || !mayLoad(pool, s, states, o.ledger.underWay(math.MaxUint64, states)) {
 		return false
 	}
-	fence, err := o.ledger.issue(ctx, orderRecord{Server: serverID(s), Version: s.Version, Revision: t.Revision, Instance: o.host.ID()})
+	fence, err := o.ledger.issue(ctx, orderRecord{Server: s.ID(), Version: s.Version, Revision: t.Revision, Instance: o.host.ID()})
 	if err != nil {
 		o.count("unrecorded")
 		return false
 	}
 	switch {
-	case o.ledger.newest[serverID(s)] > t.Revision:
+	case o.ledger.newest[s.ID()] > t.Revision:
 		o.count("outdated")
 	case !mayLoad(pool, s, states, o.ledger.underWay(fence, states)):
 		o.count("deferred")
@@ -268,11 +266,11 @@
 	err := o.engine.send(ctx, s.Address, engineState{Fence: fence, Version: s.Version, Role: roleBoth})
 	if err != nil {
 		o.count("failed")
-		o.logger.Warn("order failed", "server", serverID(s), "version", s.Version, "error", err)
+		o.logger.Warn("order failed", "server", s.ID(), "version", s.Version, "error", err)
 		return false
 	}
 	o.count("sent")
-	o.logger.Info("order sent", "server", serverID(s), "version", s.Version, "fence", fence)
+	o.logger.Info("order sent", "server", s.ID(), "version", s.Version, "fence", fence)
 	o.mu.Lock()
 	o.state.Sent++
 	o.mu.Unlock()
@@ -289,7 +287,7 @@
 func mayLoad(p *config.Pool, s config.Server, states map[string]engineState, underWay map[string]bool) bool {
 	away := 1
 	for _, other := range versioned(p) {
-		id := serverID(other)
+		id := other.ID()
 		state, answers := states[id]
 		if other.Name != s.Name && (!answers || state.Loading || underWay[id]) {
 			away++
--- a/plugins/rollout/digest.go
+++ b/plugins/rollout/digest.go
@@ -137,13 +137,14 @@
 }
 
 // hearEvidence takes what another instance says of evidence.
-func (r *Rollout) hearEvidence(from kernel.Member, age time.Duration, payload []byte) {
-	d, err := decodeDigest(payload)
+func (r *Rollout) hearEvidence(digest kernel.Digest) {
+	d, err := decodeDigest(digest.Payload)
 	if err != nil {
 		r.host.Counter("versions_digests_faulty").Inc(1)
 		return
 	}
-	at := time.Now().Add(-age)
+	from := digest.From
+	at := time.Now().Add(-digest.Age)
 	r.mu.Lock()
 	r.zones[from.ID] = zoneCalls{at: at, calls: d.Zones}
 	r.mu.Unlock()
@@ -171,8 +172,8 @@
 }
 
 // hearBrakes takes over what another instance has taken back, at once.
-func (r *Rollout) hearBrakes(_ kernel.Member, payload []byte) {
-	brakes, err := decodeBrakes(payload)
+func (r *Rollout) hearBrakes(digest kernel.Digest) {
+	brakes, err := decodeBrakes(digest.Payload)
 	if err != nil {
 		r.host.Counter("versions_digests_faulty").Inc(1)
 		return
--- a/plugins/rollout/rollout.go
+++ b/plugins/rollout/rollout.go
@@ -94,11 +94,7 @@
 	d.Source(evidenceKind, r.sayEvidence)
 	d.Source(brakesKind, r.sayBrakes)
 	d.Sink(brakesKind, r.hearBrakes)
-	if aged, ok := d.(kernel.AgedDigests); ok {
-		aged.SinkAged(evidenceKind, r.hearEvidence)
-		return
-	}
-	d.Sink(evidenceKind, func(from kernel.Member, payload []byte) { r.hearEvidence(from, 0, payload) })
+	d.Sink(evidenceKind, r.hearEvidence)
 }
 
 // Start implements kernel.Starter.
--- a/plugins/rollout/rollout_test.go
+++ b/plugins/rollout/rollout_test.go
@@ -37,11 +37,11 @@
 	f      *fleet
 	client *platform.LogClient
 	source map[string]func() []byte
-	sink   map[string]func(kernel.Member, []byte)
+	sink   map[string]func(kernel.Digest)
 }
 
-func (in *instance) Source(kind string, f func() []byte)             { in.source[kind] = f }
-func (in *instance) Sink(kind string, f func(kernel.Member, []byte)) { in.sink[kind] = f }
+func (in *instance) Source(kind string, f func() []byte)     { in.source[kind] = f }
+func (in *instance) Sink(kind string, f func(kernel.Digest)) { in.sink[kind] = f }
 
 func newFleet(t *testing.T) *fleet {
 	f := &fleet{t: t, service: standin.NewLogService(0, 0)}
@@ -58,7 +58,7 @@
 		f.t.Fatal(err)
 	}
 	in := &instance{Rollout: &Rollout{}, f: f, client: platform.NewLogClient(f.server.Address(), time.Second),
-		source: make(map[string]func() []byte), sink: make(map[string]func(kernel.Member, []byte))}
+		source: make(map[string]func() []byte), sink: make(map[string]func(kernel.Digest))}
 	h := &kernel.Host{
 		Settings: settings, Logger: slog.New(slog.DiscardHandler), Metrics: metrics.NewRegistry(), Log: in.client, Digests: in,
 		Decisions: kernel.Decisions{Limits: policy.FixedLimits{}, Queues: policy.FIFOQueues{}, Rollout: policy.StandardRollout{}},
@@ -86,7 +86,7 @@
 			payload := say()
 			for _, to := range f.instances {
 				if to != from {
-					to.sink[kind](kernel.Member{ID: from.host.ID()}, payload)
+					to.sink[kind](kernel.Digest{From: kernel.Member{ID: from.host.ID()}, Payload: payload})
 				}
 			}
 		}
