Keep a section's body from reaching other sections

Ruled out: a stricter pattern for the first heading alone; the body is where the lines come from.

Change: each section must parse, by itself, to just that section; a heading is a name between brackets and nothing else.

Conclusion: rights by prefix of the section hold.

--- a/config/compile.go
+++ b/config/compile.go
@@ -42,7 +42,7 @@
 	}
 	c := &compiler{src: src}
 	t := c.compile(src.file, sections, 0)
-	faults := append(src.repeatedFaults(), c.faults...)
+	faults := append(src.formFaults(), c.faults...)
 	return t, faults.Err()
 }
 
@@ -50,6 +50,9 @@
 func Compile(sections map[string]Section, revision uint64) (*Tables, error) {
 	var text strings.Builder
 	for _, name := range slices.Sorted(maps.Keys(sections)) {
+		if err := sections[name].check(); err != nil {
+			return nil, err
+		}
 		text.WriteString(sections[name].Text())
 		text.WriteString("\n")
 	}
@@ -59,7 +62,7 @@
 	}
 	c := &compiler{src: src}
 	t := c.compile(src.file, sections, revision)
-	faults := append(src.repeatedFaults(), c.faults...)
+	faults := append(src.formFaults(), c.faults...)
 	return t, faults.Err()
 }
 
--- a/config/settings.go
+++ b/config/settings.go
@@ -127,7 +127,7 @@
 		return nil, err
 	}
 	set := &Settings{schema: s, values: make(map[lineKey]string)}
-	faults := src.repeatedFaults()
+	faults := src.formFaults()
 	for _, section := range src.file.Sections() {
 		if section.Name() == "DEFAULT" && len(section.Keys()) == 0 {
 			continue
--- a/config/source.go
+++ b/config/source.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"regexp"
 	"strings"
 
 	"github.com/pkg/errors"
@@ -15,8 +16,14 @@
 	lines map[lineKey]int
 	// repeated lists sections and keys that stand more than once.
 	repeated []lineKey
+	// malformed lists headings that are more than a name between brackets.
+	malformed []lineKey
 }
 
+// headingPattern is the one form of a heading. The INI library also takes text
+// behind the last bracket, under which two names could stand for one section.
+var headingPattern = regexp.MustCompile(`^\[[^\[\]]+\]$`)
+
 type lineKey struct{ section, key string }
 
 // parseSource reads INI text. The error is Faults when the text is no INI.
@@ -46,6 +53,9 @@
 		if line[0] == '[' {
 			section = strings.TrimSpace(strings.Trim(line, "[]"))
 			s.note(lineKey{section: section}, i+1)
+			if !headingPattern.MatchString(line) {
+				s.malformed = append(s.malformed, lineKey{section: section})
+			}
 			continue
 		}
 		if key, _, ok := strings.Cut(line, "="); ok {
@@ -72,9 +82,13 @@
 	return Fault{File: s.name, Line: line, Section: section, Key: key, Problem: problem}
 }
 
-// repeatedFaults reports sections and keys that stand more than once.
-func (s *source) repeatedFaults() Faults {
+// formFaults reports sections and keys that stand more than once, and malformed
+// headings.
+func (s *source) formFaults() Faults {
 	var fs Faults
+	for _, k := range s.malformed {
+		fs = append(fs, s.fault(k.section, "", "want a heading of the form [KIND NAME] and nothing behind it"))
+	}
 	for _, k := range s.repeated {
 		fs = append(fs, s.fault(k.section, k.key, "stands more than once"))
 	}
--- a/config/split.go
+++ b/config/split.go
@@ -32,7 +32,7 @@
 	}
 	revisions := shownRevisions(string(text))
 	var out []Section
-	faults := src.repeatedFaults()
+	faults := src.formFaults()
 	for _, s := range src.file.Sections() {
 		if s.Name() == ini.DefaultSection {
 			if len(s.Keys()) > 0 {
--- a/config/tables.go
+++ b/config/tables.go
@@ -5,6 +5,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"gopkg.in/ini.v1"
 )
 
 // SectionKind is the first word of a table section's name.
@@ -40,6 +42,26 @@
 // Text returns the section with its heading, as it stands in a file.
 func (s Section) Text() string { return "[" + s.Name + "]\n" + s.Body }
 
+// check reports whether the section's text is just this section: its body must
+// not bring in keys of another one, whatever the INI library makes of it.
+func (s Section) check() error {
+	src, err := parseSource("["+s.Name+"]", []byte(s.Text()))
+	if err != nil {
+		return err
+	}
+	faults := src.formFaults()
+	for _, other := range src.file.Sections() {
+		empty := other.Name() == ini.DefaultSection && len(other.Keys()) == 0
+		if other.Name() != s.Name && !empty {
+			faults = append(faults, Fault{File: "[" + s.Name + "]", Section: other.Name(), Problem: "stands inside the body of another section"})
+		}
+	}
+	if !src.file.HasSection(s.Name) {
+		faults = append(faults, Fault{File: "[" + s.Name + "]", Problem: "is no section heading"})
+	}
+	return faults.Err()
+}
+
 // SizeClass sorts requests by the work that they bring.
 type SizeClass string
 
--- a/config/tables_test.go
+++ b/config/tables_test.go
@@ -67,6 +67,11 @@
 				_, result := Apply(tables, put("4", "pool a", body, 0), 8)
 				So(result.Status, ShouldEqual, EditInvalid)
 			}
+			for _, heading := range []string{"[pool p] ;", "[pool p] # x", "[pool p]]", "[[pool p]", "[pool  p]", "[ pool p ]", "[pool p]\t;]"} {
+				next, result := Apply(tables, put("6", "route r", "stages = a\na.pool = p\n"+heading+"\nlimit = 9\n", 0), 8)
+				So(result.Status, ShouldEqual, EditInvalid)
+				So(next.Pools["p"].Limit, ShouldEqual, 4)
+			}
 			_, result := Apply(tables, put("5", "pool a]\n[zone x", "state = out\n", 0), 8)
 			So(result.Status, ShouldEqual, EditInvalid)
 		})
