Mend what a review of the always-holds found on the path of a request

Cause, each shown in a trial on a scratch copy before the change: - a caller that stopped reading held its call slot past its deadline and a stop for the whole of stop_timeout, as writes to callers had no deadline; - "Savoryfold-Engine-Ms: NaN" left a streaming caller without its last event and admission with a sum that stayed NaN; - an answer without length or chunks counted as whole at any end; - a stream that had begun could end as done with the rest of its text missing, when the second server answered plain JSON; - refusals, and calls cut by their caller's deadline, counted as failures of a version and took good versions back; - a call whose request ended while the connection was made was charged to the server; - a suspect whose claim forbade dispatch left its mark on a server; - a server's clock that was ahead hid the reports of its next life; - a stream's text had no bound; a panic left an account charged.

Ruled out: a server-wide write timeout, which would cut long streams.

Change: a write deadline for each part of an answer ([entry] write_timeout, 5 s); accounts of work are believed only from 0 to the time of the call; an answer needs an end that can be told; a resumed stream needs an event stream; refusals and deadlines teach the limit and not the version's failures; marks belong to the stage that set them; a changed boot always counts; "not run" tells callers of at-most-once routes that it speaks of this attempt. The test of whole answers now lets the server work for longer than the 7 ms that it names.

--- a/kernel/collector.go
+++ b/kernel/collector.go
@@ -20,6 +20,12 @@
 // ErrEventLost is returned when a backend server skipped an event.
 var ErrEventLost = errors.New("an event of the stream is missing")
 
+// maxStreamBytes bounds the text of one stream.
+const maxStreamBytes = 16 << 20
+
+// ErrStreamTooLong is returned when a stream's text is larger than 16 MiB.
+var ErrStreamTooLong = errors.New("the stream is too long")
+
 // ErrCallerGone is returned when the caller no longer takes events.
 var ErrCallerGone = errors.New("the caller is gone")
 
@@ -32,6 +38,9 @@
 	if id <= c.last {
 		return nil
 	}
+	if c.text.Len()+len(e.Data) > maxStreamBytes {
+		return ErrStreamTooLong
+	}
 	if c.sink != nil {
 		if err := c.sink.Send(e); err != nil {
 			return errors.Wrap(ErrCallerGone, err.Error())
--- a/kernel/outcome.go
+++ b/kernel/outcome.go
@@ -9,7 +9,7 @@
 const (
 	// Served: the caller gets the whole answer.
 	Served OutcomeKind = "served"
-	// NotRun: no stage ran, and none will. Calls that reached a backend server
+	// NotRun: no stage of this attempt ran, and none will. Calls that reached a backend server
 	// were refused there, by an answer that names the call.
 	NotRun OutcomeKind = "not-run"
 	// Incomplete: some idempotent stages ran, no other stage did or will. The
--- a/kernel/run.go
+++ b/kernel/run.go
@@ -51,6 +51,7 @@
 	start := time.Now()
 	r := &run{host: h, req: req, snap: h.Snapshot(), random: rand.Uint64()}
 	result := r.serve(ctx, start)
+	r.explainNotRun(&result.Outcome)
 	result.Costs = r.costs
 	if r.snap != nil {
 		result.Revision = r.snap.Tables.Revision
@@ -59,7 +60,7 @@
 	return result
 }
 
-func (r *run) serve(ctx context.Context, now time.Time) Result {
+func (r *run) serve(ctx context.Context, now time.Time) (result Result) {
 	if out := r.accept(now); out.Kind != "" {
 		return Result{Outcome: out}
 	}
@@ -74,13 +75,22 @@
 		r.snap.Pool(forecasts[decision.Slowest].Pool).reasons.count(decision.Reason)
 		return Result{Outcome: Outcome{Kind: NotRun, Reason: ReasonOverload, Detail: string(decision.Reason), RetryAfter: decision.RetryAfter}}
 	}
-	result := r.admitted(ctx)
-	admission.Finish(time.Now(), preq, policy.Finish{
-		Cost:   r.cost(),
-		Served: result.Outcome.Kind == Served,
-		Late:   result.Outcome.Reason == ReasonDeadline,
-	})
-	return result
+	defer func() {
+		admission.Finish(time.Now(), preq, policy.Finish{
+			Cost:   r.cost(),
+			Served: result.Outcome.Kind == Served,
+			Late:   result.Outcome.Reason == ReasonDeadline,
+		})
+	}()
+	return r.admitted(ctx)
+}
+
+// explainNotRun tells the caller of a request that may run at most once what
+// "not run" speaks of: this attempt. An earlier one with the key may have run.
+func (r *run) explainNotRun(o *Outcome) {
+	if o.Kind == NotRun && r.route != nil && !r.route.Repeatable() {
+		o.Detail += "; this attempt did not run: repeat it with the same idempotency key"
+	}
 }
 
 // accept checks the request against the tables. It returns an empty outcome if
--- a/kernel/serve_test.go
+++ b/kernel/serve_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"math"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -235,6 +237,85 @@
 	}
 }
 
+func TestImplausibleAccounts(t *testing.T) {
+	for _, ms := range []float64{math.NaN(), math.Inf(1), -5, 1e12} {
+		Convey(fmt.Sprintf("A server that says it worked %g ms is not believed", ms), t, func() {
+			h := serveHost(t, &fakeTransport{answer: func(int, *StageCall) StageAnswer {
+				a := okAnswer(`1`)
+				a.EngineMS, a.Tokens = ms, -1
+				return a
+			}})
+			result := h.Serve(context.Background(), &Request{Account: "alto", Route: "plain", Body: []byte(`{}`)})
+			So(result.Costs[0].EngineMS, ShouldBeBetween, 0, 10_000)
+			So(result.Costs[0].Tokens, ShouldEqual, 0)
+		})
+	}
+}
+
+// countingVersions counts the calls that a module of versions is told of.
+type countingVersions struct{ failed, seen int }
+
+func (c *countingVersions) Pick(time.Time, *config.Route, uint64) string { return "" }
+
+func (c *countingVersions) Observe(_ time.Time, _, _ string, call policy.MoveCall) {
+	c.seen++
+	if !call.OK {
+		c.failed++
+	}
+}
+
+func TestCallsThatShowNothingOfAVersion(t *testing.T) {
+	cases := []struct {
+		result CallResult
+		failed int
+	}{{CallRefused, 0}, {CallDeadline, 0}, {CallRejected, 0}, {CallCancelled, 0}, {CallFailed, 4}}
+	for _, c := range cases {
+		Convey("Failures of a version that calls "+c.result.String()+" count for", t, func() {
+			h := serveHost(t, &fakeTransport{answer: func(int, *StageCall) StageAnswer { return StageAnswer{Result: c.result} }})
+			h.Snapshot().Pool("p").Config.Versioned = true
+			versions := &countingVersions{}
+			h.Versions = versions
+			h.Serve(context.Background(), &Request{Account: "alto", Route: "plain", Body: []byte(`{}`)})
+			So(versions.failed, ShouldEqual, c.failed)
+		})
+	}
+}
+
+// suspicious takes every request for a suspect.
+type suspicious struct{}
+
+func (suspicious) Refuse(time.Time, uint64) bool    { return false }
+func (suspicious) Suspect(time.Time, uint64) bool   { return true }
+func (suspicious) Broken(time.Time, uint64, string) {}
+func (suspicious) Succeeded(time.Time, uint64)      {}
+
+func TestSuspectWithoutItsClaimLeavesNoMark(t *testing.T) {
+	Convey("A suspect whose claim forbids dispatch leaves the servers to others", t, func() {
+		h := serveHost(t, &fakeTransport{answer: func(int, *StageCall) StageAnswer { return okAnswer(`1`) }})
+		h.CrashGuard = suspicious{}
+		h.Claims = &fakeClaims{deny: true}
+		h.Serve(context.Background(), &Request{Account: "alto", Route: "once", Key: "k", Body: []byte(`{}`)})
+		marks := 0
+		h.suspects.m.Range(func(any, any) bool { marks++; return true })
+		So(marks, ShouldEqual, 0)
+	})
+}
+
+func TestServerClockAheadHidesNoRestart(t *testing.T) {
+	Convey("A report of another life counts, whatever the clock of the server says", t, func() {
+		h := serveHost(t, &fakeTransport{})
+		s := h.Snapshot().Pool("p").Servers[0]
+		now := time.Now()
+		s.Report(now, policy.LoadReport{Boot: "one", Warm: 1, At: now.Add(time.Hour)})
+		s.Report(now, policy.LoadReport{Boot: "two", Warm: 0, At: now})
+		So(s.report.Load().Boot, ShouldEqual, policy.BootKey("two"))
+		Convey("and later reports of that life do", func() {
+			s.Report(now.Add(2*time.Second), policy.LoadReport{Boot: "two", Warm: 1, At: now.Add(2 * time.Second)})
+			So(s.report.Load().Warm, ShouldEqual, 1)
+		})
+	})
+}
+
 func TestRefusedRequests(t *testing.T) {
 	transport := &fakeTransport{answer: func(int, *StageCall) StageAnswer { return okAnswer(`1`) }}
 	h := serveHost(t, transport)
--- a/kernel/server.go
+++ b/kernel/server.go
@@ -57,6 +57,9 @@
 	release func()
 }
 
+// clockSkew is how far ahead of this instance's clock a load report may be.
+const clockSkew = time.Second
+
 // place is an instance's place among the sharers of a server's limit.
 type place struct {
 	epoch   uint64
@@ -202,7 +205,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	old := s.report.Load()
-	if old != nil && !r.At.After(old.At) {
+	// A server's clock that was ahead must not hide its next life.
+	if latest := now.Add(clockSkew); r.At.After(latest) {
+		r.At = latest
+	}
+	if old != nil && r.Boot == old.Boot && !r.At.After(old.At) {
 		return
 	}
 	s.report.Store(&r)
--- a/kernel/stage.go
+++ b/kernel/stage.go
@@ -52,7 +52,7 @@
 			return s.gaveUp(ctx)
 		}
 		if !s.stage.Idempotent && !s.claim.MayDispatch(time.Now()) {
-			s.pool.release(server)
+			s.giveBack(server)
 			return s.fail(ReasonDeadline, "the claim no longer allows stage "+s.stage.Name)
 		}
 		call := s.attempt(ctx, server)
@@ -142,6 +142,12 @@
 // suspects holds the servers that run a suspect request, by server ID.
 type suspects struct{ m sync.Map }
 
+// giveBack gives up a call slot, and the server's mark if this stage set it.
+func (s *stageRun) giveBack(server *Server) {
+	s.host.suspects.m.CompareAndDelete(server.ID, s)
+	s.pool.release(server)
+}
+
 // acquire takes a call slot. A request under suspicion of crashing servers
 // takes one only on a server that runs no other suspect.
 func (s *stageRun) acquire(ctx context.Context) *Server {
@@ -152,7 +158,7 @@
 		if server == nil || !s.suspect() {
 			return server
 		}
-		if _, taken := s.host.suspects.m.LoadOrStore(server.ID, s.fingerprint); !taken {
+		if _, taken := s.host.suspects.m.LoadOrStore(server.ID, s); !taken {
 			return server
 		}
 		s.pool.release(server)
@@ -172,6 +178,8 @@
 	server *Server
 	answer StageAnswer
 	sample policy.CallSample
+	// over is true if the request had ended when the call did.
+	over bool
 }
 
 // attempt makes one call, or two of which the first answer counts if the route
@@ -193,8 +201,7 @@
 
 // send makes one call on a server and gives its call slot back.
 func (s *stageRun) send(ctx context.Context, server *Server) sentCall {
-	defer s.pool.release(server)
-	defer s.host.suspects.m.CompareAndDelete(server.ID, s.fingerprint)
+	defer s.giveBack(server)
 	call := *s.call
 	call.ID = uuid.NewString()
 	call.Server = server.Config
@@ -204,6 +211,7 @@
 	start := time.Now()
 	done.answer = s.host.Transport.Call(ctx, &call)
 	done.sample.Latency = time.Since(start)
+	done.over = ctx.Err() != nil
 	done.sample.OK = done.answer.Result == CallOK
 	done.sample.Broken = done.answer.Result == CallBroken
 	done.sample.Refused = done.answer.Result == CallRefused
@@ -225,9 +233,8 @@
 // note books a finished call to costs, counters and the server's state.
 func (s *stageRun) note(done sentCall) {
 	answer := done.answer
-	if answer.Result.Sent() && answer.EngineMS == 0 {
-		answer.EngineMS = milliseconds(done.sample.Latency)
-	}
+	answer.EngineMS = plausibleWork(answer, done.sample.Latency)
+	answer.Tokens = max(0, answer.Tokens)
 	s.cost.Calls++
 	s.cost.EngineMS += answer.EngineMS
 	s.cost.Tokens += answer.Tokens
@@ -240,12 +247,26 @@
 		s.sent = true
 	}
 	s.host.add(stageCallsFamily, s.stage.Pool, answer.Result.String(), 1)
-	s.teach(done.server, answer, done.sample)
+	s.teach(done)
+}
+
+// plausibleWork is the server's account of its work in milliseconds, or the
+// time of the call if there is none or it cannot be true.
+func plausibleWork(answer StageAnswer, took time.Duration) float64 {
+	limit := milliseconds(took)
+	if answer.EngineMS > 0 && answer.EngineMS <= limit {
+		return answer.EngineMS
+	}
+	if !answer.Result.Sent() {
+		return 0
+	}
+	return limit
 }
 
 // teach takes what a call showed of its server into the views on which
 // decisions rest. A call that ended for the request's own sake shows nothing.
-func (s *stageRun) teach(server *Server, answer StageAnswer, sample policy.CallSample) {
+func (s *stageRun) teach(done sentCall) {
+	server, answer, sample := done.server, done.answer, done.sample
 	now := time.Now()
 	if answer.Load != nil {
 		server.Report(now, *answer.Load)
@@ -253,6 +274,20 @@
 	switch answer.Result {
 	case CallCancelled, CallRejected:
 		return
+	case CallNotSent:
+		if done.over {
+			return // the request ended while the connection was made
+		}
+	case CallRefused:
+		// A refusal is what a server does that has enough to do.
+		server.observe(now, sample)
+		return
+	case CallDeadline:
+		// For its version the call was at least as slow as it took.
+		server.observe(now, sample)
+		sample.OK = true
+		s.teachVersion(now, server, sample)
+		return
 	case CallSilent:
 		// The server is judged once it was tried on a new connection. For its
 		// version the call was at least as slow as it was silent.
--- a/plugins/backendhttp/backendhttp.go
+++ b/plugins/backendhttp/backendhttp.go
@@ -122,6 +122,7 @@
 	errSilent   = errors.New("no byte within the progress deadline")
 	errNoEnd    = errors.New("the answer has no end")
 	errWrongID  = errors.New("the answer is to another call")
+	errNoResume = errors.New("the answer does not go on with the stream")
 	errTooLarge = errors.New("the answer is too large")
 )
 
@@ -206,6 +207,12 @@
 	if x.call.Events != nil && strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
 		return x.stream(ctx, resp)
 	}
+	if x.call.Events != nil && x.call.Events.LastID() != "" {
+		return kernel.StageAnswer{Result: kernel.CallFailed, Err: errNoResume}
+	}
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		return kernel.StageAnswer{Result: kernel.CallBroken, Err: errNoEnd}
+	}
 	body, err := x.read(resp.Body)
 	if errors.Is(err, errTooLarge) {
 		return kernel.StageAnswer{Result: kernel.CallFailed, Err: err}
--- a/plugins/backendhttp/backendhttp_test.go
+++ b/plugins/backendhttp/backendhttp_test.go
@@ -79,6 +79,14 @@
 			w.Header().Set("Content-Length", "100")
 			fmt.Fprint(w, `{}`)
 		}, kernel.CallBroken},
+		{"answer whose end cannot be told", func(w http.ResponseWriter, r *http.Request) {
+			conn, _, err := w.(http.Hijacker).Hijack()
+			if err != nil {
+				panic(err)
+			}
+			defer conn.Close()
+			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\n%s: %s\r\n\r\n{}", httpapi.HeaderCallID, r.Header.Get(httpapi.HeaderCallID))
+		}, kernel.CallBroken},
 		{"connection dropped", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, kernel.CallBroken},
 		{"error status", func(w http.ResponseWriter, r *http.Request) {
 			echo(w, r)
@@ -144,6 +152,15 @@
 			So(tr.Call(context.Background(), call).Result.String(), ShouldEqual, c.want.String())
 		})
 	}
+	Convey("A stream that has begun does not end with an answer that is none", t, func() {
+		call := stageCall(serverOf(t, func(w http.ResponseWriter, r *http.Request) {
+			echo(w, r)
+			fmt.Fprint(w, `{"text":"abc"}`)
+		}))
+		call.Events = &kernel.EventCollector{}
+		So(call.Events.Send(kernel.Event{ID: "1", Data: "a"}), ShouldBeNil)
+		So(tr.Call(context.Background(), call).Result.String(), ShouldEqual, "failed")
+	})
 	Convey("A second call asks to resume after the last event", t, func() {
 		var asked atomic.Value
 		call := stageCall(serverOf(t, func(w http.ResponseWriter, r *http.Request) {
--- a/plugins/entryhttp/entryhttp.go
+++ b/plugins/entryhttp/entryhttp.go
@@ -34,6 +34,7 @@
 			{Section: section, Name: "max_requests", Kind: config.Int, Default: "4096", Doc: "most requests in progress"},
 			{Section: section, Name: "header_timeout", Kind: config.Duration, Default: "5s", Doc: "longest time to read a request's header"},
 			{Section: section, Name: "body_timeout", Kind: config.Duration, Default: "10s", Doc: "longest time to read a whole request"},
+			{Section: section, Name: "write_timeout", Kind: config.Duration, Default: "5s", Doc: "longest wait for a caller to take a part of an answer"},
 			{Section: section, Name: "idle_timeout", Kind: config.Duration, Default: "60s", Doc: "time after which an idle connection is closed"},
 			{Section: section, Name: "drain", Kind: config.Duration, Default: "1s", Doc: "time between not being ready and refusing connections on a stop"},
 		},
@@ -50,6 +51,9 @@
 	inFlight atomic.Int64
 	limit    int64
 	drain    time.Duration
+	// writeTimeout bounds each write, so that a caller that does not read holds
+	// neither a call slot nor a planned stop.
+	writeTimeout time.Duration
 }
 
 // Provision implements kernel.Provisioner.
@@ -59,12 +63,13 @@
 	e.maxBody = s.Bytes(section, "max_body")
 	e.limit = int64(s.Int(section, "max_requests"))
 	e.drain = s.Duration(section, "drain")
+	e.writeTimeout = s.Duration(section, "write_timeout")
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/routes/{route}", e.serveRoute)
 	mux.HandleFunc("GET /healthz", e.serveHealth)
 	mux.HandleFunc("GET /readyz", e.serveReady)
 	e.server = &http.Server{
-		Handler:           mux,
+		Handler:           e.boundWrites(mux),
 		ReadHeaderTimeout: s.Duration(section, "header_timeout"),
 		ReadTimeout:       s.Duration(section, "body_timeout"),
 		IdleTimeout:       s.Duration(section, "idle_timeout"),
@@ -119,6 +124,21 @@
 	return errors.Wrap(e.server.Shutdown(ctx), "entry")
 }
 
+// boundWrites gives every answer a write deadline. Handlers that run long set a
+// new one before they write.
+func (e *Entry) boundWrites(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		e.allowWrite(w)
+		h.ServeHTTP(w, r)
+	})
+}
+
+// allowWrite starts the time for the next write.
+func (e *Entry) allowWrite(w http.ResponseWriter) {
+	// The server's own connections have write deadlines.
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(e.writeTimeout))
+}
+
 func (e *Entry) serveHealth(w http.ResponseWriter, _ *http.Request) {
 	httpapi.WriteJSON(w, http.StatusOK, map[string]string{"state": e.host.Instance.State().String()})
 }
--- a/plugins/entryhttp/entryhttp_test.go
+++ b/plugins/entryhttp/entryhttp_test.go
@@ -55,6 +55,7 @@
 max_body = 1KiB
 header_timeout = 200ms
 body_timeout = 300ms
+write_timeout = 300ms
 drain = 1ms
 [policy]
 admission = baseline
@@ -171,6 +172,7 @@
 func TestWholeAndStreamedAnswers(t *testing.T) {
 	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
 	r := start(t, func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(10 * time.Millisecond) // the 7 ms of work are within it
 		w.Header().Set("Content-Type", "text/event-stream")
 		fmt.Fprint(w, "id: 1\ndata: one\n\nid: 2\ndata: two\n\nevent: done\ndata: {\"engine_ms\": 7, \"tokens\": 2}\n\n")
 	})
@@ -200,6 +202,7 @@
 func TestCutStreamEndsWithAnError(t *testing.T) {
 	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
 	r := start(t, func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(10 * time.Millisecond) // the 7 ms of work are within it
 		w.Header().Set("Content-Type", "text/event-stream")
 		fmt.Fprint(w, "id: 1\ndata: one\n\n")
 	})
@@ -233,6 +236,34 @@
 	})
 }
 
+func TestCallerThatDoesNotReadIsLeft(t *testing.T) {
+	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+	released := make(chan struct{})
+	event := "data: " + strings.Repeat("x", 64<<10) + "\n\n"
+	r := start(t, func(w http.ResponseWriter, req *http.Request) {
+		defer close(released)
+		w.Header().Set("Content-Type", "text/event-stream")
+		for n := 1; req.Context().Err() == nil; n++ { // more than any buffer holds
+			if _, err := fmt.Fprintf(w, "id: %d\n%s", n, event); err != nil {
+				return
+			}
+		}
+	})
+	Convey("A caller that stops reading frees the call slot and does not hold up a stop", t, func() {
+		conn, err := net.Dial("tcp", r.address)
+		So(err, ShouldBeNil)
+		defer conn.Close()
+		_, err = fmt.Fprintf(conn, "POST /v1/routes/answer HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nAccept: text/event-stream\r\nContent-Length: 2\r\n\r\n{}", apiKey)
+		So(err, ShouldBeNil)
+		select {
+		case <-released:
+		case <-time.After(30 * time.Second):
+			t.Fatal("the call still runs")
+		}
+		r.stop()
+	})
+}
+
 func TestPlannedStopFinishesRequests(t *testing.T) {
 	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
 	started, goOn := make(chan struct{}), make(chan struct{})
--- a/plugins/entryhttp/route.go
+++ b/plugins/entryhttp/route.go
@@ -38,6 +38,7 @@
 		return
 	}
 	req, out := e.request(w, r, start)
+	e.allowWrite(w)
 	if out.Kind != "" {
 		e.host.Counter(`entry_refused{reason="` + string(out.Reason) + `"}`).Inc(1)
 		writeOutcome(w, out)
@@ -49,6 +50,7 @@
 		return
 	}
 	result := e.host.Serve(r.Context(), req)
+	e.allowWrite(w)
 	writeResult(w, result)
 }
 
--- a/plugins/entryhttp/stream.go
+++ b/plugins/entryhttp/stream.go
@@ -29,6 +29,7 @@
 // stream writes an answer as server-sent events. The status line is sent with
 // the first event, so that a refusal before it is an ordinary problem answer.
 type stream struct {
+	entry   *Entry
 	w       http.ResponseWriter
 	flusher http.Flusher
 	begun   bool
@@ -41,7 +42,7 @@
 		writeOutcome(w, reject(kernel.ReasonBadRequest, "this connection cannot stream"))
 		return
 	}
-	s := &stream{w: w, flusher: flusher}
+	s := &stream{entry: e, w: w, flusher: flusher}
 	req.Events = s
 	result := e.host.Serve(r.Context(), req)
 	if result.Outcome.Kind != kernel.Served {
@@ -52,7 +53,9 @@
 	if !s.begun {
 		end.Answer = rawJSON(result.Answer.Body)
 	}
-	_ = s.write(eventDone, "", end)
+	if err := s.write(eventDone, "", end); err != nil {
+		e.host.Counter("entry_unfinished_streams").Inc(1)
+	}
 }
 
 func rawJSON(body []byte) json.RawMessage {
@@ -70,6 +73,7 @@
 // event was sent yet.
 func (s *stream) fail(result kernel.Result) {
 	if !s.begun {
+		s.entry.allowWrite(s.w)
 		writeResult(s.w, result)
 		return
 	}
@@ -85,6 +89,7 @@
 }
 
 func (s *stream) send(kind, id, data string) error {
+	s.entry.allowWrite(s.w)
 	if !s.begun {
 		h := s.w.Header()
 		h.Set("Content-Type", "text/event-stream")
