Keep waits, loans and stops within their bounds; give round robin a turn a pool

Ruled out: leases without the borrower's number, as a lost grant could then not be given back.

Change: the read lock is a channel of one token; early returns are remembered (1,024 of them, 30 s); the entry has four fifths of stop_timeout; round robin counts by pool.

--- a/kernel/instance.go
+++ b/kernel/instance.go
@@ -16,6 +16,10 @@
 // refreshInterval is the time between two looks at the limits of all servers.
 const refreshInterval = 200 * time.Millisecond
 
+// entryStopPart is the part of stop_timeout in which requests in progress may
+// finish; the rest is for what they leave behind.
+const entryStopPart = 0.8
+
 // State is an instance's own state.
 type State int32
 
@@ -163,8 +167,12 @@
 
 // stopModules stops the first n modules in reverse order.
 func (in *Instance) stopModules(n int) error {
-	ctx, cancel := context.WithTimeout(context.Background(), in.Host.Settings.Duration("instance", "stop_timeout"))
+	total := in.Host.Settings.Duration("instance", "stop_timeout")
+	all, cancel := context.WithTimeout(context.Background(), total)
 	defer cancel()
+	// What the entry leaves undone must not keep claims from reaching the log.
+	entry, cancelEntry := context.WithTimeout(all, time.Duration(entryStopPart*float64(total)))
+	defer cancelEntry()
 	var first error
 	for i := n - 1; i >= 0; i-- {
 		l := in.modules[i]
@@ -172,6 +180,10 @@
 		if !ok {
 			continue
 		}
+		ctx := all
+		if l.info.Phase == PhaseEntry {
+			ctx = entry
+		}
 		if err := s.Stop(ctx); err != nil && first == nil {
 			first = errors.Wrapf(err, "stop %s", l.info.ID)
 		}
--- a/kernel/settings.go
+++ b/kernel/settings.go
@@ -27,7 +27,7 @@
 	s.Add(
 		config.Key{Section: "instance", Name: "id", Required: true, Doc: "name of this instance, unique among all"},
 		config.Key{Section: "instance", Name: "zone", Required: true, Doc: "availability zone of this instance"},
-		config.Key{Section: "instance", Name: "stop_timeout", Kind: config.Duration, Default: "30s", Doc: "longest graceful stop"},
+		config.Key{Section: "instance", Name: "stop_timeout", Kind: config.Duration, Default: "30s", Doc: "longest graceful stop; requests in progress have four fifths of it, so routes with longer deadlines may be cut"},
 		config.Key{Section: "instance", Name: "settle", Kind: config.Duration, Default: "1s", Doc: "how long an instance that left still counts in the shares of the servers' limits, and how long a new one uses none"},
 		config.Key{Section: "instance", Name: "disable", Kind: config.List, Doc: "modules that are left out, by ID"},
 		config.Key{Section: "log", Name: "format", Kind: config.Enum, Accepted: []string{"text", "json"}, Default: "text", Doc: "form of log lines"},
--- a/plugins/claims/log_test.go
+++ b/plugins/claims/log_test.go
@@ -306,3 +306,23 @@
 	}
 	return b.First
 }
+
+func TestReadersKeepToTheirDeadlines(t *testing.T) {
+	Convey("A read that waits for another one ends with its own context", t, func() {
+		c := newCluster(t, 1, 0, 0, "")
+		defer c.close()
+		s := c.start().shards[0]
+		So(s.beginReading(context.Background()), ShouldBeNil) // a long poll runs
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan error, 1)
+		go func() { ended <- s.catchUp(ctx) }()
+		cancel()
+		select {
+		case err := <-ended:
+			So(err, ShouldNotBeNil)
+		case <-time.After(30 * time.Second):
+			t.Fatal("the read outlives its context")
+		}
+		s.endReading()
+	})
+}
--- a/plugins/claims/shard.go
+++ b/plugins/claims/shard.go
@@ -25,8 +25,9 @@
 	wake   chan struct{}
 	pace   *rate.Limiter
 
-	// reading serialises reads, so that records are applied in order.
-	reading  sync.Mutex
+	// reading holds one token while a read runs, so that records are applied in
+	// order. A channel lets those who wait keep to their deadlines.
+	reading  chan struct{}
 	complete time.Time // when the last read to the end began; guarded by reading
 
 	mu      sync.Mutex
@@ -42,7 +43,7 @@
 func newShardLog(m *Log, number int) *shardLog {
 	return &shardLog{
 		owner: m, number: number, stream: "claims/" + strconv.Itoa(number),
-		wake: make(chan struct{}, 1), changed: make(chan struct{}),
+		wake: make(chan struct{}, 1), changed: make(chan struct{}), reading: make(chan struct{}, 1),
 		batches: make(map[claim.Attempt]struct{}),
 		pace:    rate.NewLimiter(m.pace, burst),
 	}
@@ -81,8 +82,10 @@
 // share its result.
 func (s *shardLog) readTo(ctx context.Context, offset uint64) error {
 	called := time.Now()
-	s.reading.Lock()
-	defer s.reading.Unlock()
+	if err := s.beginReading(ctx); err != nil {
+		return err
+	}
+	defer s.endReading()
 	if offset == 0 && s.complete.After(called) {
 		return nil
 	}
@@ -96,6 +99,18 @@
 	return nil
 }
 
+// beginReading waits for the reads of others, no longer than the context lives.
+func (s *shardLog) beginReading(ctx context.Context) error {
+	select {
+	case s.reading <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return kernel.ErrLogUnavailable
+	}
+}
+
+func (s *shardLog) endReading() { <-s.reading }
+
 // readAll reads batch after batch. The caller holds reading.
 func (s *shardLog) readAll(ctx context.Context, offset uint64) error {
 	if !s.opened() {
@@ -124,8 +139,10 @@
 
 // readNext waits for the next records and reads them.
 func (s *shardLog) readNext(ctx context.Context) error {
-	s.reading.Lock()
-	defer s.reading.Unlock()
+	if err := s.beginReading(ctx); err != nil {
+		return err
+	}
+	defer s.endReading()
 	b, err := s.owner.host.Log.Read(ctx, s.stream, max(1, s.next()), readBackTime)
 	s.owner.note(ctx, err)
 	if err != nil {
--- a/plugins/slots/slots.go
+++ b/plugins/slots/slots.go
@@ -10,6 +10,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -33,6 +34,10 @@
 	leaseMargin = 500 * time.Millisecond
 	// maxLease bounds a lease whatever the borrower asks for.
 	maxLease = 10 * time.Minute
+	// returnedMemory is how long a loan that came back early is remembered, and
+	// maxReturned how many are.
+	returnedMemory = 30 * time.Second
+	maxReturned    = 1024
 	// returnTimeout bounds the message that gives a slot back.
 	returnTimeout = 2 * time.Second
 )
@@ -59,9 +64,12 @@
 
 	limiter *rate.Limiter // of requests to other instances
 
-	mu      sync.Mutex
-	loans   map[loanID]*loan // lent by this instance; guarded by mu
-	stopped bool             // guarded by mu
+	mu    sync.Mutex
+	loans map[loanID]*loan // lent by this instance; guarded by mu
+	// returned holds loans that were given back before they were asked for, as
+	// happens when the request was held up on its way; guarded by mu.
+	returned map[loanID]time.Time
+	stopped  bool // guarded by mu
 }
 
 // loanID identifies a loan at the lender. The borrower chooses the number, so
@@ -188,14 +196,14 @@
 
 func (s *Slots) handleBorrow(_ context.Context, from string, body []byte) ([]byte, error) {
 	var req borrowRequest
-	if err := cbor.Unmarshal(body, &req); err != nil || req.LeaseMS <= 0 {
+	if err := cbor.Unmarshal(body, &req); err != nil || req.LeaseMS <= 0 || req.LeaseMS > maxLease.Milliseconds() {
 		return nil, errors.New("slots: malformed request")
 	}
 	release, ok := s.host.Lend(req.Server)
 	if !ok {
 		return encode(borrowAnswer{}), nil
 	}
-	wanted := min(time.Duration(req.LeaseMS)*time.Millisecond, maxLease)
+	wanted := time.Duration(req.LeaseMS) * time.Millisecond
 	lent := s.lend(loanID{from, req.Number}, release, wanted+leaseMargin)
 	return encode(borrowAnswer{lent}), nil
 }
@@ -203,7 +211,7 @@
 // lend books a loan. A repeated request of the same loan gets nothing.
 func (s *Slots) lend(id loanID, release func(), d time.Duration) bool {
 	s.mu.Lock()
-	if s.stopped || s.loans[id] != nil {
+	if _, late := s.returned[id]; late || s.stopped || s.loans[id] != nil {
 		s.mu.Unlock()
 		release()
 		return false
@@ -233,12 +241,29 @@
 	return true
 }
 
+// noteReturned remembers a loan that was given back before it was asked for.
+func (s *Slots) noteReturned(id loanID, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.returned == nil {
+		s.returned = make(map[loanID]time.Time)
+	}
+	if len(s.returned) >= maxReturned {
+		maps.DeleteFunc(s.returned, func(_ loanID, at time.Time) bool { return now.Sub(at) > returnedMemory })
+	}
+	if len(s.returned) < maxReturned {
+		s.returned[id] = now
+	}
+}
+
 func (s *Slots) handleReturn(_ context.Context, from string, body []byte) ([]byte, error) {
 	var req returnRequest
 	if err := cbor.Unmarshal(body, &req); err != nil {
 		return nil, errors.New("slots: malformed request")
 	}
-	s.end(loanID{from, req.Number})
+	if id := (loanID{from, req.Number}); !s.end(id) {
+		s.noteReturned(id, time.Now())
+	}
 	return nil, nil
 }
 
--- a/plugins/slots/slots_test.go
+++ b/plugins/slots/slots_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math"
 	"sync"
 	"testing"
 	"time"
@@ -170,6 +171,18 @@
 		}
 		So(s.host.IdleSlots(server), ShouldEqual, 2)
 	})
+	Convey("A loan that was given back before it was asked for is not lent", t, func() {
+		all, _ := cluster(t, 1)
+		s := all[0]
+		_, err := s.handleReturn(context.Background(), "a", encode(returnRequest{9}))
+		So(err, ShouldBeNil)
+		answer, err := s.handleBorrow(context.Background(), "a", encode(borrowRequest{server, 60_000, 9}))
+		So(err, ShouldBeNil)
+		So(answer, ShouldResemble, encode(borrowAnswer{false}))
+		So(s.host.IdleSlots(server), ShouldEqual, 2)
+		_, err = s.handleBorrow(context.Background(), "a", encode(borrowRequest{server, math.MaxInt64, 10}))
+		So(err, ShouldNotBeNil)
+	})
 	Convey("Only the borrower ends a loan", t, func() {
 		all, _ := cluster(t, 1)
 		release, _ := all[0].host.Lend(server)
--- a/policy/placement.go
+++ b/policy/placement.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -68,9 +69,18 @@
 	Choose(now time.Time, c Call, v View) Choice
 }
 
-// RoundRobin is the baseline: it takes the usable servers in turn.
+// RoundRobin is the baseline: it takes the usable servers of each pool in turn.
 type RoundRobin struct {
-	next atomic.Uint64
+	next sync.Map // a pool's first server -> *atomic.Uint64
+}
+
+// turn counts the choices in a pool.
+func (p *RoundRobin) turn(pool uint64) uint64 {
+	next, ok := p.next.Load(pool)
+	if !ok {
+		next, _ = p.next.LoadOrStore(pool, new(atomic.Uint64))
+	}
+	return next.(*atomic.Uint64).Add(1)
 }
 
 // Choose implements Placement.
@@ -79,7 +89,7 @@
 	if n == 0 {
 		return Choice{Index: NoServer, Reason: "empty"}
 	}
-	start := int(p.next.Add(1) % uint64(n))
+	start := int(p.turn(v.IDs()[0]) % uint64(n))
 	for i := range n {
 		index := (start + i) % n
 		if v.Free(index) {
