Call the release of a bad version a rollback

Cause: "brake" is no term of the field; the usual one is rollback.

Ruled out: renaming the state "taken-back" as well, which operators see and which the issue names.

Conclusion: the tests of the packages pass.

--- a/peer/slopes_test.go
+++ b/peer/slopes_test.go
@@ -149,7 +149,7 @@
 // spread is the time until all have an urgent digest of one instance.
 func (net *slopeNet) spread() time.Duration {
 	origin := net.nodes[0]
-	if origin.digests.Publish(net.now, "brakes", []byte{1}) {
+	if origin.digests.Publish(net.now, "rollbacks", []byte{1}) {
 		origin.table.Hurry()
 	}
 	start := net.now
@@ -157,7 +157,7 @@
 		net.run(slopeRound)
 		missing = false
 		for _, n := range net.nodes[1:] {
-			missing = missing || n.digests.Age(net.now, origin.record.ID, "brakes") == 0
+			missing = missing || n.digests.Age(net.now, origin.record.ID, "rollbacks") == 0
 		}
 	}
 	return net.now.Sub(start)
@@ -209,7 +209,7 @@
 	b.ReportMetric(float64(most.bytes)/seconds, "bytes/busiest-node/s")
 	b.ReportMetric(float64(sum.digestBytes)/perNode, "digest-bytes/node/s")
 	b.ReportMetric(float64(spent.Nanoseconds())/perNode, "cpu-ns/node/s")
-	b.ReportMetric(net.spread().Seconds()*1000, "ms-to-spread-a-brake")
+	b.ReportMetric(net.spread().Seconds()*1000, "ms-to-spread-a-rollback")
 	var memory runtime.MemStats
 	runtime.GC()
 	runtime.ReadMemStats(&memory)
--- a/plugins/rollout/alert.go
+++ b/plugins/rollout/alert.go
@@ -25,7 +25,7 @@
 // alert asks for the evidence on a move to be sent. Each instance sees few calls
 // of a new version, and digests cross availability zones slowly: the instances
 // that come first in the move's rendezvous order see the faults of all at once
-// and brake for all. Nothing depends on their being there. The caller holds the
+// and roll back for all. Nothing depends on their being there. The caller holds the
 // move's mu.
 func (r *Rollout) alert(m *move) {
 	select {
@@ -52,7 +52,7 @@
 }
 
 func (r *Rollout) sendAlert(ctx context.Context, m *move) {
-	if m.braked.Load() {
+	if m.rolledBack.Load() {
 		return
 	}
 	m.mu.Lock()
@@ -72,8 +72,8 @@
 	}
 }
 
-// hearAlert implements kernel.PeerHandler.
-func (r *Rollout) hearAlert(_ context.Context, from string, body []byte) ([]byte, error) {
+// receiveAlert implements kernel.PeerHandler.
+func (r *Rollout) receiveAlert(_ context.Context, from string, body []byte) ([]byte, error) {
 	d, err := decodeDigest(body)
 	if err != nil {
 		return nil, err
@@ -82,7 +82,7 @@
 		return nil, errors.New("an alert is about one move")
 	}
 	now := time.Now()
-	if m := r.hearMove(from, now, d.Moves[0]); m != nil {
+	if m := r.receiveMove(from, now, d.Moves[0]); m != nil {
 		r.update(now, m)
 	}
 	return nil, nil
--- a/plugins/rollout/digest.go
+++ b/plugins/rollout/digest.go
@@ -11,11 +11,11 @@
 	"github.com/savoryfold/savoryfold/policy"
 )
 
-// The kinds of digests. Brakes have their own: they change seldom, and what
+// The kinds of digests. Rollbacks have their own: they change seldom, and what
 // changes seldom is passed on at once, also between availability zones.
 const (
-	evidenceKind = "versions"
-	brakesKind   = "brakes"
+	evidenceKind  = "versions"
+	rollbacksKind = "rollbacks"
 )
 
 // digestEvery is the time between two changes of what is said of evidence.
@@ -36,8 +36,8 @@
 	Evidence policy.MoveEvidence `cbor:"2,keyasint"`
 }
 
-// brakeDigest tells a move that was taken back.
-type brakeDigest struct {
+// rollbackDigest tells a move that was taken back.
+type rollbackDigest struct {
 	ID  uint64 `cbor:"1,keyasint"`
 	Why string `cbor:"2,keyasint,omitempty"`
 }
@@ -79,9 +79,9 @@
 	payload []byte
 }
 
-// sayEvidence returns what this instance says of evidence and zones. It changes
+// encodeEvidence returns what this instance says of evidence and zones. It changes
 // once in digestEvery.
-func (r *Rollout) sayEvidence() []byte {
+func (r *Rollout) encodeEvidence() []byte {
 	now := time.Now()
 	r.mu.Lock()
 	said := r.said
@@ -103,17 +103,17 @@
 	return said.payload
 }
 
-// sayBrakes returns the moves that were taken back.
-func (r *Rollout) sayBrakes() []byte {
-	brakes := []brakeDigest{}
+// encodeRollbacks returns the moves that were taken back.
+func (r *Rollout) encodeRollbacks() []byte {
+	rollbacks := []rollbackDigest{}
 	for _, m := range r.moves.Load().ordered() {
-		if m.braked.Load() {
+		if m.rolledBack.Load() {
 			m.mu.Lock()
-			brakes = append(brakes, brakeDigest{ID: m.id, Why: m.why})
+			rollbacks = append(rollbacks, rollbackDigest{ID: m.id, Why: m.why})
 			m.mu.Unlock()
 		}
 	}
-	return encodeDigest(brakes)
+	return encodeDigest(rollbacks)
 }
 
 func encodeDigest(v any) []byte {
@@ -130,14 +130,14 @@
 	return d, errors.Wrap(err, "digest")
 }
 
-func decodeBrakes(payload []byte) ([]brakeDigest, error) {
-	var brakes []brakeDigest
-	err := digestDecoder.Unmarshal(payload, &brakes)
-	return brakes, errors.Wrap(err, "digest")
+func decodeRollbacks(payload []byte) ([]rollbackDigest, error) {
+	var rollbacks []rollbackDigest
+	err := digestDecoder.Unmarshal(payload, &rollbacks)
+	return rollbacks, errors.Wrap(err, "digest")
 }
 
-// hearEvidence takes what another instance says of evidence.
-func (r *Rollout) hearEvidence(digest kernel.Digest) {
+// receiveEvidence takes what another instance says of evidence.
+func (r *Rollout) receiveEvidence(digest kernel.Digest) {
 	d, err := decodeDigest(digest.Payload)
 	if err != nil {
 		r.host.Counter("versions_digests_faulty").Inc(1)
@@ -149,13 +149,13 @@
 	r.zones[from.ID] = zoneCalls{at: at, calls: d.Zones}
 	r.mu.Unlock()
 	for _, md := range d.Moves {
-		r.hearMove(from.ID, at, md)
+		r.receiveMove(from.ID, at, md)
 	}
 }
 
-// hearMove takes another instance's evidence on one move. It returns the move,
+// receiveMove takes another instance's evidence on one move. It returns the move,
 // or nil if the tables here do not have it.
-func (r *Rollout) hearMove(from string, at time.Time, md moveDigest) *move {
+func (r *Rollout) receiveMove(from string, at time.Time, md moveDigest) *move {
 	for _, m := range r.moves.Load().byRoute {
 		if m.id != md.ID {
 			continue
@@ -171,19 +171,19 @@
 	return nil
 }
 
-// hearBrakes takes over what another instance has taken back, at once.
-func (r *Rollout) hearBrakes(digest kernel.Digest) {
-	brakes, err := decodeBrakes(digest.Payload)
+// receiveRollbacks takes over what another instance has taken back, at once.
+func (r *Rollout) receiveRollbacks(digest kernel.Digest) {
+	rollbacks, err := decodeRollbacks(digest.Payload)
 	if err != nil {
 		r.host.Counter("versions_digests_faulty").Inc(1)
 		return
 	}
 	now := time.Now()
 	for _, m := range r.moves.Load().byRoute {
-		for _, b := range brakes {
+		for _, b := range rollbacks {
 			if b.ID == m.id {
 				m.mu.Lock()
-				r.brake(m, now, b.Why)
+				r.rollBack(m, now, b.Why)
 				m.mu.Unlock()
 			}
 		}
--- a/plugins/rollout/move.go
+++ b/plugins/rollout/move.go
@@ -40,18 +40,18 @@
 	// bring all requests to a version that is not proved.
 	newServers, oldServers atomic.Bool
 
-	share  atomic.Uint64 // bits of a float64
-	braked atomic.Bool
-	behind atomic.Bool
+	share      atomic.Uint64 // bits of a float64
+	rolledBack atomic.Bool
+	behind     atomic.Bool
 
-	mu       sync.Mutex
-	tracker  policy.MoveTracker // guarded by mu
-	step     int                // guarded by mu
-	why      string             // guarded by mu
-	brakedAt time.Time          // guarded by mu
-	done     time.Time          // guarded by mu
-	heard    map[string]heard   // by instance; guarded by mu
-	others   policy.MoveEvidence
+	mu           sync.Mutex
+	tracker      policy.MoveTracker // guarded by mu
+	step         int                // guarded by mu
+	why          string             // guarded by mu
+	rolledBackAt time.Time          // guarded by mu
+	done         time.Time          // guarded by mu
+	heard        map[string]heard   // by instance; guarded by mu
+	others       policy.MoveEvidence
 }
 
 // heard is what another instance said last.
@@ -88,7 +88,7 @@
 }
 
 // moveID identifies a move over edits of its route that do not change it, so
-// that only a new move is free of an earlier one's brake.
+// that only a new move is free of an earlier one's rollback.
 func moveID(route string, m config.VersionMove) uint64 {
 	return xxhash.Sum64String(strings.Join([]string{
 		route, m.From, m.To,
@@ -111,7 +111,7 @@
 // own is what this instance says to others. The caller holds mu.
 func (m *move) own(now time.Time) policy.MoveEvidence {
 	e := m.tracker.Evidence(now)
-	e.Step, e.Braked = m.step, m.braked.Load()
+	e.Step, e.RolledBack = m.step, m.rolledBack.Load()
 	return e
 }
 
@@ -150,7 +150,7 @@
 func (m *move) pick(random uint64) string {
 	fresh := float64(random>>(64-randomBits))/(1<<randomBits) < m.getShare()
 	switch {
-	case m.braked.Load() || !m.newServers.Load():
+	case m.rolledBack.Load() || !m.newServers.Load():
 		fresh = false
 	case !m.oldServers.Load():
 		fresh = true
@@ -175,10 +175,10 @@
 		if o == m || o.move.To != m.move.To || !o.traffic.before(m.traffic) {
 			continue
 		}
-		if o.braked.Load() && !m.traffic.repeatable {
+		if o.rolledBack.Load() && !m.traffic.repeatable {
 			return true
 		}
-		if !o.braked.Load() && !o.proved() {
+		if !o.rolledBack.Load() && !o.proved() {
 			return true
 		}
 	}
@@ -186,7 +186,7 @@
 }
 
 // onTables takes a new revision of the tables. Moves that stay keep their
-// evidence and their brakes.
+// evidence and their rollbacks.
 func (r *Rollout) onTables(t *config.Tables) {
 	old := r.moves.Load()
 	next := &moveSet{byRoute: make(map[string]*move)}
--- a/plugins/rollout/records.go
+++ b/plugins/rollout/records.go
@@ -134,7 +134,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if e.State == kernel.MoveTakenBack {
-		r.brake(m, e.At, e.Why)
+		r.rollBack(m, e.At, e.Why)
 		return
 	}
 	m.step = provedAll
@@ -168,8 +168,8 @@
 	m.mu.Lock()
 	e := event{Move: m.id, Route: m.route, From: m.move.From, To: m.move.To, Instance: r.host.ID(), Why: m.why}
 	switch {
-	case m.braked.Load():
-		e.State, e.At = kernel.MoveTakenBack, m.brakedAt
+	case m.rolledBack.Load():
+		e.State, e.At = kernel.MoveTakenBack, m.rolledBackAt
 	case !m.done.IsZero():
 		e.State, e.At = kernel.MoveDone, m.done
 	}
--- a/plugins/rollout/rollout.go
+++ b/plugins/rollout/rollout.go
@@ -2,8 +2,8 @@
 // and tells operators how moves of versions and availability zones stand.
 //
 // The share of the new version is a pure function of the time, the evidence and
-// the brake, so that a move goes on while the log and other instances are out
-// of reach. Instances share evidence and brakes in digests; brakes and finished
+// rollbacks, so that a move goes on while the log and other instances are out
+// of reach. Instances share evidence and rollbacks in digests; rollbacks and finished
 // moves are also records of the stream "moves".
 package rollout
 
@@ -27,7 +27,7 @@
 const (
 	tick = 200 * time.Millisecond
 	// startHold is the longest time after a start for which no request goes to
-	// a new version, while nothing was heard of brakes yet.
+	// a new version, while nothing was heard of rollbacks yet.
 	startHold = 5 * time.Second
 )
 
@@ -36,7 +36,7 @@
 		ID:    "versions",
 		Phase: kernel.PhaseConfig,
 		Settings: []config.Key{
-			{Section: section, Name: "restate_every", Kind: config.Duration, Default: "10m", Doc: "time after which brakes and finished moves are recorded on the log again; at most half of the time that the log keeps records"},
+			{Section: section, Name: "restate_every", Kind: config.Duration, Default: "10m", Doc: "time after which rollbacks and finished moves are recorded on the log again; at most half of the time that the log keeps records"},
 		},
 		New: func() kernel.Module { return &Rollout{} },
 	})
@@ -84,17 +84,17 @@
 		r.register(h.Digests)
 	}
 	if h.Peers != nil {
-		h.Peers.Handle(alertMethod, r.hearAlert)
+		h.Peers.Handle(alertMethod, r.receiveAlert)
 	}
 	return nil
 }
 
 // register makes the digests known.
 func (r *Rollout) register(d kernel.Digests) {
-	d.Source(evidenceKind, r.sayEvidence)
-	d.Source(brakesKind, r.sayBrakes)
-	d.Sink(brakesKind, r.hearBrakes)
-	d.Sink(evidenceKind, r.hearEvidence)
+	d.Source(evidenceKind, r.encodeEvidence)
+	d.Source(rollbacksKind, r.encodeRollbacks)
+	d.Sink(rollbacksKind, r.receiveRollbacks)
+	d.Sink(evidenceKind, r.receiveEvidence)
 }
 
 // Start implements kernel.Starter.
@@ -154,8 +154,8 @@
 	decide := r.host.Decisions.Rollout
 	spec, e := m.spec(), m.evidence(now)
 	m.step = max(m.step, decide.Proved(spec, e))
-	if reason, fault := decide.Brake(now, spec, e); fault {
-		r.brake(m, now, string(reason))
+	if reason, fault := decide.RollBack(now, spec, e); fault {
+		r.rollBack(m, now, string(reason))
 		return
 	}
 	share := decide.Share(now, spec, e)
@@ -167,14 +167,14 @@
 	}
 }
 
-// brake takes a version back for good. The caller holds the move's mu.
-func (r *Rollout) brake(m *move, now time.Time, why string) {
-	if !m.braked.CompareAndSwap(false, true) {
+// rollBack takes a version back for good. The caller holds the move's mu.
+func (r *Rollout) rollBack(m *move, now time.Time, why string) {
+	if !m.rolledBack.CompareAndSwap(false, true) {
 		return
 	}
 	m.setShare(0)
-	m.why, m.brakedAt = why, now
-	r.host.Counter(`version_brakes{route="` + m.route + `"}`).Inc(1)
+	m.why, m.rolledBackAt = why, now
+	r.host.Counter(`version_rollbacks{route="` + m.route + `"}`).Inc(1)
 	r.host.Gauge(`version_share_permille{route="` + m.route + `"}`).Update(0)
 	r.logger.Warn("version taken back", "route", m.route, "to", m.move.To, "why", why)
 }
@@ -201,13 +201,13 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	bad := m.tracker.Observe(now, call)
-	if !call.New || m.braked.Load() {
+	if !call.New || m.rolledBack.Load() {
 		return
 	}
 	if bad {
 		r.alert(m)
 	}
-	if reason, fault := r.host.Decisions.Rollout.Brake(now, m.spec(), m.evidence(now)); fault {
-		r.brake(m, now, string(reason))
+	if reason, fault := r.host.Decisions.Rollout.RollBack(now, m.spec(), m.evidence(now)); fault {
+		r.rollBack(m, now, string(reason))
 	}
 }
--- a/plugins/rollout/rollout_test.go
+++ b/plugins/rollout/rollout_test.go
@@ -195,7 +195,7 @@
 			So(picksNew(a) && picksNew(b), ShouldBeTrue)
 			m := b.moves.Load().byRoute["answer"]
 			alert := encodeDigest(digest{Moves: []moveDigest{{ID: m.id, Evidence: m.own(time.Now())}}})
-			_, err := a.hearAlert(context.Background(), "b", alert)
+			_, err := a.receiveAlert(context.Background(), "b", alert)
 			So(err, ShouldBeNil)
 			So(picksNew(a), ShouldBeFalse)
 		})
@@ -223,6 +223,6 @@
 	f.Fuzz(func(_ *testing.T, data []byte) {
 		_, _ = decodeEvent(data)
 		_, _ = decodeDigest(data)
-		_, _ = decodeBrakes(data)
+		_, _ = decodeRollbacks(data)
 	})
 }
--- a/plugins/rollout/status.go
+++ b/plugins/rollout/status.go
@@ -38,8 +38,8 @@
 		Share: m.getShare(), Revision: m.revision.Load(), By: m.move.By,
 	}
 	switch {
-	case m.braked.Load():
-		s.State, s.At, s.Why = kernel.MoveTakenBack, m.brakedAt, m.why
+	case m.rolledBack.Load():
+		s.State, s.At, s.Why = kernel.MoveTakenBack, m.rolledBackAt, m.why
 	case !m.done.IsZero():
 		s.State, s.At = kernel.MoveDone, m.done
 	default:
--- a/policy/memberdigest_test.go
+++ b/policy/memberdigest_test.go
@@ -16,11 +16,11 @@
 	far := DigestReceiver{ID: "far", Zone: "there"}
 	Convey("A digest that changes seldom goes out at once to the zone and beyond", t, func() {
 		d := NewDigestTable("self", "here")
-		So(d.Publish(now, "brake", []byte{1}), ShouldBeTrue)
+		So(d.Publish(now, "rollback", []byte{1}), ShouldBeTrue)
 		So(len(d.Take(now, mate, digestRoom)), ShouldEqual, 1)
 		So(len(d.Take(now, far, digestRoom)), ShouldEqual, 1)
 		later := now.Add(10 * time.Second)
-		So(d.Publish(later, "brake", []byte{2}), ShouldBeTrue)
+		So(d.Publish(later, "rollback", []byte{2}), ShouldBeTrue)
 		So(len(d.Take(later, far, digestRoom)), ShouldEqual, 1)
 		So(len(d.Take(later, far, digestRoom)), ShouldEqual, 0)
 	})
@@ -38,10 +38,10 @@
 	})
 	Convey("A digest of another zone is passed on within the own one only", t, func() {
 		d := NewDigestTable("self", "here")
-		news, urgent := d.Receive(now, Digest{Origin: "far", Kind: "brake", Version: 1, AgeMS: 700, Urgent: true}, "there", "there")
+		news, urgent := d.Receive(now, Digest{Origin: "far", Kind: "rollback", Version: 1, AgeMS: 700, Urgent: true}, "there", "there")
 		So(news, ShouldBeTrue)
 		So(urgent, ShouldBeTrue)
-		So(d.Age(now, "far", "brake"), ShouldEqual, 700*time.Millisecond)
+		So(d.Age(now, "far", "rollback"), ShouldEqual, 700*time.Millisecond)
 		So(len(d.Take(now, mate, digestRoom)), ShouldEqual, 1)
 		So(len(d.Take(now, DigestReceiver{ID: "third", Zone: "elsewhere"}, digestRoom)), ShouldEqual, 0)
 	})
--- a/policy/rollout.go
+++ b/policy/rollout.go
@@ -62,8 +62,8 @@
 	LastNew VersionEvidence `cbor:"8,keyasint" json:"last_new"`
 	// Step is the furthest step that any instance found proved.
 	Step int `cbor:"5,keyasint,omitempty" json:"step"`
-	// Braked is true once any instance has seen the new version's fault.
-	Braked bool `cbor:"6,keyasint,omitempty" json:"braked"`
+	// RolledBack is true once any instance has seen the new version's fault.
+	RolledBack bool `cbor:"6,keyasint,omitempty" json:"rolledBack"`
 }
 
 // Plus returns the evidence of two sets of instances together.
@@ -72,7 +72,7 @@
 		Old: e.Old.Plus(o.Old), New: e.New.Plus(o.New),
 		RecentOld: e.RecentOld.Plus(o.RecentOld), RecentNew: e.RecentNew.Plus(o.RecentNew),
 		LastOld: e.LastOld.Plus(o.LastOld), LastNew: e.LastNew.Plus(o.LastNew),
-		Step: max(e.Step, o.Step), Braked: e.Braked || o.Braked,
+		Step: max(e.Step, o.Step), RolledBack: e.RolledBack || o.RolledBack,
 	}
 }
 
@@ -83,8 +83,8 @@
 	Share(now time.Time, m Move, e MoveEvidence) float64
 	// Proved is the number of steps that the evidence allows.
 	Proved(m Move, e MoveEvidence) int
-	// Brake reports whether the evidence shows a fault of the new version.
-	Brake(now time.Time, m Move, e MoveEvidence) (Reason, bool)
+	// RollBack reports whether the evidence shows a fault of the new version.
+	RollBack(now time.Time, m Move, e MoveEvidence) (Reason, bool)
 }
 
 // LinearRollout is the baseline: the share grows with time, whatever is seen.
@@ -98,5 +98,5 @@
 // Proved implements Rollout.
 func (LinearRollout) Proved(Move, MoveEvidence) int { return 0 }
 
-// Brake implements Rollout.
-func (LinearRollout) Brake(time.Time, Move, MoveEvidence) (Reason, bool) { return "", false }
+// RollBack implements Rollout.
+func (LinearRollout) RollBack(time.Time, Move, MoveEvidence) (Reason, bool) { return "", false }
--- a/policy/rollout_standard.go
+++ b/policy/rollout_standard.go
@@ -72,7 +72,7 @@
 // Share implements Rollout.
 func (r StandardRollout) Share(now time.Time, m Move, e MoveEvidence) float64 {
 	progress := m.progress(now)
-	if e.Braked || progress < 0 || r.waits(m, progress) {
+	if e.RolledBack || progress < 0 || r.waits(m, progress) {
 		return 0
 	}
 	proved := max(e.Step, r.Proved(m, e))
@@ -102,7 +102,7 @@
 
 // Proved implements Rollout.
 func (StandardRollout) Proved(_ Move, e MoveEvidence) int {
-	if e.Braked || rate(e.New.Failures, e.New.Calls) > rate(e.Old.Failures, e.Old.Calls)+failureTolerance {
+	if e.RolledBack || rate(e.New.Failures, e.New.Calls) > rate(e.Old.Failures, e.Old.Calls)+failureTolerance {
 		return 0
 	}
 	good := e.New.Calls - e.New.Failures - e.New.Slow
@@ -115,9 +115,9 @@
 	return proved
 }
 
-// Brake implements Rollout. A version is watched for as long after the set
+// RollBack implements Rollout. A version is watched for as long after the set
 // time as the move took.
-func (StandardRollout) Brake(now time.Time, m Move, e MoveEvidence) (Reason, bool) {
+func (StandardRollout) RollBack(now time.Time, m Move, e MoveEvidence) (Reason, bool) {
 	if m.progress(now) > 2 {
 		return "", false
 	}
--- a/policy/rollout_test.go
+++ b/policy/rollout_test.go
@@ -76,12 +76,12 @@
 
 // moveRun is what a simulated move came to.
 type moveRun struct {
-	early    float64       // part of calls on the new version before 20 of its calls were seen
-	bad      int           // failed or slow calls for the new version's sake
-	calls    int           // calls after the fault could show
-	toZero   time.Duration // from the first bad call to the last call of the new version
-	finished float64       // part of the move's time at which the share was 1, 0 if never
-	braked   bool
+	early      float64       // part of calls on the new version before 20 of its calls were seen
+	bad        int           // failed or slow calls for the new version's sake
+	calls      int           // calls after the fault could show
+	toZero     time.Duration // from the first bad call to the last call of the new version
+	finished   float64       // part of the move's time at which the share was 1, 0 if never
+	rolledBack bool
 }
 
 const (
@@ -98,7 +98,7 @@
 	m := Move{Route: "answer", From: "v1", To: "v2", Start: start, By: start.Add(simLength), Repeatable: true}
 	var trackers [simInstances]MoveTracker
 	var heard [simInstances]MoveEvidence // what each said last
-	var braked [simInstances]bool
+	var rolledBack [simInstances]bool
 	var out moveRun
 	var firstBad, lastNew, gossiped time.Time
 	for i := range simCalls * 11 / 10 {
@@ -107,7 +107,7 @@
 			gossiped = now
 			for k := range trackers {
 				heard[k] = trackers[k].Evidence(now)
-				heard[k].Braked = braked[k]
+				heard[k].RolledBack = rolledBack[k]
 			}
 		}
 		k := random.IntN(simInstances)
@@ -117,8 +117,8 @@
 				e = e.Plus(heard[other])
 			}
 		}
-		if _, fault := r.Brake(now, m, e); fault || e.Braked {
-			braked[k], e.Braked, out.braked = true, true, true
+		if _, fault := r.RollBack(now, m, e); fault || e.RolledBack {
+			rolledBack[k], e.RolledBack, out.rolledBack = true, true, true
 		}
 		share := r.Share(now, m, e)
 		if share == 1 && out.finished == 0 {
@@ -159,14 +159,14 @@
 			baseline := simulateMove(LinearRollout{}, v, 0)
 			for seed := range uint64(3) {
 				standard := simulateMove(StandardRollout{}, v, seed)
-				t.Logf("%-26s seed %d: standard bad calls %5d of %d, %6.1f s to none, finished at %.2f, braked %v; baseline bad calls %5d",
-					v.name, seed, standard.bad, standard.calls, standard.toZero.Seconds(), standard.finished, standard.braked, baseline.bad)
+				t.Logf("%-26s seed %d: standard bad calls %5d of %d, %6.1f s to none, finished at %.2f, rolledBack %v; baseline bad calls %5d",
+					v.name, seed, standard.bad, standard.calls, standard.toZero.Seconds(), standard.finished, standard.rolledBack, baseline.bad)
 				if v.good {
-					So(standard.braked, ShouldBeFalse)
+					So(standard.rolledBack, ShouldBeFalse)
 					So(standard.finished, ShouldBeBetween, 0, 1)
 					continue
 				}
-				So(standard.braked, ShouldBeTrue)
+				So(standard.rolledBack, ShouldBeTrue)
 				if v.shows < 0.7 {
 					So(standard.finished, ShouldEqual, 0)
 				}
@@ -211,13 +211,13 @@
 		behind.Behind = false
 		So(r.Share(at(0.9), behind, proved), ShouldEqual, 1)
 	})
-	Convey("An old version that fails as well is no reason to brake", t, func() {
+	Convey("An old version that fails as well is no reason to roll back", t, func() {
 		e := MoveEvidence{Old: VersionEvidence{Calls: 1000, Failures: 300}, New: VersionEvidence{Calls: 100, Failures: 32}}
-		_, brake := r.Brake(at(0.5), m, e)
-		So(brake, ShouldBeFalse)
+		_, bad := r.RollBack(at(0.5), m, e)
+		So(bad, ShouldBeFalse)
 		e.Old.Failures = 5
-		_, brake = r.Brake(at(0.5), m, e)
-		So(brake, ShouldBeTrue)
+		_, bad = r.RollBack(at(0.5), m, e)
+		So(bad, ShouldBeTrue)
 	})
 }
 
@@ -240,9 +240,9 @@
 			}
 			last = share
 		}
-		e.Braked = true
+		e.RolledBack = true
 		if s := r.Share(start.Add(2*time.Hour), m, e); s != 0 {
-			t.Fatal(fmt.Sprint("braked, and a share of ", s))
+			t.Fatal(fmt.Sprint("rolledBack, and a share of ", s))
 		}
 	})
 }
