--- a/plugins/backendhttp/backendhttp.go
+++ b/plugins/backendhttp/backendhttp.go
@@ -241,7 +241,7 @@
 	a.Tokens, _ = strconv.Atoi(field(httpapi.HeaderTokens))
 	if text := field(httpapi.HeaderLoad); text != "" {
 		report := &policy.LoadReport{}
-		if json.Unmarshal([]byte(text), report) == nil {
+		if json.Unmarshal([]byte(text), report) == nil && report.Valid() {
 			a.Load = report
 		}
 	}
--- a/plugins/backendhttp/stream.go
+++ b/plugins/backendhttp/stream.go
@@ -52,6 +52,9 @@
 	if err := json.Unmarshal([]byte(data), &end); err != nil {
 		return kernel.StageAnswer{Result: kernel.CallFailed, Err: err}
 	}
+	if end.Load != nil && !end.Load.Valid() {
+		end.Load = nil
+	}
 	body, _ := json.Marshal(map[string]string{"text": text})
 	return kernel.StageAnswer{
 		Answer:   kernel.Answer{ContentType: "application/json", Body: body},
--- a/plugins/loadreport/poll.go
+++ b/plugins/loadreport/poll.go
@@ -29,7 +29,9 @@
 	m.host.Counter("loadreport_poll_bytes").Inc(int64(size))
 	m.host.Counter("loadreport_poll_nanoseconds").Inc(int64(time.Since(start)))
 	now := time.Now()
-	if report.At.IsZero() {
+	// A clock that is off by more would also spoil the times of the servers that
+	// share a digest with this one.
+	if now.Sub(report.At).Abs() > maxTaken {
 		report.At = now
 	}
 	t.server.Report(now, report)
@@ -59,7 +61,7 @@
 	if err := json.Unmarshal(body, &report); err != nil {
 		return report, 0, errors.Wrap(err, "load report")
 	}
-	if report.Running < 0 || report.Waiting < 0 || !(report.Warm >= 0 && report.Warm <= 1) {
+	if !report.Valid() {
 		return report, 0, errors.New("load report: value out of range")
 	}
 	return report, len(body), nil
--- a/policy/limit.go
+++ b/policy/limit.go
@@ -44,6 +44,15 @@
 	At time.Time `cbor:"6,keyasint" json:"at"`
 }
 
+// maxReportedCalls bounds the counts of a load report.
+const maxReportedCalls = 1 << 20
+
+// Valid reports whether the values are within their ranges.
+func (r LoadReport) Valid() bool {
+	calls := r.Running >= 0 && r.Running <= maxReportedCalls && r.Waiting >= 0 && r.Waiting <= maxReportedCalls
+	return calls && r.Warm >= 0 && r.Warm <= 1
+}
+
 // ServerLimit is the state machine of one backend server's limit.
 // It is not safe for concurrent use.
 type ServerLimit interface {
