--- a/plugins/loadreport/poll.go
+++ b/plugins/loadreport/poll.go
@@ -29,17 +29,23 @@
 	m.host.Counter("loadreport_poll_bytes").Inc(int64(size))
 	m.host.Counter("loadreport_poll_nanoseconds").Inc(int64(time.Since(start)))
 	now := time.Now()
-	// A clock that is off by more would also spoil the times of the servers that
-	// share a digest with this one.
-	if now.Sub(report.At).Abs() > maxTaken {
-		report.At = now
-	}
+	report.At = plausibleTime(now, report.At)
 	t.server.Report(now, report)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.heard[t.server.ID] = heard{report: report, at: now}
 }
 
+// plausibleTime is a server's time of a report, or the time of the poll if the
+// server's clock is off: its times would spoil those of the servers that share
+// a digest with it.
+func plausibleTime(now, at time.Time) time.Time {
+	if now.Sub(at).Abs() > maxTaken {
+		return now
+	}
+	return at
+}
+
 func (m *Module) fetch(ctx context.Context, address string) (policy.LoadReport, int, error) {
 	var report policy.LoadReport
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/v1/load", nil)
