--- a/test/integration/faults_test.go
+++ b/test/integration/faults_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -210,3 +211,24 @@
 	operators.Wait()
 	return edits
 }
+
+func TestLeavingServer(t *testing.T) {
+	Convey("A leaving backend server finishes its calls and gets no new ones", t, func() {
+		ctx, cancel := context.WithTimeout(context.Background(), lastLimit)
+		defer cancel()
+		c := launch(t, threeZones(t.TempDir()))
+		allServed(drive(ctx, c, mix(), 60))
+		body := strings.Replace(c.PoolBody("encode"), "server.encode-hobart = ", "server.encode-hobart = state=leaving ", 1)
+		result, err := c.Change(ctx, c.Instances[2], "pool encode", body)
+		So(err, ShouldBeNil)
+		So(result.Status, ShouldEqual, config.EditAccepted)
+		So(inForce(ctx, c, result.Revision), ShouldBeTrue)
+		before, err := c.Stats(ctx, "encode-hobart")
+		So(err, ShouldBeNil)
+		So(before.Calls, ShouldBeGreaterThan, 0)
+		allServed(drive(ctx, c, mix(), 120))
+		after, err := c.Stats(ctx, "encode-hobart")
+		So(err, ShouldBeNil)
+		So(after.Calls, ShouldEqual, before.Calls)
+	})
+}
--- a/test/integration/pairs_test.go
+++ b/test/integration/pairs_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/savoryfold/savoryfold/internal/load"
 	"github.com/savoryfold/savoryfold/standin"
+	"github.com/savoryfold/savoryfold/test/harness"
 )
 
 const (
@@ -107,3 +108,44 @@
 	}
 	return n
 }
+
+// TestMoveToColdServers moves a route to a version whose servers start cold.
+func TestMoveToColdServers(t *testing.T) {
+	Convey("No cold server of the new version gets more than it bears, and every answer is whole", t, func() {
+		ctx, cancel := context.WithTimeout(context.Background(), lastLimit)
+		defer cancel()
+		s := threeZones(t.TempDir())
+		s.Pools["generate"] = "versioned = true\ncold_limit = 3\nlimit = 32\n"
+		for _, zone := range s.Zones {
+			engine := standin.FleetMember{
+				Name: "next-" + zone, Engine: true, Version: "v2", Tokens: tokens, StepMS: 1, Capacity: 64,
+				Cold: true, ColdLimit: 3, WarmMS: 4000, WarmCalls: 30, ColdSlow: 2,
+			}
+			s.Backends = append(s.Backends, harness.Backend{FleetMember: engine, Pool: "generate", Zone: zone})
+		}
+		by := time.Now().Add(15 * time.Second)
+		s.Routes["answer"] = fmt.Sprintf("deadline = 30s\nstages = encode, generate\nencode.pool = encode\ngenerate.pool = generate\n"+
+			"generate.stream = true\nmove.from = v1\nmove.to = v2\nmove.start = %s\nmove.by = %s\n",
+			time.Now().Format(time.RFC3339Nano), by.Format(time.RFC3339Nano))
+		c := launch(t, s)
+		moved := 0
+		for time.Now().Before(by.Add(2 * time.Second)) {
+			for _, r := range drive(ctx, c, mix()[:2], 160) {
+				So(r.Fault, ShouldBeNil)
+				So(r.Outcome+r.Reason, ShouldEqual, load.OutcomeServed)
+				text := standin.Text([]byte(r.Body), "v2", tokens)
+				if check(r) != nil {
+					So(string(r.Answer), ShouldBeIn, text, fmt.Sprintf(`{"text":%q}`, text))
+					moved++
+				}
+			}
+		}
+		So(moved, ShouldBeGreaterThan, 0)
+		for _, zone := range s.Zones {
+			stats, err := c.Stats(ctx, "next-"+zone)
+			So(err, ShouldBeNil)
+			So(stats.Overfed, ShouldEqual, 0)
+			So(stats.Restarts, ShouldEqual, 0)
+		}
+	})
+}
