Eject a server that is silent on a new connection too; show what a cost weight buys

The cost weight's effect had not been measured.

Ruled out: a shorter first-byte limit, which takes slow servers for dead ones.

Change: silence and a failed probe eject at once (half of a pool at most, as before). TestRetryCurve serves 4,000 requests at five cost weights.

--- /dev/null
+++ b/kernel/retry_curve_test.go
@@ -0,0 +1,75 @@
+package kernel
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/savoryfold/savoryfold/policy"
+)
+
+const (
+	curveRequests = 4000
+	curveCallers  = 16
+	// failingPart is the part of the calls that fail.
+	failingPart = 0.2
+	// mostCalls bounds the calls per needed call of the failing stage.
+	mostCalls = 1.3
+)
+
+// curvePoint is what a cost weight buys.
+type curvePoint struct{ served, calls float64 }
+
+// runCurve serves requests of one stage that fails at random.
+func runCurve(t *testing.T, retry policy.Retry, costWeight float64) curvePoint {
+	random := rand.New(rand.NewPCG(1, 2))
+	var mu sync.Mutex
+	calls, served := 0, 0
+	h := serveHost(t, &fakeTransport{answer: func(int, *StageCall) StageAnswer {
+		mu.Lock()
+		defer mu.Unlock()
+		calls++
+		if random.Float64() < failingPart {
+			return StageAnswer{Result: CallFailed}
+		}
+		return okAnswer(`1`)
+	}})
+	h.Decisions.Retry = retry
+	route := *h.Snapshot().Tables.Routes["single"]
+	route.CostWeight = costWeight
+	h.Snapshot().Tables.Routes["single"] = &route
+	var callers sync.WaitGroup
+	for range curveCallers {
+		callers.Go(func() {
+			for range curveRequests / curveCallers {
+				result := h.Serve(context.Background(), &Request{Account: "alto", Route: "single", Body: []byte(`{}`)})
+				mu.Lock()
+				if result.Outcome.Kind == Served {
+					served++
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	callers.Wait()
+	return curvePoint{float64(served) / curveRequests, float64(calls) / curveRequests}
+}
+
+// TestRetryCurve shows what a route's cost weight buys while a stage fails.
+func TestRetryCurve(t *testing.T) {
+	Convey("Calls per needed call stay within the bound, and a higher cost weight serves more", t, func() {
+		before := 0.0
+		for _, weight := range []float64{0, 0.25, 0.5, 0.75, 1} {
+			p := runCurve(t, &policy.BudgetedRetries{}, weight)
+			t.Logf("cost weight %.2f: %.4f served, %.3f calls of the failing stage a request", weight, p.served, p.calls)
+			So(p.calls, ShouldBeLessThanOrEqualTo, mostCalls)
+			So(p.served, ShouldBeGreaterThan, before)
+			before = p.served
+		}
+		p := runCurve(t, policy.BlindRetries{}, 1)
+		t.Logf("three blind retries: %.4f served, %.3f calls", p.served, p.calls)
+	})
+}
--- a/kernel/serve_test.go
+++ b/kernel/serve_test.go
@@ -31,6 +31,11 @@
 b.pool = p
 b.idempotent = false
 
+[route single]
+deadline = 20s
+stages = a
+a.pool = p
+
 [route shared]
 deadline = 20s
 stages = a
--- a/kernel/stage.go
+++ b/kernel/stage.go
@@ -349,7 +349,7 @@
 		return
 	}
 	s.host.add(serversSilentFamily, s.stage.Pool, "", 1)
-	server.observe(time.Now(), policy.CallSample{Class: string(s.route.Size)})
+	server.observe(time.Now(), policy.CallSample{Class: string(s.route.Size), Dead: true})
 }
 
 // rejected is the outcome of a request that a backend server found at fault.
--- a/policy/ejection.go
+++ b/policy/ejection.go
@@ -37,8 +37,9 @@
 	Allowed(ejected, group int) bool
 }
 
-// OutlierEjections is the standard implementation of Ejections: failures in a
-// row or a high rate of failures eject a server, each time for longer.
+// OutlierEjections is the standard implementation of Ejections: silence on old
+// and new connections, failures in a row or a high rate of failures eject a
+// server, each time for longer.
 type OutlierEjections struct{}
 
 // NewEjector implements Ejections.
@@ -88,6 +89,9 @@
 	}
 	o.failed++
 	o.run++
+	if s.Dead {
+		return true
+	}
 	tooMany := o.calls >= ejectCalls && float64(o.failed) >= ejectRate*float64(o.calls)
 	return o.run >= ejectRun || tooMany
 }
--- a/policy/ejection_test.go
+++ b/policy/ejection_test.go
@@ -29,6 +29,9 @@
 			}
 			So(o.Eject(now).Sub(now), ShouldEqual, ejectLongest)
 		})
+		Convey("silence on an old and on a new connection ejects it at once", func() {
+			So(o.Observe(epoch, CallSample{Dead: true}), ShouldBeTrue)
+		})
 		Convey("a server that worked well for long is ejected for the first time again", func() {
 			o.Eject(epoch)
 			o.Observe(epoch.Add(ejectFirst), CallSample{OK: true})
--- a/policy/limit.go
+++ b/policy/limit.go
@@ -24,6 +24,9 @@
 	Broken bool
 	// Refused is true if the server answered that it did not run the call.
 	Refused bool
+	// Dead is true if the server was silent and did not answer on a new
+	// connection either.
+	Dead bool
 	// InFlight counts this instance's calls when the call was sent, Allowance is
 	// its share of the limit.
 	InFlight, Allowance int
