Leave most of a server's limit to its own zone; find slow calls before they end

Cause 1: while a zone was cut off (experiment zone), its instance refused 32 to 40 requests as predicted late: limits were divided equally among all instances, so that two thirds of the zone's own servers belonged to instances that could not reach them, and their slots could not be borrowed.

Change 1: the instances of a server's zone divide three quarters of its limit, the others one quarter. The sum over all ranks is still the limit, and above it by one share at most while views differ by a member (both properties are drawn with any number of members in the zone, 3,000 schedules). Change 2: a call of a new version that runs for longer than a slow call does is told to the rollout while it runs, and once.

--- a/config/compile.go
+++ b/config/compile.go
@@ -7,7 +7,6 @@
 	"net"
 	"regexp"
 	"slices"
-	"strconv"
 	"strings"
 	"time"
 
@@ -329,76 +328,3 @@
 		}
 	}
 }
-
-func (c *compiler) text(key, def string) string {
-	c.used[key] = true
-	if !c.section.HasKey(key) {
-		return def
-	}
-	return c.section.Key(key).Value()
-}
-
-func (c *compiler) number(key string, def, low, high float64) float64 {
-	text := c.text(key, "")
-	if text == "" {
-		return def
-	}
-	v, err := strconv.ParseFloat(text, 64)
-	if err != nil || !(v >= low && v <= high) {
-		c.fail(key, "%q is not accepted, want a number from %g to %g", text, low, high)
-		return def
-	}
-	return v
-}
-
-func (c *compiler) integer(key string, def, low, high int) int {
-	text := c.text(key, "")
-	if text == "" {
-		return def
-	}
-	v, err := strconv.Atoi(text)
-	if err != nil || v < low || v > high {
-		c.fail(key, "%q is not accepted, want a whole number from %d to %d", text, low, high)
-		return def
-	}
-	return v
-}
-
-func (c *compiler) duration(key string, def, high time.Duration) time.Duration {
-	text := c.text(key, "")
-	if text == "" {
-		return def
-	}
-	v, err := time.ParseDuration(text)
-	if err != nil || v <= 0 || v > high {
-		c.fail(key, "%q is not accepted, want a duration up to %s, such as 250ms", text, high)
-		return def
-	}
-	return v
-}
-
-func (c *compiler) boolean(key string, def bool) bool {
-	return c.enum(key, strconv.FormatBool(def), "true", "false") == "true"
-}
-
-func (c *compiler) enum(key, def string, accepted ...string) string {
-	v := c.text(key, def)
-	if !slices.Contains(accepted, v) {
-		c.fail(key, "%q is not accepted, want one of %s", v, strings.Join(accepted, ", "))
-		return def
-	}
-	return v
-}
-
-// time reads a time in RFC 3339. An absent key is the zero time.
-func (c *compiler) time(key string) time.Time {
-	text := c.text(key, "")
-	if text == "" {
-		return time.Time{}
-	}
-	v, err := time.Parse(time.RFC3339Nano, text)
-	if err != nil {
-		c.fail(key, "%q is not accepted, want a time such as 2026-01-02T15:04:05Z", text)
-	}
-	return v
-}
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -152,7 +152,7 @@
 	}
 }
 
-// point books a result in the timeline. The caller holds mu.
+// point records a result in the timeline. The caller holds mu.
 func (r *Report) point(x *Result) {
 	i := int(x.Due.Sub(r.Start) / Bucket)
 	for len(r.Timeline) <= i {
--- /dev/null
+++ b/kernel/claims.go
@@ -0,0 +1,71 @@
+package kernel
+
+import (
+	"context"
+	"time"
+)
+
+// ClaimRequest asks for the right to run a request that may run at most once.
+type ClaimRequest struct {
+	Account, Route, Key string
+	// BodyHash tells a repeat from another request with the same key.
+	BodyHash [32]byte
+	Deadline time.Time
+}
+
+// ClaimGrant is the answer to a ClaimRequest: a Claim, or else the Result that
+// the caller gets.
+type ClaimGrant struct {
+	Claim  Claim
+	Result Result
+}
+
+// Claim is the right to run one request once. Exactly one of Release, Complete
+// and Doubt ends it.
+type Claim interface {
+	// MayDispatch reports whether a non-idempotent call may be sent now. After
+	// it returned true, Release is allowed only if every call since then surely
+	// did not run. After Release it returns false.
+	MayDispatch(now time.Time) bool
+	// Release gives the claim back: nothing was sent and nothing will be.
+	Release()
+	// Complete keeps the answer for repeats. It returns once the answer is on
+	// the log or the context ends.
+	Complete(ctx context.Context, a Answer)
+	// Doubt records that the request may have run.
+	Doubt()
+}
+
+// Claims decides which instance may run a request that may run at most once.
+type Claims interface {
+	Claim(ctx context.Context, r ClaimRequest) ClaimGrant
+}
+
+// ClaimInfo describes a claim to operators.
+type ClaimInfo struct {
+	Shard   int       `json:"shard"`
+	Account string    `json:"account"`
+	Route   string    `json:"route"`
+	Key     string    `json:"key"`
+	Attempt string    `json:"attempt"`
+	Holder  string    `json:"holder"`
+	Claimed time.Time `json:"claimed"`
+	// Why says why the claim is in doubt.
+	Why string `json:"why"`
+}
+
+// Verdict is an operator's finding on a claim in doubt.
+type Verdict string
+
+// The verdicts.
+const (
+	VerdictRan    Verdict = "ran"     // it ran; repeats are told so
+	VerdictNotRun Verdict = "not-run" // it did not run; the key stays closed
+)
+
+// ClaimsOperator lets operators see and settle claims in doubt.
+type ClaimsOperator interface {
+	InDoubt(ctx context.Context) ([]ClaimInfo, error)
+	// Settle ends a claim in doubt. The record on the log names the operator.
+	Settle(ctx context.Context, c ClaimInfo, v Verdict, operator string) error
+}
--- a/kernel/eject.go
+++ b/kernel/eject.go
@@ -49,7 +49,7 @@
 func (p *Pool) mayEject(now time.Time, version string) bool {
 	ejected, group := 0, 0
 	for _, s := range p.Servers {
-		if s.barred.Load() || (version != "" && s.Config.Version != version) {
+		if s.excluded.Load() || (version != "" && s.Config.Version != version) {
 			continue
 		}
 		group++
--- a/kernel/fleet.go
+++ b/kernel/fleet.go
@@ -41,14 +41,14 @@
 	return snap
 }
 
-// bar keeps new calls from servers that left the tables, are leaving or stand
+// exclude keeps new calls from servers that left the tables, are leaving or stand
 // in a zone that was taken out, also calls of requests on older snapshots. It
 // runs once the snapshot is in force, so that a request that finds all servers
-// of its own snapshot barred finds the new ones. The caller holds mu.
-func (f *fleet) bar(snap, old *Snapshot) {
+// of its own snapshot excluded finds the new ones. The caller holds mu.
+func (f *fleet) exclude(snap, old *Snapshot) {
 	for _, p := range snap.pools {
 		for _, s := range p.Servers {
-			s.barred.Store(s.Config.Leaving || snap.Tables.ZoneOut(s.Config.Zone))
+			s.excluded.Store(s.Config.Leaving || snap.Tables.ZoneOut(s.Config.Zone))
 		}
 	}
 	if old == nil {
@@ -58,7 +58,7 @@
 		for _, s := range p.Servers {
 			key := serverKey{s.Config.Pool, s.Config.Name, s.Config.Address}
 			if f.servers[key] != s.serverState {
-				s.barred.Store(true)
+				s.excluded.Store(true)
 			}
 		}
 	}
--- a/kernel/lend.go
+++ b/kernel/lend.go
@@ -42,10 +42,11 @@
 	}
 	members := h.fleet.sharers.current()
 	limit := int(s.limitNow.Load())
+	among := members.sharers(s.Config.Zone)
 	holders := make([]string, len(members.list))
 	for _, m := range members.list {
 		rank := members.rank(m.id, s.Config.Zone, s.hash)
-		if m.id != h.ID() && h.Decisions.Limits.Share(limit, rank, len(members.list)) > 0 {
+		if m.id != h.ID() && h.Decisions.Limits.Share(limit, rank, among) > 0 {
 			holders[rank] = m.id
 		}
 	}
--- a/kernel/run.go
+++ b/kernel/run.go
@@ -270,7 +270,7 @@
 	return Outcome{Kind: kind, Reason: reason, Detail: detail}
 }
 
-// count books a finished request. All work for a request that was not served
+// count records a finished request. All work for a request that was not served
 // was in vain.
 func (h *Host) count(r *run, result Result, took time.Duration) {
 	route := "unknown"
--- a/kernel/server.go
+++ b/kernel/server.go
@@ -39,7 +39,7 @@
 	allowance atomic.Int64 // this instance's share of the limit
 	cold      atomic.Bool
 	progress  atomic.Int64 // Unix nanoseconds at which a call ended, or began on an idle server
-	barred    atomic.Bool  // out of the tables in force, leaving, or in a zone that is out
+	excluded  atomic.Bool  // out of the tables in force, leaving, or in a zone that is out
 	ejected   atomic.Int64 // Unix nanoseconds until which the server is ejected
 
 	limits policy.Limits
@@ -62,10 +62,10 @@
 
 // place is an instance's place among the sharers of a server's limit.
 type place struct {
-	epoch   uint64
-	zone    string
-	rank    int
-	members int
+	epoch uint64
+	zone  string
+	rank  int
+	among policy.Sharers
 	// withheld is true while the instance must not use its share yet.
 	withheld bool
 }
@@ -230,7 +230,7 @@
 	}
 	p := &s.place
 	if p.epoch != r.epoch || p.zone != s.Config.Zone {
-		*p = place{r.epoch, s.Config.Zone, r.rank(self, s.Config.Zone, s.hash), len(r.list), false}
+		*p = place{r.epoch, s.Config.Zone, r.rank(self, s.Config.Zone, s.hash), r.sharers(s.Config.Zone), false}
 	}
 	p.withheld = r.withheld
 	s.apply(now)
@@ -243,11 +243,11 @@
 	limit := s.limit.Limit(now)
 	rank := s.place.rank
 	if s.place.withheld {
-		rank = s.place.members
+		rank = s.place.among.Members
 	}
 	s.cold.Store(s.limit.Cold(now))
 	s.limitNow.Store(int64(limit))
-	s.allowance.Store(int64(s.limits.Share(limit, rank, s.place.members)))
+	s.allowance.Store(int64(s.limits.Share(limit, rank, s.place.among)))
 }
 
 // candidate is what placement sees of the server.
--- a/kernel/sharers.go
+++ b/kernel/sharers.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/savoryfold/savoryfold/policy"
 )
 
 // sharer is an instance that counts when the limits of servers are divided.
@@ -118,6 +120,17 @@
 	return sharer{id: id, zone: zone, hash: xxhash.Sum64String(id)}
 }
 
+// sharers counts the instances that divide the limit of a server in a zone.
+func (r roster) sharers(zone string) policy.Sharers {
+	among := policy.Sharers{Members: len(r.list)}
+	for _, m := range r.list {
+		if m.zone == zone {
+			among.Home++
+		}
+	}
+	return among
+}
+
 // rank is the place of an instance among the sharers of a server, from 0. The
 // instances of the server's availability zone come first, since they send it
 // most calls; within each part the order is that of rendezvous hashing.
--- a/kernel/sharers_test.go
+++ b/kernel/sharers_test.go
@@ -37,7 +37,7 @@
 }
 
 func shareOf(r roster, m sharer, limit int, server uint64) int {
-	return policy.AdaptiveLimits{}.Share(limit, r.rank(m.id, "hobart", server), len(r.list))
+	return policy.AdaptiveLimits{}.Share(limit, r.rank(m.id, "hobart", server), r.sharers("hobart"))
 }
 
 func TestSharesOfRosters(t *testing.T) {
--- a/kernel/snapshot.go
+++ b/kernel/snapshot.go
@@ -32,7 +32,7 @@
 	}
 	snap := h.fleet.build(h, t)
 	h.snapshot.Store(snap)
-	h.fleet.bar(snap, old)
+	h.fleet.exclude(snap, old)
 	for _, p := range snap.pools {
 		p.slotFreed()
 	}
--- /dev/null
+++ b/kernel/stage_result.go
@@ -0,0 +1,144 @@
+package kernel
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/savoryfold/savoryfold/internal/backoff"
+	"github.com/savoryfold/savoryfold/policy"
+)
+
+// note records a finished call to costs, counters and the server's state.
+func (s *stageRun) note(done sentCall) {
+	answer := done.answer
+	answer.EngineMS = plausibleWork(answer, done.sample.Latency)
+	answer.Tokens = max(0, answer.Tokens)
+	s.cost.Calls++
+	s.cost.EngineMS += answer.EngineMS
+	s.cost.Tokens += answer.Tokens
+	if answer.Result == CallOK {
+		s.cost.Server = done.server.Config.Name
+	} else {
+		s.cost.WastedMS += answer.EngineMS
+	}
+	if answer.Result.Sent() {
+		s.sent = true
+	}
+	s.host.add(stageCallsFamily, s.stage.Pool, answer.Result.String(), 1)
+	s.observeCall(done)
+}
+
+// plausibleWork is the server's account of its work in milliseconds, or the
+// time of the call if there is none or it cannot be true.
+func plausibleWork(answer StageAnswer, took time.Duration) float64 {
+	limit := milliseconds(took)
+	if answer.EngineMS > 0 && answer.EngineMS <= limit {
+		return answer.EngineMS
+	}
+	if !answer.Result.Sent() {
+		return 0
+	}
+	return limit
+}
+
+// observeCall takes what a call showed of its server into the views on which
+// decisions rest. A call that ended for the request's own sake shows nothing.
+func (s *stageRun) observeCall(done sentCall) {
+	server, answer, sample := done.server, done.answer, done.sample
+	now := time.Now()
+	if answer.Load != nil {
+		server.Report(now, *answer.Load)
+	}
+	switch answer.Result {
+	case CallCancelled, CallRejected:
+		return
+	case CallNotSent:
+		if done.over {
+			return // the request ended while the connection was made
+		}
+	case CallRefused:
+		// A refusal is what a server does that has enough to do.
+		server.observe(now, sample)
+		return
+	case CallDeadline:
+		// For its version the call was at least as slow as it took.
+		server.observe(now, sample)
+		done.sample.OK = true
+		s.observeVersion(now, done)
+		return
+	case CallSilent:
+		// The server is judged once it was tried on a new connection. For its
+		// version the call was at least as slow as it was silent.
+		done.sample.OK = true
+		s.observeVersion(now, done)
+		return
+	}
+	server.observe(now, sample)
+	s.observeVersion(now, done)
+	if g := s.host.CrashGuard; g != nil && answer.Result == CallBroken {
+		g.Broken(now, s.fingerprint, server.ID)
+	}
+}
+
+// afterFailure decides what follows a failed call. An empty outcome means
+// another call.
+func (s *stageRun) afterFailure(ctx context.Context, attempt int, answer StageAnswer, server *Server) Outcome {
+	switch answer.Result {
+	case CallRejected:
+		return s.rejected(answer)
+	case CallCancelled:
+		return s.fail(ReasonCallerGone, "the caller went away")
+	case CallDeadline:
+		return s.fail(ReasonDeadline, "the deadline passed in stage "+s.stage.Name)
+	case CallSilent:
+		s.afterSilence(ctx, server)
+	}
+	if g := s.host.CrashGuard; g != nil && g.Refuse(time.Now(), s.fingerprint) {
+		return s.fail(ReasonCrashes, "backend servers died while they ran this request")
+	}
+	s.want.tried = append(s.want.tried, server.ID)
+	s.nextVersion(server)
+	decision := s.host.Decisions.Retry.Decide(time.Now(), s.retryAttempt(attempt, answer, server))
+	if !decision.Retry {
+		s.host.add(retriesRefusedFamily, s.stage.Pool, string(decision.Reason), 1)
+		return s.fail(ReasonStageFailed, "stage "+s.stage.Name+": "+answer.Result.String())
+	}
+	s.host.add(retriesFamily, s.stage.Pool, "", 1)
+	if !backoff.Sleep(ctx, decision.Delay) {
+		return s.fail(ReasonDeadline, "the deadline passed before another call of stage "+s.stage.Name)
+	}
+	return Outcome{}
+}
+
+func (s *stageRun) retryAttempt(attempt int, answer StageAnswer, server *Server) policy.Attempt {
+	return policy.Attempt{
+		Number: attempt, Pool: s.stage.Pool, Account: s.account.Name,
+		Idempotent: s.stage.Idempotent, Sent: answer.Result.Sent(), Deadline: s.deadline,
+		Expected: time.Duration(server.expected.Load()), CostWeight: s.route.CostWeight,
+		Random: rand.Uint64(),
+	}
+}
+
+// afterSilence tells a dead connection from a dead server. Only a dead server
+// counts as a failure of the server.
+func (s *stageRun) afterSilence(ctx context.Context, server *Server) {
+	if s.host.Transport.Renew(ctx, server.Config) {
+		s.host.add(silentFamily, s.stage.Pool, "", 1)
+		return
+	}
+	s.host.add(serversSilentFamily, s.stage.Pool, "", 1)
+	server.observe(time.Now(), policy.CallSample{Class: string(s.route.Size), Dead: true})
+}
+
+// rejected is the outcome of a request that a backend server found at fault.
+func (s *stageRun) rejected(answer StageAnswer) Outcome {
+	detail := "stage " + s.stage.Name + " rejected the request"
+	if answer.Err != nil {
+		detail += ": " + answer.Err.Error()
+	}
+	if s.sentOnce {
+		return Outcome{Kind: Unknown, Reason: ReasonStageFailed, Detail: detail}
+	}
+	return Outcome{Kind: Rejected, Reason: ReasonBadRequest, Detail: detail}
+}
--- a/kernel/stage_version.go
+++ b/kernel/stage_version.go
@@ -7,17 +7,42 @@
 	"github.com/savoryfold/savoryfold/policy"
 )
 
-// teachVersion tells the module of versions what a call showed of its server's
+// observeVersion tells the module of versions what a call showed of its server's
 // version.
-func (s *stageRun) teachVersion(now time.Time, server *Server, sample policy.CallSample) {
+func (s *stageRun) observeVersion(now time.Time, done sentCall) {
 	v := s.host.Versions
-	if v == nil || !s.pool.Config.Versioned {
+	if v == nil || !s.pool.Config.Versioned || done.foundSlow {
 		return
 	}
-	v.Observe(now, s.route.Name, server.Config.Version, policy.MoveCall{
-		OK: sample.OK, Latency: sample.Latency, Cold: server.cold.Load(),
-		Load: float64(sample.InFlight) / float64(max(1, server.allowance.Load())),
+	v.Observe(now, s.route.Name, done.server.Config.Version, policy.MoveCall{
+		OK: done.sample.OK, Latency: done.sample.Latency, Cold: done.server.cold.Load(),
+		Load: loadOf(done.server, done.sample.InFlight),
+	})
+}
+
+// loadOf is the part of a server's allowance that is in use.
+func loadOf(server *Server, inFlight int) float64 {
+	return float64(inFlight) / float64(max(1, server.allowance.Load()))
+}
+
+// watchVersion tells the module of versions that a call is slow as soon as it
+// is: a fault that makes calls slow would else show only when they end. The
+// returned function ends the watch and reports whether the call was found slow.
+func (s *stageRun) watchVersion(server *Server, inFlight int) (end func() bool) {
+	v := s.host.Versions
+	if v == nil || !s.pool.Config.Versioned {
+		return func() bool { return false }
+	}
+	call := policy.MoveCall{OK: true, Cold: server.cold.Load(), Load: loadOf(server, inFlight)}
+	limit := v.SlowAfter(s.route.Name, server.Config.Version, call.Load, call.Cold)
+	if limit <= 0 {
+		return func() bool { return false }
+	}
+	call.Latency = limit + time.Nanosecond
+	timer := time.AfterFunc(limit, func() {
+		v.Observe(time.Now(), s.route.Name, server.Config.Version, call)
 	})
+	return func() bool { return !timer.Stop() }
 }
 
 // nextVersion chooses the version for further calls of the stage after one that
--- a/kernel/view.go
+++ b/kernel/view.go
@@ -66,7 +66,7 @@
 // usable reports whether the server may get the call. A zone that was taken out
 // and a leaving server get none, also from requests of an older snapshot.
 func (v *view) usable(s *Server) bool {
-	if s.barred.Load() || s.Config.Leaving || v.pool.tables.ZoneOut(s.Config.Zone) {
+	if s.excluded.Load() || s.Config.Leaving || v.pool.tables.ZoneOut(s.Config.Zone) {
 		return false
 	}
 	if v.want.version != "" && v.pool.Config.Versioned && !s.runs(v.want.version) {
--- a/plugins/claims/shard.go
+++ b/plugins/claims/shard.go
@@ -195,7 +195,7 @@
 		s.owner.count("claim_restarts", "why", "lost")
 		s.owner.host.Logger.Error("the log lost records of claims", "stream", s.stream, "next", b.Next)
 		s.restart(b.First)
-		s.fold.Mistrust()
+		s.fold.MarkIncomplete()
 	}
 }
 
--- a/plugins/configsource/reader.go
+++ b/plugins/configsource/reader.go
@@ -62,7 +62,7 @@
 	return len(records) == 0 || l.follower.Next() > from
 }
 
-// note books what one record did. The caller holds mu.
+// note records what one record did. The caller holds mu.
 func (l *Log) note(step config.Step, at time.Time) {
 	switch {
 	case step.Problem != "":
--- a/plugins/slots/slots.go
+++ b/plugins/slots/slots.go
@@ -208,7 +208,7 @@
 	return encode(borrowAnswer{lent}), nil
 }
 
-// lend books a loan. A repeated request of the same loan gets nothing.
+// lend records a loan. A repeated request of the same loan gets nothing.
 func (s *Slots) lend(id loanID, release func(), d time.Duration) bool {
 	s.mu.Lock()
 	if _, late := s.returned[id]; late || s.stopped || s.loans[id] != nil {
--- a/policy/claim/shard.go
+++ b/policy/claim/shard.go
@@ -48,9 +48,9 @@
 // Len returns the number of keys remembered.
 func (s *Shard) Len() int { return len(s.slots) }
 
-// Mistrust forgets that the fold began with the stream's first record, after
+// MarkIncomplete forgets that the fold began with the stream's first record, after
 // the log has lost records that it had.
-func (s *Shard) Mistrust() { s.whole = false }
+func (s *Shard) MarkIncomplete() { s.whole = false }
 
 // Apply folds the next record. Records other than the next one are ignored.
 // The error says that the record holds no entries for this fold; the fold
--- a/policy/limit.go
+++ b/policy/limit.go
@@ -77,9 +77,16 @@
 type Limits interface {
 	New(now time.Time, c LimitConfig) ServerLimit
 	// Share is the part of a server's limit that belongs to the instance with
-	// the rank among the members, from 0. An instance that must not use a share
-	// yet has the rank members.
-	Share(limit, rank, members int) int
+	// the rank among the sharers, from 0. An instance that must not use a share
+	// yet has the rank Sharers.Members.
+	Share(limit, rank int, among Sharers) int
+}
+
+// Sharers counts the instances among which a server's limit is divided.
+type Sharers struct {
+	Members int
+	// Home counts those of the server's availability zone, whose ranks come first.
+	Home int
 }
 
 // Stalled reports whether a server with running calls is stalled, given the time
@@ -96,7 +103,7 @@
 func (FixedLimits) New(_ time.Time, c LimitConfig) ServerLimit { return &fixedLimit{c.Max} }
 
 // Share implements Limits.
-func (FixedLimits) Share(limit, _, _ int) int { return limit }
+func (FixedLimits) Share(limit, _ int, _ Sharers) int { return limit }
 
 type fixedLimit struct{ max int }
 
--- a/policy/limit_adaptive.go
+++ b/policy/limit_adaptive.go
@@ -36,6 +36,9 @@
 	// which it forgets a jump of latency.
 	quietTime   = 2 * time.Second
 	suspectTime = 10 * time.Second
+	// awayPart is the part of a server's limit that belongs to the instances of
+	// other availability zones, if its own zone has any.
+	awayPart = 0.25
 	// busyPart is the part of the limit that counts as using it.
 	busyPart = 0.75
 	// additiveStep is the part of the largest limit by which a limit grows in
@@ -55,16 +58,30 @@
 	return l
 }
 
-// Share implements Limits. The shares of all ranks add up to the limit. A
-// member more, or a higher rank, never makes a share larger; so while some
-// instances know of one member more than others do, the sum is above the limit
-// by at most the share of that member.
-func (AdaptiveLimits) Share(limit, rank, members int) int {
-	if rank < 0 || rank >= members || limit <= 0 {
+// Share implements Limits. The instances of the server's zone divide all but
+// awayPart of the limit, the others that part, so that a zone that is cut off
+// can use most of its own servers. The shares of all ranks add up to the limit.
+// A member more, or a higher rank in the same part, never makes a share larger;
+// so while some instances know of one member more than others do, the sum is
+// above the limit by at most the share of that member.
+func (AdaptiveLimits) Share(limit, rank int, among Sharers) int {
+	if rank < 0 || rank >= among.Members || limit <= 0 {
 		return 0
 	}
-	share := limit / members
-	if rank < limit%members {
+	if among.Home == 0 || among.Home == among.Members {
+		return divide(limit, rank, among.Members)
+	}
+	away := int(float64(limit) * awayPart)
+	if rank < among.Home {
+		return divide(limit-away, rank, among.Home)
+	}
+	return divide(away, rank-among.Home, among.Members-among.Home)
+}
+
+// divide is the part of a whole that belongs to a rank among equals.
+func divide(whole, rank, members int) int {
+	share := whole / members
+	if rank < whole%members {
 		share++
 	}
 	return share
--- a/policy/limit_simulation_test.go
+++ b/policy/limit_simulation_test.go
@@ -86,11 +86,11 @@
 // send fills an instance's share. A server with more calls than it bears slows
 // down with the square of the excess.
 func (r *coldRun) send(now time.Time, rank int, in *coldInstance) {
-	for in.inFlight < r.limits.Share(in.limit.Limit(now), rank, len(r.instances)) {
+	for in.inFlight < r.limits.Share(in.limit.Limit(now), rank, Sharers{Members: len(r.instances)}) {
 		in.inFlight++
 		r.running++
 		r.most = max(r.most, r.running)
-		share := r.limits.Share(in.limit.Limit(now), rank, len(r.instances))
+		share := r.limits.Share(in.limit.Limit(now), rank, Sharers{Members: len(r.instances)})
 		sample := CallSample{InFlight: in.inFlight, Allowance: share, OK: true}
 		excess := max(1, float64(r.running)/float64(r.bears))
 		base := 20e6
--- a/policy/limit_test.go
+++ b/policy/limit_test.go
@@ -33,9 +33,10 @@
 	rapid.Check(t, func(t *rapid.T) {
 		limit := rapid.IntRange(0, 400).Draw(t, "limit")
 		members := rapid.IntRange(1, 340).Draw(t, "members")
+		among := Sharers{Members: members, Home: rapid.IntRange(0, members).Draw(t, "home")}
 		sum := 0
 		for rank := range members {
-			sum += AdaptiveLimits{}.Share(limit, rank, members)
+			sum += AdaptiveLimits{}.Share(limit, rank, among)
 		}
 		if sum != limit {
 			t.Fatalf("the shares add up to %d, want %d", sum, limit)
@@ -49,18 +50,23 @@
 	rapid.Check(t, func(t *rapid.T) {
 		limit := rapid.IntRange(0, 400).Draw(t, "limit")
 		before := rapid.IntRange(1, 40).Draw(t, "members before")
+		old := Sharers{Members: before, Home: rapid.IntRange(0, before).Draw(t, "home before")}
 		joined := rapid.IntRange(0, before).Draw(t, "rank of the joined")
-		own := AdaptiveLimits{}.Share(limit, joined, before+1)
+		now := Sharers{Members: before + 1, Home: old.Home}
+		if joined < old.Home || (joined == old.Home && rapid.Bool().Draw(t, "joins home")) {
+			now.Home++
+		}
+		own := AdaptiveLimits{}.Share(limit, joined, now)
 		sum := own
 		for rank := range before {
 			if !rapid.Bool().Draw(t, "knows") {
-				sum += AdaptiveLimits{}.Share(limit, rank, before)
+				sum += AdaptiveLimits{}.Share(limit, rank, old)
 				continue
 			}
 			if rank >= joined {
 				rank++
 			}
-			sum += AdaptiveLimits{}.Share(limit, rank, before+1)
+			sum += AdaptiveLimits{}.Share(limit, rank, now)
 		}
 		if sum > limit+own {
 			t.Fatalf("the shares add up to %d, want at most %d and one share of %d", sum, limit, own)
--- a/policy/member.go
+++ b/policy/member.go
@@ -155,7 +155,7 @@
 	}
 	if len(m.Records) > recordsPerMessage {
 		// A table answers a want; its records are no news to others.
-		t.cool(hot)
+		t.dequeueUpdates(hot)
 	}
 	for i := range m.Zones {
 		out = t.compareZone(out, now, &m.Self, &m.Zones[i])
@@ -230,7 +230,7 @@
 	e.lapsed = false
 	e.since = now
 	e.heard = now.Add(-min(r.age(), maxRecordAge*time.Millisecond))
-	t.heat(e)
+	t.queueUpdate(e)
 	t.version++
 	if moved {
 		t.place(e)
@@ -278,7 +278,7 @@
 func (t *MemberTable) judge(e *memberEntry, now time.Time, verdict MemberStatus) {
 	e.verdict = verdict
 	e.since = now
-	t.heat(e)
+	t.queueUpdate(e)
 	t.version++
 }
 
--- a/policy/memberbridge.go
+++ b/policy/memberbridge.go
@@ -11,7 +11,7 @@
 // is a delegate of its own.
 func (t *MemberTable) bridges(out []MemberSend, now time.Time) []MemberSend {
 	own := t.delegates(t.self.Zone, now)
-	for _, zone := range t.peopled() {
+	for _, zone := range t.populatedZones() {
 		rank := slices.Index(own[zone], t.self.ID)
 		if zone == t.self.Zone || rank < 0 {
 			continue
@@ -44,8 +44,8 @@
 	return out
 }
 
-// peopled returns the names of the zones that have members, in order.
-func (t *MemberTable) peopled() []string {
+// populatedZones returns the names of the zones that have members, in order.
+func (t *MemberTable) populatedZones() []string {
 	return slices.DeleteFunc(t.zoneNames(), func(name string) bool {
 		return name != t.self.Zone && len(t.zones[name].members) == 0
 	})
@@ -59,7 +59,7 @@
 	if len(ids) == 0 {
 		return nil
 	}
-	others := t.peopled()
+	others := t.populatedZones()
 	share := (t.config.Delegates*(len(others)-1) + len(ids) - 1) / len(ids)
 	roles := make(map[string]int, len(ids))
 	out := make(map[string][]string, len(others))
--- a/policy/memberround.go
+++ b/policy/memberround.go
@@ -97,16 +97,16 @@
 	return addresses, alone
 }
 
-// heat marks a record as news to be passed on.
-func (t *MemberTable) heat(e *memberEntry) {
+// queueUpdate marks a record as news to be passed on.
+func (t *MemberTable) queueUpdate(e *memberEntry) {
 	if e.hot == 0 {
 		t.hot = append(t.hot, e)
 	}
 	e.hot = hotCopies + bits.Len(uint(len(t.order)))
 }
 
-// cool takes back the marks of all news but the first n.
-func (t *MemberTable) cool(n int) {
+// dequeueUpdates takes back the marks of all news but the first n.
+func (t *MemberTable) dequeueUpdates(n int) {
 	for _, e := range t.hot[n:] {
 		e.hot = 0
 	}
--- a/policy/memberzone.go
+++ b/policy/memberzone.go
@@ -26,7 +26,7 @@
 // in every turn.
 func (t *MemberTable) nextSummaries(e *memberEntry, now time.Time) []ZoneSummary {
 	out := []ZoneSummary{t.summary(t.self.Zone, now)}
-	others := slices.DeleteFunc(t.peopled(), func(name string) bool { return name == t.self.Zone })
+	others := slices.DeleteFunc(t.populatedZones(), func(name string) bool { return name == t.self.Zone })
 	room := summaryRoom
 	for len(others) > 0 && room > 0 {
 		var name string
@@ -38,7 +38,7 @@
 		default:
 			name = slices.MinFunc(others, func(a, b string) int { return order(t.zones[a].turn, t.zones[b].turn) })
 		}
-		s := t.tellZone(name, now)
+		s := t.nextSummary(name, now)
 		room -= summaryBase + len(s.Ages)
 		out = append(out, s)
 		others = slices.DeleteFunc(others, func(o string) bool { return o == name })
@@ -54,8 +54,8 @@
 	return xxhash.Sum64(key[:])
 }
 
-// tellZone returns the summary of another zone and notes that it goes out.
-func (t *MemberTable) tellZone(name string, now time.Time) ZoneSummary {
+// nextSummary returns the summary of another zone and notes that it goes out.
+func (t *MemberTable) nextSummary(name string, now time.Time) ZoneSummary {
 	z := t.zones[name]
 	z.told = z.lastHeard()
 	t.turn++
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -165,7 +165,7 @@
 	b.connections.drop(down)
 }
 
-// serve takes one call, runs it and books it.
+// serve takes one call, runs it and records it.
 func (b *Backend) serve(w http.ResponseWriter, r *http.Request, run func(http.ResponseWriter, *http.Request, *activeCall) bool) {
 	w.Header().Set(httpapi.HeaderCallID, r.Header.Get(httpapi.HeaderCallID))
 	input, err := readInput(w, r)
@@ -219,7 +219,7 @@
 	http.Error(w, why, http.StatusServiceUnavailable)
 }
 
-// begin books the start of a call. It reports whether the call is more than a
+// begin records the start of a call. It reports whether the call is more than a
 // cold server bears.
 func (b *Backend) begin(r *http.Request, input callInput, f Faults) (*activeCall, bool) {
 	b.mu.Lock()
@@ -245,7 +245,7 @@
 	return c, overfed
 }
 
-// overfed books the calls on a cold server. The caller holds mu.
+// overfed records the calls on a cold server. The caller holds mu.
 func (b *Backend) overfed(now time.Time) bool {
 	if b.Warmth.ColdLimit == 0 || b.state.warm(now, b.Warmth) >= 1 || b.state.settling(now) {
 		return false
@@ -258,7 +258,7 @@
 	return true
 }
 
-// end books the end of a call.
+// end records the end of a call.
 func (b *Backend) end(c *activeCall, ok, callerGone bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/standin/report.go
+++ b/standin/report.go
@@ -70,7 +70,7 @@
 	h.Set(httpapi.HeaderLoad, string(text))
 }
 
-// work books that calls began or ended to be worked on.
+// work records that calls began or ended to be worked on.
 func (b *Backend) work(c *activeCall, n int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/test/experiment/zone.go
+++ b/test/experiment/zone.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/savoryfold/savoryfold/config"
@@ -60,6 +62,9 @@
 	}
 	e.atLeast("attainment while a zone is taken out and brought back", attainment(r.Phases["move"]), 0.97, "part")
 	e.atLeast("attainment while a zone is cut off and heals", attainment(r.Phases["cut"]), 0.97, "part")
+	for _, reason := range slices.Sorted(maps.Keys(r.Phases["cut"].Reasons)) {
+		e.figure("requests while cut off that ended "+reason, float64(r.Phases["cut"].Reasons[reason]), "requests")
+	}
 	e.figure("p99", r.Total.Latency.P99, "ms")
 	e.whole(r)
 	return e.overfed(ctx)
