Let zones without servers share like the server's own zone

Ruled out: a higher rate of asks, which every overload would use up.

Change: instances of a zone that has no usable server of the pool count with those of the server's zone; the tables tell all instances which they are.

--- a/kernel/lend.go
+++ b/kernel/lend.go
@@ -42,10 +42,10 @@
 	}
 	members := h.fleet.sharers.current()
 	limit := int(s.limitNow.Load())
-	among := members.sharers(s.Config.Zone)
+	among := members.sharers(s.home)
 	holders := make([]string, len(members.list))
 	for _, m := range members.list {
-		rank := members.rank(m.id, s.Config.Zone, s.hash)
+		rank := members.rank(m.id, s.home, s.hash)
 		if m.id != h.ID() && h.Decisions.Limits.Share(limit, rank, among) > 0 {
 			holders[rank] = m.id
 		}
--- a/kernel/pool.go
+++ b/kernel/pool.go
@@ -42,8 +42,15 @@
 	slices.SortStableFunc(p.Servers, func(a, b *Server) int {
 		return p.distance(a) - p.distance(b)
 	})
+	served := make(servedZones)
+	for _, s := range p.Servers {
+		if !s.Config.Leaving && !t.ZoneOut(s.Config.Zone) {
+			served[s.Config.Zone] = true
+		}
+	}
 	for _, s := range p.Servers {
 		s.pool = state
+		s.home = home{s.Config.Zone, &served}
 		p.locals += 1 - p.distance(s)
 		p.ids = append(p.ids, s.hash)
 	}
--- a/kernel/rank.go
+++ b/kernel/rank.go
@@ -27,7 +27,7 @@
 	hash := xxhash.Sum64String(key)
 	live := h.Membership.View().Live()
 	slices.SortFunc(live, func(a, b Member) int {
-		return before(newSharer(a.ID, a.Zone), newSharer(b.ID, b.Zone), "", hash)
+		return before(newSharer(a.ID, a.Zone), newSharer(b.ID, b.Zone), home{}, hash)
 	})
 	return live[:min(n, len(live))]
 }
@@ -35,5 +35,5 @@
 // rankAmong is the rank of an instance in the rendezvous order of a key.
 func rankAmong(self string, live []sharer, key string) int {
 	r := roster{list: live}
-	return r.rank(self, "", xxhash.Sum64String(key))
+	return r.rank(self, home{}, xxhash.Sum64String(key))
 }
--- a/kernel/server.go
+++ b/kernel/server.go
@@ -18,6 +18,7 @@
 type Server struct {
 	Config config.Server
 	pool   *poolState
+	home   home
 	*serverState
 }
 
@@ -63,7 +64,7 @@
 // place is an instance's place among the sharers of a server's limit.
 type place struct {
 	epoch uint64
-	zone  string
+	home  home
 	rank  int
 	among policy.Sharers
 	// withheld is true while the instance must not use its share yet.
@@ -229,8 +230,8 @@
 		s.limit.Stalled(now)
 	}
 	p := &s.place
-	if p.epoch != r.epoch || p.zone != s.Config.Zone {
-		*p = place{r.epoch, s.Config.Zone, r.rank(self, s.Config.Zone, s.hash), r.sharers(s.Config.Zone), false}
+	if p.epoch != r.epoch || p.home != s.home {
+		*p = place{r.epoch, s.home, r.rank(self, s.home, s.hash), r.sharers(s.home), false}
 	}
 	p.withheld = r.withheld
 	s.apply(now)
--- a/kernel/sharers.go
+++ b/kernel/sharers.go
@@ -120,28 +120,44 @@
 	return sharer{id: id, zone: zone, hash: xxhash.Sum64String(id)}
 }
 
-// sharers counts the instances that divide the limit of a server in a zone.
-func (r roster) sharers(zone string) policy.Sharers {
+// home tells which instances send a server most calls: those of its availability
+// zone, and those of zones that have no usable server of the pool.
+type home struct {
+	zone string
+	// served holds the zones with usable servers of the pool; nil if they do not
+	// matter.
+	served *servedZones
+}
+
+// servedZones is the set of zones with usable servers of a pool.
+type servedZones map[string]bool
+
+func (h home) has(m sharer) bool {
+	return m.zone == h.zone || (h.served != nil && !(*h.served)[m.zone])
+}
+
+// sharers counts the instances that divide the limit of a server.
+func (r roster) sharers(h home) policy.Sharers {
 	among := policy.Sharers{Members: len(r.list)}
 	for _, m := range r.list {
-		if m.zone == zone {
+		if h.has(m) {
 			among.Home++
 		}
 	}
 	return among
 }
 
-// rank is the place of an instance among the sharers of a server, from 0. The
-// instances of the server's availability zone come first, since they send it
-// most calls; within each part the order is that of rendezvous hashing.
-func (r roster) rank(self string, zone string, server uint64) int {
+// rank is the place of an instance among the sharers of a server, from 0. Those
+// that send it most calls come first; within each part the order is that of
+// rendezvous hashing.
+func (r roster) rank(self string, h home, server uint64) int {
 	i := slices.IndexFunc(r.list, func(m sharer) bool { return m.id == self })
 	if i < 0 {
 		return len(r.list)
 	}
 	rank := 0
 	for _, m := range r.list {
-		if before(m, r.list[i], zone, server) < 0 {
+		if before(m, r.list[i], h, server) < 0 {
 			rank++
 		}
 	}
@@ -149,9 +165,9 @@
 }
 
 // before compares two instances in the order of a server's sharers.
-func before(a, b sharer, zone string, server uint64) int {
-	if (a.zone == zone) != (b.zone == zone) {
-		if a.zone == zone {
+func before(a, b sharer, h home, server uint64) int {
+	if h.has(a) != h.has(b) {
+		if h.has(a) {
 			return -1
 		}
 		return 1
--- a/kernel/sharers_test.go
+++ b/kernel/sharers_test.go
@@ -37,7 +37,7 @@
 }
 
 func shareOf(r roster, m sharer, limit int, server uint64) int {
-	return policy.AdaptiveLimits{}.Share(limit, r.rank(m.id, "hobart", server), r.sharers("hobart"))
+	return policy.AdaptiveLimits{}.Share(limit, r.rank(m.id, home{zone: "hobart"}, server), r.sharers(home{zone: "hobart"}))
 }
 
 func TestSharesOfRosters(t *testing.T) {
@@ -75,6 +75,19 @@
 			}
 		}
 	})
+	Convey("Instances of a zone without usable servers share like those of the server's zone", t, func() {
+		served := servedZones{"hobart": true, "burnie": true} // devonport is out
+		h := home{"hobart", &served}
+		r := rosterOf(members(9))
+		So(r.sharers(h), ShouldResemble, policy.Sharers{Members: 9, Home: 6})
+		sum := 0
+		for _, m := range r.list {
+			share := policy.AdaptiveLimits{}.Share(32, r.rank(m.id, h, 99), r.sharers(h))
+			sum += share
+			So(share >= 4, ShouldEqual, m.zone != "burnie")
+		}
+		So(sum, ShouldEqual, 32)
+	})
 	Convey("A member that left counts for the settle time", t, func() {
 		var s sharers
 		all := members(3)
