Revert telling the rollout of slow calls before they end

Cause: it was to shorten the time to find a version that turns slow.

The servers turn slow one after the other, and the good calls of the others hide the slow ones.

--- a/kernel/moves.go
+++ b/kernel/moves.go
@@ -15,9 +15,6 @@
 	// Observe takes the result of a stage call on a versioned pool. The module
 	// sets New of the call itself.
 	Observe(now time.Time, route, version string, call policy.MoveCall)
-	// SlowAfter is the time after which a call of a version counts as slow, 0 if
-	// that is not known or of no interest. Load and cold are as in MoveCall.
-	SlowAfter(route, version string, load float64, cold bool) time.Duration
 }
 
 // MoveState is the state of a move of a version or an availability zone.
--- a/kernel/stage.go
+++ b/kernel/stage.go
@@ -177,9 +177,6 @@
 	server *Server
 	answer StageAnswer
 	sample policy.CallSample
-	// foundSlow is true if the module of versions was told of the call before
-	// it ended.
-	foundSlow bool
 	// over is true if the request had ended when the call did.
 	over bool
 }
@@ -210,10 +207,8 @@
 	call.FirstByte = s.firstByte()
 	done := sentCall{server: server}
 	done.sample = policy.CallSample{Class: string(s.route.Size), InFlight: int(server.inFlight.Load())}
-	endWatch := s.watchVersion(server, done.sample.InFlight)
 	start := time.Now()
 	done.answer = s.host.Transport.Call(ctx, &call)
-	done.foundSlow = endWatch()
 	done.sample.Latency = time.Since(start)
 	done.over = ctx.Err() != nil
 	done.sample.OK = done.answer.Result == CallOK
--- a/kernel/stage_version.go
+++ b/kernel/stage_version.go
@@ -11,7 +11,7 @@
 // version.
 func (s *stageRun) observeVersion(now time.Time, done sentCall) {
 	v := s.host.Versions
-	if v == nil || !s.pool.Config.Versioned || done.foundSlow {
+	if v == nil || !s.pool.Config.Versioned {
 		return
 	}
 	v.Observe(now, s.route.Name, done.server.Config.Version, policy.MoveCall{
@@ -25,26 +25,6 @@
 	return float64(inFlight) / float64(max(1, server.allowance.Load()))
 }
 
-// watchVersion tells the module of versions that a call is slow as soon as it
-// is: a fault that makes calls slow would else show only when they end. The
-// returned function ends the watch and reports whether the call was found slow.
-func (s *stageRun) watchVersion(server *Server, inFlight int) (end func() bool) {
-	v := s.host.Versions
-	if v == nil || !s.pool.Config.Versioned {
-		return func() bool { return false }
-	}
-	call := policy.MoveCall{OK: true, Cold: server.cold.Load(), Load: loadOf(server, inFlight)}
-	limit := v.SlowAfter(s.route.Name, server.Config.Version, call.Load, call.Cold)
-	if limit <= 0 {
-		return func() bool { return false }
-	}
-	call.Latency = limit + time.Nanosecond
-	timer := time.AfterFunc(limit, func() {
-		v.Observe(time.Now(), s.route.Name, server.Config.Version, call)
-	})
-	return func() bool { return !timer.Stop() }
-}
-
 // nextVersion chooses the version for further calls of the stage after one that
 // failed on the server. A stream that has begun stays with its version, whose
 // text goes on where the first call ended. Until the set time of a version move
--- a/plugins/rollout/rollout.go
+++ b/plugins/rollout/rollout.go
@@ -191,17 +191,6 @@
 	return m.pick(random)
 }
 
-// SlowAfter implements kernel.Versions.
-func (r *Rollout) SlowAfter(route, version string, load float64, cold bool) time.Duration {
-	m := r.moves.Load().byRoute[route]
-	if m == nil || version != m.move.To || m.rolledBack.Load() {
-		return 0
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.tracker.SlowAfter(load, cold)
-}
-
 // Observe implements kernel.Versions.
 func (r *Rollout) Observe(now time.Time, route, version string, call policy.MoveCall) {
 	m := r.moves.Load().byRoute[route]
--- a/policy/rollout_evidence.go
+++ b/policy/rollout_evidence.go
@@ -50,9 +50,9 @@
 	counts [2]VersionEvidence
 }
 
-// SlowAfter is the time after which a call counts as slow, 0 if that is not
+// slowAfter is the time after which a call counts as slow, 0 if that is not
 // known yet. Load and cold are as in MoveCall.
-func (t *MoveTracker) SlowAfter(load float64, cold bool) time.Duration {
+func (t *MoveTracker) slowAfter(load float64, cold bool) time.Duration {
 	q := t.reference(load > loadedPart)
 	if !q.known() {
 		return 0
@@ -63,14 +63,13 @@
 	return time.Duration(slowFactor * q.value)
 }
 
-// Observe takes a finished call, or one that is known to be slow before it ends.
-// It reports whether the call failed or was slow.
+// Observe takes a finished call. It reports whether the call failed or was slow.
 func (t *MoveTracker) Observe(now time.Time, c MoveCall) bool {
 	loaded := c.Load > loadedPart
 	one := VersionEvidence{Calls: 1}
 	if !c.OK {
 		one.Failures = 1
-	} else if limit := t.SlowAfter(c.Load, c.Cold); limit > 0 && c.Latency > limit {
+	} else if limit := t.slowAfter(c.Load, c.Cold); limit > 0 && c.Latency > limit {
 		one.Slow = 1
 	}
 	if loaded {
