Start a test's cluster anew when another process took a port

Ruled out: ports outside the range of outgoing connections, which the system does not give.

Change: Launch starts over with other ports, five times at most, for that error only; keys has an example.

--- a/cmd/savoryfoldctl/keys.go
+++ b/cmd/savoryfoldctl/keys.go
@@ -26,8 +26,9 @@
 
 func keysCommand() *cobra.Command {
 	cmd := &cobra.Command{
-		Use:   "keys",
-		Short: "Make the certificates by which instances prove themselves to each other",
+		Use:     "keys",
+		Short:   "Make the certificates by which instances prove themselves to each other",
+		Example: "  savoryfoldctl keys authority rota-2026 --dir keys\n  savoryfoldctl keys issue hobart-1 --dir keys",
 	}
 	cmd.PersistentFlags().String("dir", ".", "folder of the authority's and the instances' files")
 	cmd.AddCommand(keysAuthorityCommand(), keysIssueCommand())
--- a/test/harness/cluster.go
+++ b/test/harness/cluster.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"slices"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -74,9 +75,27 @@
 	client   *http.Client
 }
 
+// launchTries bounds the starts of a cluster whose ports were taken by others.
+const launchTries = 5
+
 // Launch starts a cluster and waits until every instance is ready. On an error
-// everything is ended.
+// everything is ended. Instances need to know each other's ports before they
+// start, so another process may take a port in between: then all starts anew.
 func Launch(ctx context.Context, s Spec) (*Cluster, error) {
+	var err error
+	for range launchTries {
+		var c *Cluster
+		if c, err = launch(ctx, s); err == nil {
+			return c, nil
+		}
+		if !strings.Contains(err.Error(), syscall.EADDRINUSE.Error()) {
+			return nil, err
+		}
+	}
+	return nil, err
+}
+
+func launch(ctx context.Context, s Spec) (*Cluster, error) {
 	c := &Cluster{
 		Spec: s, Links: make(map[string]*relay.TCP), Direct: make(map[string]string),
 		client: &http.Client{Timeout: 5 * time.Second},
