Take only breaks within 100 ms for a common cause

Ruled out: keeping the charges of refused requests in every case, as a request under way on many servers at a network cut is then refused (the test of breaks at once failed).

Change: three servers that break within 100 ms, in place of a second, have a common cause.

--- a/policy/crash.go
+++ b/policy/crash.go
@@ -15,7 +15,7 @@
 	// commonCauseServers servers whose connections break within
 	// commonCauseWindow point to the network and not to a request.
 	commonCauseServers = 3
-	commonCauseWindow  = time.Second
+	commonCauseWindow  = 100 * time.Millisecond
 	// maxCrashRecords bounds the ledger.
 	maxCrashRecords = 4096
 )
@@ -75,7 +75,7 @@
 
 func (l *CrashLedger) commonCause() bool { return len(l.breaks) >= commonCauseServers }
 
-// withdraw takes back the charges that belong to a common cause.
+// withdraw takes back the charges that belong to a common cause. Older ones stay.
 func (l *CrashLedger) withdraw(now time.Time) {
 	for fingerprint, r := range l.records {
 		r.Charges = slices.DeleteFunc(r.Charges, func(c CrashCharge) bool {
--- a/policy/crash_test.go
+++ b/policy/crash_test.go
@@ -43,6 +43,18 @@
 			}
 			So(l.Suspect(at(time.Second), innocent), ShouldBeFalse)
 		})
+		Convey("a request that crashes one server after the other is no common cause", func() {
+			for server := range uint64(4) {
+				l.Broken(at(time.Duration(server)*300*time.Millisecond), guilty, server)
+			}
+			So(l.Refuse(at(time.Second), guilty), ShouldBeTrue)
+			Convey("and stays refused when many servers break at once", func() {
+				for server := range uint64(4) {
+					l.Broken(at(2*time.Second), innocent, server)
+				}
+				So(l.Refuse(at(2*time.Second), guilty), ShouldBeTrue)
+			})
+		})
 		Convey("its size is bounded", func() {
 			for f := range uint64(3 * maxCrashRecords) {
 				l.Broken(at(time.Duration(f)*2*time.Second), f, f)
