--- a/cmd/savoryfoldd/main.go
+++ b/cmd/savoryfoldd/main.go
@@ -22,6 +22,10 @@
 )
 
 const (
+	// settingsVariable names the environment variable that holds the path of
+	// the settings file where the platform starts the process.
+	settingsVariable = "SAVORYFOLD_SETTINGS"
+
 	exitFailed   = 1
 	exitSettings = 2
 )
@@ -63,7 +67,7 @@
 		},
 	}
 	cmd.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return settingsError{err} })
-	cmd.Flags().StringVar(&path, "settings", "", "settings file (INI)")
+	cmd.Flags().StringVar(&path, "settings", os.Getenv(settingsVariable), "settings file (INI); the default is the value of "+settingsVariable)
 	cmd.Flags().BoolVar(&check, "check", false, "check the settings and exit")
 	cmd.Flags().BoolVar(&list, "list-settings", false, "list every setting with its default and exit")
 	return cmd
@@ -81,13 +85,19 @@
 
 func run(path string, check bool) error {
 	if path == "" {
-		return settingsError{errors.New("want --settings FILE")}
+		return settingsError{errors.New("want --settings FILE, or its path in " + settingsVariable)}
 	}
 	settings, err := kernel.Schema().LoadFile(path)
 	if err != nil {
 		return settingsError{err}
 	}
-	logger, level := kernel.NewLogger(settings, os.Stderr)
+	output := os.Stdout
+	if settings.String("log", "output") == "stderr" {
+		output = os.Stderr
+	}
+	writer := kernel.NewAsyncWriter(output)
+	defer writer.Close()
+	logger, level := kernel.NewLogger(settings, writer)
 	in, err := kernel.NewInstance(settings, logger, level)
 	if err != nil {
 		return settingsError{err}
@@ -99,6 +109,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	go dumpOnSignal(ctx, in)
+	logger.Info("starting", "version", version.Version, "settings", path, "pid", os.Getpid())
 	err = in.Run(ctx)
 	var faults config.Faults
 	if errors.As(err, &faults) {
--- /dev/null
+++ b/kernel/catalogs.go
@@ -0,0 +1,95 @@
+package kernel
+
+import (
+	"context"
+	"time"
+
+	"github.com/savoryfold/savoryfold/catalog"
+)
+
+// Catalogs brings the view of routes, services and backend servers on which
+// requests that are passed through rest.
+type Catalogs interface {
+	// Catalog returns the view in force, or nil before the first configuration.
+	Catalog() *catalog.Catalog
+	// OnCatalog registers a function that is called with every new view. It is
+	// called during provisioning only.
+	OnCatalog(func(*catalog.Catalog))
+}
+
+// FleetMember is an instance as the others know it.
+type FleetMember struct {
+	ID   string
+	Zone string
+	// Address is where it takes calls of other instances.
+	Address string
+}
+
+// Fleet knows the instances that take requests now.
+type Fleet interface {
+	// Members returns the known instances, this one among them, in order of ID.
+	Members() []FleetMember
+}
+
+// StageRequest is one stage of a request, made of pieces.
+type StageRequest struct {
+	// Request is the ID of the caller's request.
+	Request string
+	Service string
+	Stage   int
+	// Pieces is the number of pieces.
+	Pieces int
+	// Key is what pieces of a first stage are made from, Inputs holds handles
+	// of the results that pieces of a later stage need.
+	Key    string
+	Inputs []string
+	// Goal is the time by which the result is worth most, Deadline the time
+	// after which it is worth nothing.
+	Goal, Deadline time.Time
+	// Worth weighs the request against others of its kind of urgency.
+	Worth    float64
+	Priority int
+	// Zone is where the result is wanted, if that is known.
+	Zone string
+}
+
+// StageResult is what a stage made.
+type StageResult struct {
+	Handles []string
+	// Zone is where most of the results lie.
+	Zone string
+}
+
+// StageFailure says why a stage could not be done.
+type StageFailure struct {
+	Reason OutcomeReason
+	Detail string
+	// RetryAfter is when there may be room again; 0 if unknown.
+	RetryAfter time.Duration
+	// InputGone is true if a result of an earlier stage is gone.
+	InputGone bool
+}
+
+// Error implements error.
+func (f *StageFailure) Error() string { return string(f.Reason) + ": " + f.Detail }
+
+// StageRunner does stages of requests on stage servers.
+type StageRunner interface {
+	// Run does one stage. Its error is a *StageFailure.
+	Run(ctx context.Context, r StageRequest) (StageResult, error)
+	// Forecast is the expected time from now until a stage of a service that
+	// begins now is done.
+	Forecast(now time.Time, service string) time.Duration
+	// Release tells the stage servers that results are not needed any more.
+	Release(handles []string)
+}
+
+// VersionPicker divides a service's traffic between versions while it moves.
+type VersionPicker interface {
+	// PickVersion returns whether servers of a version may get a request of a
+	// service. Random is in [0, 1).
+	PickVersion(now time.Time, service string, random float64) (allow func(version string) bool)
+	// ObserveVersion takes the result of a request into the evidence. Bad
+	// answers are failures and those that are slower than usual.
+	ObserveVersion(now time.Time, service, version string, failed bool, took time.Duration)
+}
--- a/kernel/counters.go
+++ b/kernel/counters.go
@@ -29,6 +29,10 @@
 	hedgesFamily          = &metricFamily{"hedges", []string{"pool"}}
 	silentFamily          = &metricFamily{"connections_silent", []string{"pool"}}
 	serversSilentFamily   = &metricFamily{"servers_silent", []string{"pool"}}
+	forwardStageFamily    = &metricFamily{"forward_stage_seconds", []string{"service"}}
+	forwardStagesFamily   = &metricFamily{"forward_stages", []string{"service", "result"}}
+	sendsFamily           = &metricFamily{"sends", []string{"service", "result"}}
+	outcomeReasonsFamily  = &metricFamily{"outcome_reasons", []string{"route", "reason"}}
 	admissionDeniedFamily = &metricFamily{"admission_refused", []string{"reason"}}
 )
 
--- /dev/null
+++ b/kernel/forward.go
@@ -0,0 +1,40 @@
+package kernel
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// ReleaseResults tells the stage servers that results are not needed any more.
+func (h *Host) ReleaseResults(handles []string) {
+	if h.Stages != nil && len(handles) > 0 {
+		h.Stages.Release(handles)
+	}
+}
+
+// CountRequest counts a finished request that was passed through.
+func (h *Host) CountRequest(route string, out Outcome, took time.Duration) {
+	h.add(requestsFamily, route, string(out.Kind), 1)
+	h.took(requestSecondsFamily, route, int64(took))
+	if out.Reason != ReasonNone {
+		h.add(outcomeReasonsFamily, route, string(out.Reason), 1)
+	}
+}
+
+// CountStage counts a finished stage of a request that was passed through.
+func (h *Host) CountStage(service string, err error, took time.Duration) {
+	result := "ok"
+	var failure *StageFailure
+	switch {
+	case errors.As(err, &failure):
+		result = string(failure.Reason)
+	case err != nil:
+		result = "failed"
+	}
+	h.add(forwardStagesFamily, service, result, 1)
+	h.took(forwardStageFamily, service, int64(took))
+}
+
+// CountSend counts one send of a request to a backend server.
+func (h *Host) CountSend(service, result string) { h.add(sendsFamily, service, result, 1) }
--- a/kernel/host.go
+++ b/kernel/host.go
@@ -57,6 +57,10 @@
 	CrashGuard CrashGuard
 	Borrower   SlotBorrower
 	CacheHints CacheHints
+	Catalogs   Catalogs
+	Fleet      Fleet
+	Stages     StageRunner
+	Versioning VersionPicker
 	// ClaimsOperator and Moves serve operators.
 	ClaimsOperator ClaimsOperator
 	Moves          Moves
@@ -66,6 +70,7 @@
 	fleet    fleet
 
 	requestMetrics requestMetrics
+	stories        stories
 	suspects       suspects
 }
 
@@ -112,6 +117,10 @@
 	set(&h.CrashGuard, m)
 	set(&h.Borrower, m)
 	set(&h.CacheHints, m)
+	set(&h.Catalogs, m)
+	set(&h.Fleet, m)
+	set(&h.Stages, m)
+	set(&h.Versioning, m)
 	set(&h.ClaimsOperator, m)
 	set(&h.Moves, m)
 }
--- a/kernel/instance.go
+++ b/kernel/instance.go
@@ -126,6 +126,11 @@
 		in.serve(ctx)
 	}
 	in.setState(StateLeaving, MemberLeaving)
+	for _, l := range in.modules[:started] {
+		if p, ok := l.module.(StopPreparer); ok {
+			p.PrepareStop()
+		}
+	}
 	stopErr := in.stopModules(started)
 	in.state.Store(int32(StateStopped))
 	in.Host.Logger.Info("instance stopped")
--- a/kernel/module.go
+++ b/kernel/module.go
@@ -71,6 +71,10 @@
 	Stop(ctx context.Context) error
 }
 
+// StopPreparer is a module that has something to do at the beginning of a
+// graceful stop, before any module is stopped. PrepareStop does not wait.
+type StopPreparer interface{ PrepareStop() }
+
 // Dumper is a module that adds its state to the instance's dump. The value is
 // encoded as JSON and holds no secrets.
 type Dumper interface{ Dump() any }
--- a/kernel/outcome.go
+++ b/kernel/outcome.go
@@ -42,6 +42,7 @@
 	ReasonOverload       OutcomeReason = "overload"
 	ReasonDeadline       OutcomeReason = "deadline"
 	ReasonNoServer       OutcomeReason = "no-server"
+	ReasonInputGone      OutcomeReason = "input-gone"
 	ReasonStageFailed    OutcomeReason = "stage-failed"
 	ReasonCallerGone     OutcomeReason = "caller-gone"
 	ReasonCrashes        OutcomeReason = "crashes-servers"
@@ -61,6 +62,9 @@
 	Detail string
 	// RetryAfter is when a repeat makes sense; 0 means unsaid.
 	RetryAfter time.Duration
+	// Broken is true if a part of the answer went to the caller, so that only
+	// the end of the connection can tell that it is not whole.
+	Broken bool
 }
 
 // StageCost is what one stage of a request took.
--- a/kernel/settings.go
+++ b/kernel/settings.go
@@ -31,6 +31,8 @@
 		config.Key{Section: "instance", Name: "settle", Kind: config.Duration, Default: "1s", Doc: "how long an instance that left still counts in the shares of the servers' limits, and how long a new one uses none"},
 		config.Key{Section: "instance", Name: "disable", Kind: config.List, Doc: "modules that are left out, by ID"},
 		config.Key{Section: "log", Name: "format", Kind: config.Enum, Accepted: []string{"text", "json"}, Default: "text", Doc: "form of log lines"},
+		config.Key{Section: "log", Name: "output", Kind: config.Enum, Accepted: []string{"stdout", "stderr"}, Default: "stdout", Doc: "where log lines go"},
+		config.Key{Section: "log", Name: "requests_per_second", Kind: config.Int, Default: "40", Doc: "most requests a second whose decisions are logged"},
 		config.Key{Section: "log", Name: "level", Kind: config.Enum, Accepted: []string{"debug", "info", "warn", "error"}, Default: "info", Doc: "lowest level that is logged; the administration API changes it while the process runs"},
 	)
 	for _, slot := range slots {
--- a/plugins/entryhttp/entryhttp.go
+++ b/plugins/entryhttp/entryhttp.go
@@ -27,7 +27,7 @@
 		ID:    "entryhttp",
 		Phase: kernel.PhaseEntry,
 		Settings: []config.Key{
-			{Section: section, Name: "listen", Kind: config.Address, Required: true, Doc: "address for callers"},
+			{Section: section, Name: "listen", Kind: config.Address, Doc: "address for callers; required unless the module entryhttp is disabled"},
 			{Section: section, Name: "tls_cert", Doc: "file with the certificate for callers; empty means plain HTTP"},
 			{Section: section, Name: "tls_key", Doc: "file with the key of tls_cert"},
 			{Section: section, Name: "max_body", Kind: config.Size, Default: "1MiB", Doc: "largest body of a request"},
@@ -84,6 +84,14 @@
 	return nil
 }
 
+// Validate implements kernel.Validator.
+func (e *Entry) Validate() error {
+	if e.host.Settings.String(section, "listen") == "" {
+		return errors.New("[entry] listen: is required, want an address IP:PORT")
+	}
+	return nil
+}
+
 // Start implements kernel.Starter.
 func (e *Entry) Start(context.Context) error {
 	l, err := net.Listen("tcp", e.host.Settings.String(section, "listen"))
--- /dev/null
+++ b/plugins/forward/request.go
@@ -0,0 +1,269 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/savoryfold/savoryfold/catalog"
+	"github.com/savoryfold/savoryfold/kernel"
+	"github.com/savoryfold/savoryfold/platform"
+)
+
+const (
+	// maxBodyMemory bounds the request bodies in memory, in bytes, if the
+	// settings name no memory; bodyMemoryPart is the part of it otherwise.
+	maxBodyMemory  = 256 << 20
+	bodyMemoryPart = 4
+	// retryNotReady is when a caller may return to an instance that has no
+	// configuration yet: about one read of the store.
+	retryNotReady = 500 * time.Millisecond
+	// retryBusy is when a caller may return that found no server free.
+	retryBusy = 300 * time.Millisecond
+	// defaultWait bounds a request of a route without a timeout.
+	defaultWait = time.Minute
+)
+
+// request is one request of a caller on its way.
+type request struct {
+	call    platform.Call
+	view    *catalog.Catalog
+	route   *catalog.Route
+	account *catalog.Account
+	service *catalog.Service
+	log     *kernel.RequestLog
+
+	header http.Header
+	method string
+	uri    string
+	host   string
+	body   []byte
+
+	began    time.Time
+	goal     time.Time
+	deadline time.Time
+	random   float64
+	prompt   uint64
+	// zone is where the inputs lie; empty if the request has none.
+	zone   string
+	inputs []string
+	tried  map[string]bool
+	// attempts counts the servers that may have run the request.
+	attempts int
+}
+
+// accountName is the name of the client account, empty on public routes.
+func (r *request) accountName() string {
+	if r.account == nil {
+		return ""
+	}
+	return r.account.Name
+}
+
+// priority ranks the request; 0 is the most urgent.
+func (r *request) priority() int {
+	if r.account != nil && r.account.HasPriority {
+		return r.account.Priority
+	}
+	return r.route.Priority
+}
+
+// serve is the handler for callers.
+func (f *Forward) serve(w http.ResponseWriter, hr *http.Request) {
+	now := time.Now()
+	if f.leaving.Load() {
+		// The caller's next request takes another connection, to an instance
+		// that stays.
+		w.Header().Set("Connection", "close")
+	}
+	call, _ := platform.DecodeCall(hr.Header)
+	r := &request{
+		call: call, log: f.host.NewRequestLog(call.ID), began: now, random: rand.Float64(),
+		header: hr.Header, method: hr.Method, uri: hr.RequestURI, host: hr.Host,
+	}
+	outcome := f.accept(w, hr, r)
+	if outcome.Kind == "" {
+		f.budgets.request(now, r.service.Name)
+		ctx, cancel := context.WithDeadline(hr.Context(), r.deadline)
+		outcome = f.run(ctx, w, r)
+		cancel()
+	}
+	f.finish(w, r, outcome)
+}
+
+// accept checks a request and reads its body. The outcome is empty if the
+// request may go on.
+func (f *Forward) accept(w http.ResponseWriter, hr *http.Request, r *request) kernel.Outcome {
+	r.view = f.host.Catalogs.Catalog()
+	if r.view == nil {
+		return kernel.Outcome{Kind: kernel.NotRun, Reason: kernel.ReasonNotReady, Detail: "no configuration yet", RetryAfter: retryNotReady}
+	}
+	if r.call.ID == "" {
+		return kernel.Outcome{Kind: kernel.Rejected, Reason: kernel.ReasonBadRequest, Detail: "the request has no ID"}
+	}
+	if r.route = findRoute(r.view, hr); r.route == nil {
+		return kernel.Outcome{Kind: kernel.Rejected, Reason: kernel.ReasonUnknownRoute, Detail: "no such route"}
+	}
+	if r.view.Config.Keyed && !r.route.Public {
+		if r.account = r.view.Account(r.call.Key); r.account == nil {
+			return kernel.Outcome{Kind: kernel.Rejected, Reason: kernel.ReasonUnauthorized, Detail: "unknown API key"}
+		}
+	}
+	if r.service = r.view.Service(target(r.route, r.random)); r.service == nil {
+		return kernel.Outcome{Kind: kernel.NotRun, Reason: kernel.ReasonNoServer, Detail: "the route's service is not configured", RetryAfter: retryBusy}
+	}
+	r.setTimes()
+	r.prompt = promptKey(&r.call)
+	r.log.Add("accepted", "route", r.route.Name, "kind", r.route.Kind.String(), "service", r.service.Name, "account", r.accountName(),
+		"config", r.view.Config.Version, "view", r.view.Epoch, "left", r.deadline.Sub(r.began))
+	return f.readBody(w, hr, r)
+}
+
+// findRoute matches the host, with or without its port, and the path.
+func findRoute(view *catalog.Catalog, hr *http.Request) *catalog.Route {
+	path := hr.URL.EscapedPath()
+	if r := view.Route(hr.Host, path); r != nil {
+		return r
+	}
+	host, _, err := net.SplitHostPort(hr.Host)
+	if err != nil {
+		host = hr.Host
+	}
+	return view.Route(strings.ToLower(host), path)
+}
+
+// setTimes works out by when the request has to be done.
+func (r *request) setTimes() {
+	wait := r.route.Timeout
+	if wait <= 0 {
+		wait = defaultWait
+	}
+	if r.call.Wait > 0 {
+		wait = min(wait, r.call.Wait)
+	}
+	r.deadline = r.began.Add(wait)
+	r.goal = r.deadline
+	if r.route.Goal > 0 {
+		r.goal = r.began.Add(min(wait, r.route.Goal))
+	}
+}
+
+// readBody reads the whole body, so that it can be sent again and a caller that
+// sends slowly holds no server.
+func (f *Forward) readBody(w http.ResponseWriter, hr *http.Request, r *request) kernel.Outcome {
+	if hr.ContentLength == 0 {
+		return kernel.Outcome{}
+	}
+	most := r.view.Config.Limits.BodyBytes
+	if most > 0 && hr.ContentLength > most {
+		return kernel.Outcome{Kind: kernel.Rejected, Reason: kernel.ReasonTooLarge, Detail: "the body is too large"}
+	}
+	if f.bodies.Load() > f.maxBodies {
+		return kernel.Outcome{Kind: kernel.NotRun, Reason: kernel.ReasonOverload, Detail: "request bodies fill the memory", RetryAfter: retryBusy}
+	}
+	if most <= 0 {
+		most = f.maxBodies
+	}
+	control := http.NewResponseController(w)
+	if err := control.SetReadDeadline(r.deadline); err != nil {
+		r.log.Add("no read deadline", "error", err)
+	}
+	var body []byte
+	var err error
+	if n := hr.ContentLength; n > 0 {
+		body = make([]byte, n)
+		_, err = io.ReadFull(hr.Body, body)
+	} else {
+		body, err = io.ReadAll(http.MaxBytesReader(w, hr.Body, most))
+	}
+	if errors.As(err, new(*http.MaxBytesError)) {
+		return kernel.Outcome{Kind: kernel.Rejected, Reason: kernel.ReasonTooLarge, Detail: "the body is too large"}
+	}
+	if err != nil {
+		r.log.Add("body not read", "error", err)
+		return kernel.Outcome{Kind: kernel.Rejected, Reason: kernel.ReasonBadRequest, Detail: "the body did not arrive whole"}
+	}
+	if err := control.SetReadDeadline(time.Time{}); err != nil {
+		r.log.Add("read deadline stays", "error", err)
+	}
+	r.body = body
+	f.bodies.Add(int64(len(body)))
+	return kernel.Outcome{}
+}
+
+// run does the stages of an accepted request and sends it to a server.
+func (f *Forward) run(ctx context.Context, w http.ResponseWriter, r *request) kernel.Outcome {
+	defer f.bodies.Add(-int64(len(r.body)))
+	a := &answerWriter{w: w, forward: f, request: r}
+	for round := 0; ; round++ {
+		if out := f.stages(ctx, r); out.Kind != "" {
+			return out
+		}
+		out := f.send(ctx, a, r)
+		out.Broken = out.Broken || a.began && out.Kind != kernel.Served
+		f.host.ReleaseResults(r.inputs)
+		if out.Reason != kernel.ReasonInputGone || round > 0 {
+			return out
+		}
+		r.log.Add("inputs gone, stages begin anew")
+	}
+}
+
+// finish tells the caller of an outcome other than served, and logs it.
+func (f *Forward) finish(w http.ResponseWriter, r *request, out kernel.Outcome) {
+	route := "unknown"
+	if r.route != nil {
+		route = r.route.Name
+	}
+	took := time.Since(r.began)
+	f.host.CountRequest(route, out, took)
+	keep := out.Kind != kernel.Served || took > r.goal.Sub(r.began) && r.route != nil && r.route.Kind != catalog.Streaming
+	r.log.End(keep, "finished", "outcome", string(out.Kind), "reason", string(out.Reason), "detail", out.Detail,
+		"retry_after", out.RetryAfter, "attempts", r.attempts, "took", took)
+	switch {
+	case out.Kind == kernel.Served:
+	case out.Broken:
+		// The caller must not take the answer for a whole one.
+		panic(http.ErrAbortHandler)
+	default:
+		refuse(w, r, out)
+	}
+}
+
+// refuse writes an answer of the system's own.
+func refuse(w http.ResponseWriter, r *request, out kernel.Outcome) {
+	platform.EchoID(w.Header(), r.call.ID)
+	if out.RetryAfter > 0 && out.Kind == kernel.NotRun {
+		w.Header().Set("Retry-After", platform.FormatRetryAfter(out.RetryAfter))
+	}
+	http.Error(w, out.Detail, statusOf(out))
+}
+
+// statusOf maps an outcome to a status. 429 and 503 promise that the request
+// has not run and never will.
+func statusOf(out kernel.Outcome) int {
+	switch out.Kind {
+	case kernel.NotRun:
+		return http.StatusServiceUnavailable
+	case kernel.Unknown, kernel.Incomplete:
+		if out.Reason == kernel.ReasonDeadline {
+			return http.StatusGatewayTimeout
+		}
+		return http.StatusBadGateway
+	}
+	switch out.Reason {
+	case kernel.ReasonUnknownRoute:
+		return http.StatusNotFound
+	case kernel.ReasonUnauthorized:
+		return http.StatusUnauthorized
+	case kernel.ReasonTooLarge:
+		return http.StatusRequestEntityTooLarge
+	}
+	return http.StatusBadRequest
+}
--- /dev/null
+++ b/plugins/stages/dispatcher.go
@@ -0,0 +1,99 @@
+package stages
+
+import (
+	"time"
+
+	"github.com/savoryfold/savoryfold/catalog"
+	"github.com/savoryfold/savoryfold/kernel"
+	"github.com/savoryfold/savoryfold/policy"
+)
+
+// groupKey names a group of stage servers: those of a service, or those of one
+// availability zone if each zone has enough of them.
+type groupKey struct {
+	service string
+	zone    string
+}
+
+func (k groupKey) String() string {
+	if k.zone == "" {
+		return k.service
+	}
+	return k.service + "/" + k.zone
+}
+
+// zoneGroupServers is the number of servers in every zone from which on each
+// zone is a group of its own: a queue before three servers waits little longer
+// than one before all, and stays in the zone.
+const zoneGroupServers = 3
+
+// spillWait is how much longer the wait in the own zone's group must be before
+// work goes to another zone.
+const spillWait = 100 * time.Millisecond
+
+// dispatcher returns the group that is to do a stage of a service, and the
+// instance that makes its calls. The instance has no ID if none is known.
+func (s *Stages) dispatcher(now time.Time, service string) (groupKey, kernel.FleetMember) {
+	key := groupKey{service: service}
+	if !s.shared || s.host.Fleet == nil {
+		return key, kernel.FleetMember{}
+	}
+	members := s.host.Fleet.Members()
+	if view := s.host.Catalogs.Catalog(); view != nil {
+		key.zone = s.chooseZone(now, view, service)
+	}
+	return key, s.peers.owner(now, key, members)
+}
+
+// chooseZone returns the zone whose group is to do the work, or "" if the
+// service is one group.
+func (s *Stages) chooseZone(now time.Time, view *catalog.Catalog, service string) string {
+	counts := make(map[string]int)
+	for _, server := range view.Servers(service) {
+		if view.Usable(server) {
+			counts[server.Zone]++
+		}
+	}
+	home := s.host.Zone()
+	if len(counts) < 2 || counts[home] < zoneGroupServers {
+		return ""
+	}
+	best, least := home, s.waitOf(now, groupKey{service, home})
+	for zone, n := range counts {
+		if n < zoneGroupServers {
+			return ""
+		}
+		if wait := s.waitOf(now, groupKey{service, zone}); wait+spillWait < least {
+			best, least = zone, wait
+		}
+	}
+	return best
+}
+
+// waitOf is the wait that a group's dispatcher last told of.
+func (s *Stages) waitOf(now time.Time, key groupKey) time.Duration {
+	f, ok := s.waits.Load(key)
+	if !ok || now.Sub(f.(*forecast).at) > forecastLife {
+		return 0
+	}
+	return f.(*forecast).wait
+}
+
+// owner returns the reachable member with the highest rendezvous weight for a
+// group, of the group's zone if any stands there.
+func (p *peers) owner(now time.Time, key groupKey, members []kernel.FleetMember) kernel.FleetMember {
+	var best kernel.FleetMember
+	var weight uint64
+	local := false
+	for _, m := range members {
+		if m.Address == "" || p.avoided(now, m.ID) {
+			continue
+		}
+		here := key.zone != "" && m.Zone == key.zone
+		w := policy.Rendezvous(key.String(), m.ID)
+		if here && !local || here == local && w > weight {
+			best, weight, local = m, w, here
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/plugins/stages/peer.go
@@ -0,0 +1,195 @@
+package stages
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"github.com/savoryfold/savoryfold/internal/upstream"
+	"github.com/savoryfold/savoryfold/kernel"
+)
+
+// Bounds of calls between instances.
+const (
+	dispatchPath = "/stages"
+	// maxDispatchBytes bounds a stage request and its answer.
+	maxDispatchBytes = 1 << 20
+	// avoidTime is how long an instance that did not answer is no dispatcher.
+	avoidTime = time.Second
+	// answerSlack is added to twice the forecast before a dispatcher counts as
+	// one that does not answer.
+	answerSlack = 400 * time.Millisecond
+	peerHeader  = 5 * time.Second
+)
+
+// peerError says that another instance could not be asked. The work may be done
+// there still; pieces may be made again.
+type peerError struct{ err error }
+
+// Error implements error.
+func (e *peerError) Error() string { return e.err.Error() }
+
+// peers knows which instances did not answer lately.
+type peers struct {
+	avoid sync.Map // instance ID -> time.Time
+}
+
+func (p *peers) avoided(now time.Time, id string) bool {
+	until, ok := p.avoid.Load(id)
+	return ok && now.Before(until.(time.Time))
+}
+
+// dispatchRequest is a stage request as one instance sends it to another. Times
+// are sent as what is left of them, since clocks differ.
+type dispatchRequest struct {
+	Group    string        `cbor:"1,keyasint"`
+	Zone     string        `cbor:"2,keyasint,omitempty"`
+	Request  string        `cbor:"3,keyasint"`
+	Stage    int           `cbor:"4,keyasint"`
+	Pieces   int           `cbor:"5,keyasint"`
+	Key      string        `cbor:"6,keyasint,omitempty"`
+	Inputs   []string      `cbor:"7,keyasint,omitempty"`
+	Goal     time.Duration `cbor:"8,keyasint"`
+	Deadline time.Duration `cbor:"9,keyasint"`
+	Worth    float64       `cbor:"10,keyasint"`
+	Priority int           `cbor:"11,keyasint"`
+	Wanted   string        `cbor:"12,keyasint,omitempty"`
+}
+
+// dispatchAnswer is the result of a stage request.
+type dispatchAnswer struct {
+	Handles    []string             `cbor:"1,keyasint,omitempty"`
+	Zone       string               `cbor:"2,keyasint,omitempty"`
+	Reason     kernel.OutcomeReason `cbor:"3,keyasint,omitempty"`
+	Detail     string               `cbor:"4,keyasint,omitempty"`
+	RetryAfter time.Duration        `cbor:"5,keyasint,omitempty"`
+	InputGone  bool                 `cbor:"6,keyasint,omitempty"`
+	// Wait is the group's forecast now.
+	Wait time.Duration `cbor:"7,keyasint"`
+}
+
+// ask lets the dispatcher do a stage. The error is a *peerError if it does not
+// answer in time.
+func (s *Stages) ask(ctx context.Context, key groupKey, owner kernel.FleetMember, r kernel.StageRequest) (kernel.StageResult, error) {
+	now := time.Now()
+	body, err := cbor.Marshal(dispatchRequest{
+		Group: key.service, Zone: key.zone, Request: r.Request, Stage: r.Stage, Pieces: r.Pieces, Key: r.Key, Inputs: r.Inputs,
+		Goal: r.Goal.Sub(now), Deadline: r.Deadline.Sub(now), Worth: r.Worth, Priority: r.Priority, Wanted: r.Zone,
+	})
+	if err != nil {
+		panic("stages: dispatch request: " + err.Error())
+	}
+	patience := min(time.Until(r.Deadline), 2*s.Forecast(now, r.Service)+answerSlack)
+	limited, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	answer, err := s.exchange(limited, owner.Address, body)
+	switch {
+	case err != nil && ctx.Err() != nil:
+		return kernel.StageResult{}, s.ended(ctx)
+	case err != nil:
+		s.peers.avoid.Store(owner.ID, time.Now().Add(avoidTime))
+		return kernel.StageResult{}, &peerError{errors.Wrap(err, owner.ID)}
+	}
+	s.waits.Store(key, &forecast{wait: answer.Wait, at: time.Now()})
+	if answer.Reason != "" || answer.InputGone {
+		return kernel.StageResult{}, &kernel.StageFailure{Reason: answer.Reason, Detail: answer.Detail, RetryAfter: answer.RetryAfter, InputGone: answer.InputGone}
+	}
+	return kernel.StageResult{Handles: answer.Handles, Zone: answer.Zone}, nil
+}
+
+// exchange sends one stage request to another instance.
+func (s *Stages) exchange(ctx context.Context, address string, body []byte) (dispatchAnswer, error) {
+	x, err := s.pool.Do(ctx, &upstream.Request{
+		Address: address, Method: http.MethodPost, URI: dispatchPath, Host: address,
+		Header: http.Header{"Content-Type": {"application/cbor"}}, Body: body, MaxIdle: idleConnections,
+	})
+	if err != nil {
+		return dispatchAnswer{}, err
+	}
+	defer x.Close()
+	data, err := io.ReadAll(io.LimitReader(x, maxDispatchBytes))
+	if err != nil {
+		return dispatchAnswer{}, errors.Wrap(err, "dispatch")
+	}
+	if x.Response.StatusCode != http.StatusOK {
+		return dispatchAnswer{}, errors.Errorf("dispatch: status %d", x.Response.StatusCode)
+	}
+	var answer dispatchAnswer
+	if err := cbor.Unmarshal(data, &answer); err != nil {
+		return dispatchAnswer{}, errors.Wrap(err, "dispatch")
+	}
+	return answer, x.Finish(0)
+}
+
+// listen takes stage requests of other instances.
+func (s *Stages) listen() error {
+	address := s.host.Settings.String(section, "listen")
+	if address == "" {
+		return nil
+	}
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return errors.Wrap(err, "stages")
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+dispatchPath, s.serveDispatch)
+	s.server = &http.Server{
+		Handler: mux, ReadHeaderTimeout: peerHeader, IdleTimeout: 2 * idleConnections,
+		ErrorLog: slog.NewLogLogger(s.host.Logger.Handler(), slog.LevelDebug),
+	}
+	go func() {
+		if err := s.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			s.host.Logger.Error("listener for stage requests ended", "error", err)
+		}
+	}()
+	return nil
+}
+
+// serveDispatch does a stage for another instance.
+func (s *Stages) serveDispatch(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxDispatchBytes))
+	if err != nil {
+		http.Error(w, "the request did not arrive whole", http.StatusBadRequest)
+		return
+	}
+	var d dispatchRequest
+	if err := cbor.Unmarshal(data, &d); err != nil || d.Pieces <= 0 || s.host.Catalogs.Catalog() == nil {
+		http.Error(w, "no stage request, or no view of the servers yet", http.StatusServiceUnavailable)
+		return
+	}
+	now := time.Now()
+	g := s.group(groupKey{d.Group, d.Zone})
+	result, err := g.run(r.Context(), kernel.StageRequest{
+		Request: d.Request, Service: d.Group, Stage: d.Stage, Pieces: d.Pieces, Key: d.Key, Inputs: d.Inputs,
+		Goal: now.Add(d.Goal), Deadline: now.Add(d.Deadline), Worth: d.Worth, Priority: d.Priority, Zone: d.Wanted,
+	})
+	answer := dispatchAnswer{Handles: result.Handles, Zone: result.Zone, Wait: g.forecast(time.Now())}
+	var failure *kernel.StageFailure
+	if errors.As(err, &failure) {
+		answer.Reason, answer.Detail, answer.RetryAfter, answer.InputGone = failure.Reason, failure.Detail, failure.RetryAfter, failure.InputGone
+	}
+	body, err := cbor.Marshal(answer)
+	if err != nil {
+		panic("stages: dispatch answer: " + err.Error())
+	}
+	w.Header().Set("Content-Type", "application/cbor")
+	if _, err := io.Copy(w, bytes.NewReader(body)); err != nil {
+		s.Release(result.Handles) // nobody knows of the results
+	}
+}
+
+// ended is the failure of a request whose context has ended.
+func (s *Stages) ended(ctx context.Context) error {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return &kernel.StageFailure{Reason: kernel.ReasonDeadline, Detail: "the deadline passed in a stage"}
+	}
+	return &kernel.StageFailure{Reason: kernel.ReasonCallerGone, Detail: "the caller went away"}
+}
--- /dev/null
+++ b/plugins/stages/stages.go
@@ -0,0 +1,198 @@
+// Package stages does the stages of requests on stage servers.
+//
+// A stage server does one call at a time, and a call costs much before its
+// first piece. So the pieces of many requests, from all instances, go into one
+// call: for each group of stage servers one instance, the group's dispatcher,
+// holds the queue and makes the calls. The dispatcher is found by rendezvous
+// hashing over the known instances and holds nothing that must last. While it
+// cannot be reached, every instance makes calls of its own.
+package stages
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/savoryfold/savoryfold/catalog"
+	"github.com/savoryfold/savoryfold/config"
+	"github.com/savoryfold/savoryfold/internal/upstream"
+	"github.com/savoryfold/savoryfold/kernel"
+)
+
+const section = "stages"
+
+const (
+	// dialTimeout bounds the wait for a connection within the fleet's zones,
+	// whose round trips take milliseconds.
+	dialTimeout = 300 * time.Millisecond
+	// silence ends a connection whose peer acknowledges nothing.
+	silence = 1500 * time.Millisecond
+	// idleConnections is how long an unused connection is kept.
+	idleConnections = 10 * time.Second
+	// tick is the time between two looks at calls that take too long and at
+	// results to be released.
+	tick = 50 * time.Millisecond
+)
+
+func init() {
+	kernel.Register(kernel.ModuleInfo{
+		ID:    "stages",
+		Phase: kernel.PhaseRequest,
+		Settings: []config.Key{
+			{Section: section, Name: "listen", Kind: config.Address, Doc: "address for stage requests of other instances; empty means none"},
+			{Section: section, Name: "shared", Kind: config.Bool, Default: "true", Doc: "let one instance a group of stage servers make the calls of all"},
+		},
+		New: func() kernel.Module { return &Stages{} },
+	})
+}
+
+// Stages implements kernel.StageRunner.
+type Stages struct {
+	host   *kernel.Host
+	pool   *upstream.Pool
+	shared bool
+	server *http.Server
+	peers  peers
+	frees  releases
+
+	mu     sync.Mutex
+	groups map[groupKey]*group // guarded by mu
+
+	waits  sync.Map // groupKey -> *forecast, what dispatchers said last
+	nextID atomic.Uint64
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+}
+
+// Provision implements kernel.Provisioner.
+func (s *Stages) Provision(h *kernel.Host) error {
+	s.host = h
+	s.shared = h.Settings.Bool(section, "shared")
+	s.groups = make(map[groupKey]*group)
+	s.pool = upstream.New(upstream.Options{DialTimeout: dialTimeout, Silence: silence, Idle: idleConnections})
+	s.frees.handles = make(map[string][]string)
+	if h.Catalogs != nil {
+		h.Catalogs.OnCatalog(s.refresh)
+	}
+	return nil
+}
+
+// Start implements kernel.Starter.
+func (s *Stages) Start(ctx context.Context) error {
+	ctx, s.cancel = context.WithCancel(ctx)
+	s.done.Go(func() { s.maintain(ctx) })
+	return s.listen()
+}
+
+// Stop implements kernel.Stopper.
+func (s *Stages) Stop(ctx context.Context) error {
+	var err error
+	if s.server != nil {
+		err = s.server.Shutdown(ctx)
+	}
+	s.cancel()
+	s.done.Wait()
+	s.pool.Close()
+	return errors.Wrap(err, "stages")
+}
+
+// maintain looks after calls and results until the context ends.
+func (s *Stages) maintain(ctx context.Context) {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			for _, g := range s.allGroups() {
+				g.tick(now)
+			}
+			s.sendReleases(ctx)
+			s.pool.Trim(now)
+		}
+	}
+}
+
+func (s *Stages) allGroups() []*group {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	groups := make([]*group, 0, len(s.groups))
+	for _, g := range s.groups {
+		groups = append(groups, g)
+	}
+	return groups
+}
+
+// refresh tells the groups of a new view.
+func (s *Stages) refresh(view *catalog.Catalog) {
+	for _, g := range s.allGroups() {
+		g.refresh(view)
+	}
+}
+
+// group returns the group with the key, made anew if there is none.
+func (s *Stages) group(key groupKey) *group {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	g := s.groups[key]
+	if g == nil {
+		g = newGroup(s, key)
+		g.refresh(s.host.Catalogs.Catalog())
+		s.groups[key] = g
+	}
+	return g
+}
+
+// Run implements kernel.StageRunner.
+func (s *Stages) Run(ctx context.Context, r kernel.StageRequest) (kernel.StageResult, error) {
+	now := time.Now()
+	key, owner := s.dispatcher(now, r.Service)
+	if owner.ID == "" || owner.ID == s.host.ID() {
+		return s.group(key).run(ctx, r)
+	}
+	result, err := s.ask(ctx, key, owner, r)
+	var unreachable *peerError
+	if !errors.As(err, &unreachable) {
+		return result, err
+	}
+	s.host.Counter(`stage_dispatch{by="fallback"}`).Inc(1)
+	s.host.Logger.Warn("dispatcher does not answer, making the calls here", "request", r.Request, "service", r.Service, "dispatcher", owner.ID, "error", err)
+	return s.group(groupKey{service: r.Service}).run(ctx, r)
+}
+
+// forecast is what the dispatcher of a group last said of the wait for a call.
+type forecast struct {
+	wait time.Duration
+	at   time.Time
+}
+
+// forecastLife is the age at which a forecast counts nothing: some calls long.
+const forecastLife = 1500 * time.Millisecond
+
+// Forecast implements kernel.StageRunner.
+func (s *Stages) Forecast(now time.Time, service string) time.Duration {
+	view := s.host.Catalogs.Catalog()
+	if view == nil {
+		return 0
+	}
+	c := view.Service(service)
+	if c == nil || c.Batch == nil {
+		return 0
+	}
+	key, owner := s.dispatcher(now, service)
+	var wait time.Duration
+	if owner.ID == "" || owner.ID == s.host.ID() {
+		wait = s.group(key).forecast(now)
+	} else if f, ok := s.waits.Load(key); ok {
+		f := f.(*forecast)
+		if age := now.Sub(f.at); age < forecastLife {
+			wait = time.Duration(float64(f.wait) * (1 - float64(age)/float64(forecastLife)))
+		}
+	}
+	return wait + c.Batch.CallTime + time.Duration(c.Batch.MaxPieces/2)*c.Batch.PieceTime
+}
--- a/plugins/standard/standard.go
+++ b/plugins/standard/standard.go
@@ -7,7 +7,9 @@
 	_ "github.com/savoryfold/savoryfold/plugins/claims"       // at-most-once requests
 	_ "github.com/savoryfold/savoryfold/plugins/configsource" // tables
 	_ "github.com/savoryfold/savoryfold/plugins/crashguard"   // requests that crash servers
+	_ "github.com/savoryfold/savoryfold/plugins/discovery"    // view of the platform's metadata store
 	_ "github.com/savoryfold/savoryfold/plugins/entryhttp"    // requests of callers
+	_ "github.com/savoryfold/savoryfold/plugins/forward"      // requests that are passed through
 	_ "github.com/savoryfold/savoryfold/plugins/loadreport"   // load of backend servers
 	_ "github.com/savoryfold/savoryfold/plugins/membership"   // other instances
 	_ "github.com/savoryfold/savoryfold/plugins/orders"       // orders to engines
@@ -16,4 +18,5 @@
 	_ "github.com/savoryfold/savoryfold/plugins/policies"     // decisions
 	_ "github.com/savoryfold/savoryfold/plugins/rollout"      // version moves
 	_ "github.com/savoryfold/savoryfold/plugins/slots"        // call slots of other instances
+	_ "github.com/savoryfold/savoryfold/plugins/stages"       // stages made of pieces
 )
--- /dev/null
+++ b/policy/piecequeue.go
@@ -0,0 +1,185 @@
+package policy
+
+import (
+	"slices"
+	"time"
+)
+
+// PieceJob is the part of a request that one stage makes: pieces that go to one
+// stage server together.
+type PieceJob struct {
+	ID uint64
+	// Pieces is the number of pieces.
+	Pieces int
+	// Goal is the time by which the whole request is worth most; Deadline is
+	// the time after which it is worth nothing.
+	Goal, Deadline time.Time
+	// Rest is the time that the request needs once the stage is done.
+	Rest time.Duration
+	// Priority ranks requests; 0 is the most urgent.
+	Priority int
+	// Zone is where the result is wanted; empty if anywhere.
+	Zone string
+	// Avoid names a server that failed the job.
+	Avoid string
+}
+
+// PieceServer is a stage server that can take a call.
+type PieceServer struct {
+	ID   string
+	Zone string
+	// MaxPieces bounds the pieces of a call. A call takes CallTime and
+	// PieceTime for each piece, times Slowness.
+	MaxPieces           int
+	CallTime, PieceTime time.Duration
+	// Slowness is how many times longer than stated the server's calls took
+	// lately; 1 for a server as stated.
+	Slowness float64
+}
+
+// Duration is the expected time of a call of n pieces.
+func (s PieceServer) Duration(n int) time.Duration {
+	d := s.CallTime + time.Duration(n)*s.PieceTime
+	return time.Duration(max(1, s.Slowness) * float64(d))
+}
+
+// maxSlowness is how many times slower than stated a server may be and still
+// count as one that works as usual.
+const maxSlowness = 2
+
+// PieceQueue holds the jobs that wait for a stage server. It is a plain value
+// that is not safe for concurrent use.
+//
+// A server takes the jobs that can still meet their goal first, the most urgent
+// of them first, and by the time at which they have to start. Those that will
+// be late anyway fill what is left, so that under overload the work that is
+// worth most is done and nothing that is in time waits behind what is not.
+type PieceQueue struct {
+	jobs   []PieceJob
+	pieces int
+}
+
+// Len returns the number of waiting jobs, Pieces that of their pieces.
+func (q *PieceQueue) Len() int { return len(q.jobs) }
+
+// Pieces returns the number of waiting pieces.
+func (q *PieceQueue) Pieces() int { return q.pieces }
+
+// Push adds a job.
+func (q *PieceQueue) Push(j PieceJob) {
+	q.jobs = append(q.jobs, j)
+	q.pieces += j.Pieces
+}
+
+// Remove takes a job out, and reports whether it waited.
+func (q *PieceQueue) Remove(id uint64) bool {
+	i := slices.IndexFunc(q.jobs, func(j PieceJob) bool { return j.ID == id })
+	if i < 0 {
+		return false
+	}
+	q.pieces -= q.jobs[i].Pieces
+	q.jobs = slices.Delete(q.jobs, i, i+1)
+	return true
+}
+
+// Expire takes out the jobs whose deadline cannot be met even if a call of
+// their pieces alone began now.
+func (q *PieceQueue) Expire(now time.Time, s PieceServer) []PieceJob {
+	s.Slowness = 1
+	var expired []PieceJob
+	q.jobs = slices.DeleteFunc(q.jobs, func(j PieceJob) bool {
+		if now.Add(s.Duration(j.Pieces) + j.Rest).Before(j.Deadline) {
+			return false
+		}
+		expired = append(expired, j)
+		q.pieces -= j.Pieces
+		return true
+	})
+	return expired
+}
+
+// Take takes out the jobs of the next call to a server. Jobs are not divided,
+// unless one alone has more pieces than a call may have.
+func (q *PieceQueue) Take(now time.Time, s PieceServer) []PieceJob {
+	if len(q.jobs) == 0 {
+		return nil
+	}
+	q.order(now, s)
+	var taken []PieceJob
+	n := 0
+	q.jobs = slices.DeleteFunc(q.jobs, func(j PieceJob) bool {
+		if j.Avoid == s.ID || n+j.Pieces > s.MaxPieces {
+			return false
+		}
+		n += j.Pieces
+		taken = append(taken, j)
+		return true
+	})
+	q.pieces -= n
+	return taken
+}
+
+// order puts the jobs in the order in which a server takes them.
+func (q *PieceQueue) order(now time.Time, s PieceServer) {
+	call := s.Duration(min(q.pieces, s.MaxPieces))
+	slices.SortStableFunc(q.jobs, func(a, b PieceJob) int {
+		lateA, lateB := late(now, call, a), late(now, call, b)
+		switch {
+		case lateA != lateB && lateA:
+			return 1
+		case lateA != lateB:
+			return -1
+		case a.Priority != b.Priority:
+			return a.Priority - b.Priority
+		case a.Zone != b.Zone && a.Zone == s.Zone:
+			return -1
+		case a.Zone != b.Zone && b.Zone == s.Zone:
+			return 1
+		}
+		return a.start().Compare(b.start())
+	})
+}
+
+// late reports whether a job misses its goal though it is in the next call.
+func late(now time.Time, call time.Duration, j PieceJob) bool {
+	return now.Add(call + j.Rest).After(j.Goal)
+}
+
+// start is the time by which a job has to be done to meet its goal.
+func (j PieceJob) start() time.Time { return j.Goal.Add(-j.Rest) }
+
+// PieceLoad is what bears on the wait for a stage server.
+type PieceLoad struct {
+	// Waiting is the number of pieces that wait.
+	Waiting int
+	// Servers is the number of servers that take calls, Idle of those that
+	// have none.
+	Servers, Idle int
+	// Soonest is the time until the next busy server is expected to be free.
+	Soonest time.Duration
+}
+
+// PieceWait is the expected time until a job that joins the queue now is sent
+// to a server: the calls that the waiting pieces fill, over all servers.
+func PieceWait(l PieceLoad, s PieceServer) time.Duration {
+	if l.Servers == 0 {
+		return 0
+	}
+	full := l.Waiting / max(1, s.MaxPieces)
+	if l.Idle > full {
+		return 0
+	}
+	rounds := time.Duration(full-l.Idle) * s.Duration(s.MaxPieces) / time.Duration(l.Servers)
+	return l.Soonest + rounds
+}
+
+// SpareSlow reports whether a slow server should not get a call now, because
+// those that work as usual will have done all waiting work sooner.
+func SpareSlow(l PieceLoad, s PieceServer) bool {
+	if s.Slowness < maxSlowness || l.Servers == 0 {
+		return false
+	}
+	usual := s
+	usual.Slowness = 1
+	return PieceWait(l, usual)+usual.Duration(min(l.Waiting, s.MaxPieces)) < s.Duration(min(l.Waiting, s.MaxPieces))
+}
--- a/test/harness/process.go
+++ b/test/harness/process.go
@@ -73,6 +73,9 @@
 func Start(name string, line bool, program string, args ...string) (*Process, error) {
 	p := &Process{Name: name, cmd: exec.Command(program, args...), exited: make(chan struct{})}
 	p.cmd.Stderr = &p.stderr
+	if !line {
+		p.cmd.Stdout = &p.stderr
+	}
 	// The process does not outlive one that ends without its clean-up.
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	first := make(chan string, 1)
