--- a/plugins/forward/stages.go
+++ b/plugins/forward/stages.go
@@ -113,6 +113,7 @@
 			continue
 		}
 		p.results[d.stage] = d.result
+		p.releaseUsed()
 		if failure == nil {
 			running += p.start(ctx)
 		}
@@ -182,9 +183,25 @@
 			largest, r.zone = size, p.results[i].Zone
 		}
 	}
-	for i, result := range p.results {
-		if !slices.Contains(final, i) {
-			p.forward.host.ReleaseResults(result.Handles)
+}
+
+// releaseUsed gives up the results of stages whose followers are all done:
+// stage servers have little room for results.
+func (p *plan) releaseUsed() {
+	stages := p.request.route.Stages
+	for i := range stages {
+		followers, waiting := 0, 0
+		for j, s := range stages {
+			if slices.Contains(s.After, i) {
+				followers++
+				if !p.ended[j] {
+					waiting++
+				}
+			}
+		}
+		if followers > 0 && waiting == 0 {
+			p.forward.host.ReleaseResults(p.results[i].Handles)
+			p.results[i].Handles = nil
 		}
 	}
 }
--- a/plugins/stages/release.go
+++ b/plugins/stages/release.go
@@ -15,7 +15,7 @@
 	// releaseTimeout bounds a call that releases results.
 	releaseTimeout = 500 * time.Millisecond
 	// releaseInterval is the time between two such calls to one server.
-	releaseInterval = 200 * time.Millisecond
+	releaseInterval = 50 * time.Millisecond
 	// maxReleases bounds the results that wait for their release at one
 	// server. What is not released expires there.
 	maxReleases = 2000
--- a/plugins/stages/stages.go
+++ b/plugins/stages/stages.go
@@ -35,7 +35,7 @@
 	idleConnections = 10 * time.Second
 	// tick is the time between two looks at calls that take too long and at
 	// results to be released.
-	tick = 50 * time.Millisecond
+	tick = 25 * time.Millisecond
 )
 
 func init() {
