Give a dispatcher up only when it answers nobody

Change: a dispatcher counts as silent once it answered no request of this instance for half a second. Ruled out: lost answers (no stage call broke off).

--- a/plugins/stages/peer.go
+++ b/plugins/stages/peer.go
@@ -24,9 +24,12 @@
 	maxDispatchBytes = 1 << 20
 	// avoidTime is how long an instance that did not answer is no dispatcher.
 	avoidTime = time.Second
-	// answerSlack is added to twice the forecast before a dispatcher counts as
-	// one that does not answer.
+	// answerSlack is added to twice the forecast before a dispatcher that says
+	// nothing to anybody here counts as one that does not answer.
 	answerSlack = 400 * time.Millisecond
+	// heardWithin is the age up to which an answer to any request shows that a
+	// dispatcher works.
+	heardWithin = 500 * time.Millisecond
 	peerHeader  = 5 * time.Second
 )
 
@@ -40,6 +43,36 @@
 // peers knows which instances did not answer lately.
 type peers struct {
 	avoid sync.Map // instance ID -> time.Time
+	heard sync.Map // instance ID -> time.Time of its last answer
+}
+
+// silentFor is the time since an instance answered; long if it never did.
+func (p *peers) silentFor(now time.Time, id string) time.Duration {
+	at, ok := p.heard.Load(id)
+	if !ok {
+		return time.Hour
+	}
+	return now.Sub(at.(time.Time))
+}
+
+// watch cancels a call once the instance has not answered anything for too
+// long. A dispatcher under load keeps a stage for long, but answers others.
+func (p *peers) watch(ctx context.Context, id string, patience time.Duration, cancel context.CancelFunc) {
+	timer := time.NewTimer(patience)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-timer.C:
+			silent := p.silentFor(now, id)
+			if silent > heardWithin {
+				cancel()
+				return
+			}
+			timer.Reset(heardWithin - silent + time.Millisecond)
+		}
+	}
 }
 
 func (p *peers) avoided(now time.Time, id string) bool {
@@ -87,9 +120,9 @@
 	if err != nil {
 		panic("stages: dispatch request: " + err.Error())
 	}
-	patience := min(time.Until(r.Deadline), 2*s.Forecast(now, r.Service)+answerSlack)
-	limited, cancel := context.WithTimeout(ctx, patience)
+	limited, cancel := context.WithCancel(ctx)
 	defer cancel()
+	go s.peers.watch(limited, owner.ID, 2*s.Forecast(now, r.Service)+answerSlack, cancel)
 	answer, err := s.exchange(limited, owner.Address, body)
 	switch {
 	case err != nil && ctx.Err() != nil:
@@ -98,6 +131,7 @@
 		s.peers.avoid.Store(owner.ID, time.Now().Add(avoidTime))
 		return kernel.StageResult{}, &peerError{errors.Wrap(err, owner.ID)}
 	}
+	s.peers.heard.Store(owner.ID, time.Now())
 	s.waits.Store(key, &forecast{wait: answer.Wait, at: time.Now()})
 	if answer.Reason != "" || answer.InputGone {
 		return kernel.StageResult{}, &kernel.StageFailure{Reason: answer.Reason, Detail: answer.Detail, RetryAfter: answer.RetryAfter, InputGone: answer.InputGone}
