Let dispatchers know the room for results at stage servers

Cause: calls asked for more results than a server has memory for; the call's time was spent and the pieces were asked for again. Change: results are released through the group's dispatcher, which counts what calls in progress and unreleased results take, and bounds the next call by it.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -21,11 +21,14 @@
 	routes  map[string][]*Route
 	servers map[string][]*Server
 	byID    map[string]*Server
+	// byAddress holds the server that was born last of those that share an
+	// address.
+	byAddress map[string]*Server
 }
 
 // New makes a view of a configuration and servers.
 func New(c *Config, servers []*Server) *Catalog {
-	v := &Catalog{Config: c, routes: make(map[string][]*Route), servers: make(map[string][]*Server), byID: make(map[string]*Server)}
+	v := &Catalog{Config: c, routes: make(map[string][]*Route), servers: make(map[string][]*Server), byID: make(map[string]*Server), byAddress: make(map[string]*Server)}
 	for _, r := range c.Routes {
 		v.routes[r.Host] = append(v.routes[r.Host], r)
 	}
@@ -35,6 +38,9 @@
 	for _, s := range servers {
 		v.servers[s.Service] = append(v.servers[s.Service], s)
 		v.byID[s.ID] = s
+		if other := v.byAddress[s.Address]; other == nil || other.Born < s.Born {
+			v.byAddress[s.Address] = s
+		}
 	}
 	for _, list := range v.servers {
 		slices.SortFunc(list, func(a, b *Server) int { return strings.Compare(a.ID, b.ID) })
@@ -65,15 +71,8 @@
 // Server returns the server with the ID, or nil.
 func (c *Catalog) Server(id string) *Server { return c.byID[id] }
 
-// HasAddress reports whether a known server has the address.
-func (c *Catalog) HasAddress(address string) bool {
-	for _, s := range c.byID {
-		if s.Address == address {
-			return true
-		}
-	}
-	return false
-}
+// ServerAt returns a server with the address, or nil.
+func (c *Catalog) ServerAt(address string) *Server { return c.byAddress[address] }
 
 // Usable reports whether a server may get new work as far as operators and the
 // server itself say.
--- a/kernel/catalogs.go
+++ b/kernel/catalogs.go
@@ -39,6 +39,8 @@
 	Stage   int
 	// Pieces is the number of pieces.
 	Pieces int
+	// ResultBytes is the usual size of the result of one piece.
+	ResultBytes int
 	// Key is what pieces of a first stage are made from, Inputs holds handles
 	// of the results that pieces of a later stage need.
 	Key    string
--- a/plugins/forward/stages.go
+++ b/plugins/forward/stages.go
@@ -156,7 +156,7 @@
 	now := time.Now()
 	rest := p.forward.forecast(now, r, i)
 	q := kernel.StageRequest{
-		Request: r.call.ID, Service: s.Service, Stage: i, Pieces: r.stagePieces(i),
+		Request: r.call.ID, Service: s.Service, Stage: i, Pieces: r.stagePieces(i), ResultBytes: s.ResultBytes,
 		Goal: r.goal.Add(-rest), Deadline: r.deadline.Add(-p.forward.latency.get(r.service.Name)), Priority: r.priority(),
 	}
 	for _, before := range s.After {
--- a/plugins/stages/call.go
+++ b/plugins/stages/call.go
@@ -37,6 +37,8 @@
 	expected time.Time
 	overdue  time.Time
 	hedged   bool
+	// reserved is the memory that the call's results take, in bytes.
+	reserved int64
 }
 
 // start begins a call. The caller holds mu.
@@ -48,6 +50,7 @@
 		if j.Deadline.After(latest) {
 			latest = j.Deadline
 		}
+		c.reserved += int64(j.Pieces) * j.Bytes
 		for _, p := range j.pieces {
 			p.Left = j.Deadline.Sub(now)
 			c.pieces = append(c.pieces, p)
@@ -56,6 +59,7 @@
 	c.usual = g.usual().Duration(len(c.pieces))
 	c.expected = now.Add(g.policyServer(s).Duration(len(c.pieces)))
 	c.overdue = now.Add(overdue*c.usual + overdueSlack)
+	s.memory.used += c.reserved
 	s.calls++
 	s.called = now
 	g.calls[c] = true
@@ -111,6 +115,7 @@
 	defer g.mu.Unlock()
 	delete(g.calls, c)
 	c.server.calls--
+	c.server.memory.used -= c.reserved
 	took := now.Sub(c.began)
 	if err != nil {
 		g.failed(now, c, err)
@@ -146,6 +151,7 @@
 		own := results[:len(j.pieces)]
 		results = results[len(j.pieces):]
 		handles, failure := collect(own)
+		c.server.memory.hold(handles, j.Bytes, now.Add(g.service.ResultTTL))
 		switch failure {
 		case platform.PieceMade:
 			if !g.settle(j, jobResult{handles: handles, zone: c.server.server.Zone}) {
@@ -158,6 +164,7 @@
 			g.settle(j, jobResult{failure: &kernel.StageFailure{Reason: kernel.ReasonStageFailed, Detail: "a result of an earlier stage is gone", InputGone: true}})
 		case platform.PieceNoRoom:
 			c.server.rest = now.Add(restFull)
+			j.attempts-- // the server is full, not at fault
 			g.requeue(j, c.server.server.ID)
 		default:
 			g.requeue(j, c.server.server.ID)
--- a/plugins/stages/dispatcher.go
+++ b/plugins/stages/dispatcher.go
@@ -45,24 +45,51 @@
 	return key, s.peers.owner(now, key, members)
 }
 
-// chooseZone returns the zone whose group is to do the work, or "" if the
-// service is one group.
-func (s *Stages) chooseZone(now time.Time, view *catalog.Catalog, service string) string {
+// dispatcherOf returns the group that a server belongs to, and its dispatcher.
+func (s *Stages) dispatcherOf(now time.Time, server *catalog.Server) (groupKey, kernel.FleetMember) {
+	key := groupKey{service: server.Service}
+	if !s.shared || s.host.Fleet == nil {
+		return key, kernel.FleetMember{}
+	}
+	if view := s.host.Catalogs.Catalog(); view != nil && s.zoned(view, server.Service) {
+		key.zone = server.Zone
+	}
+	return key, s.peers.owner(now, key, s.host.Fleet.Members())
+}
+
+// zoned reports whether every zone with servers of a service has enough of them
+// to be a group of its own.
+func (s *Stages) zoned(view *catalog.Catalog, service string) bool {
+	counts := usableByZone(view, service)
+	for _, n := range counts {
+		if n < zoneGroupServers {
+			return false
+		}
+	}
+	return len(counts) > 1
+}
+
+// usableByZone counts the servers that may get work.
+func usableByZone(view *catalog.Catalog, service string) map[string]int {
 	counts := make(map[string]int)
 	for _, server := range view.Servers(service) {
 		if view.Usable(server) {
 			counts[server.Zone]++
 		}
 	}
+	return counts
+}
+
+// chooseZone returns the zone whose group is to do the work, or "" if the
+// service is one group.
+func (s *Stages) chooseZone(now time.Time, view *catalog.Catalog, service string) string {
+	counts := usableByZone(view, service)
 	home := s.host.Zone()
-	if len(counts) < 2 || counts[home] < zoneGroupServers {
+	if counts[home] == 0 || !s.zoned(view, service) {
 		return ""
 	}
 	best, least := home, s.waitOf(now, groupKey{service, home})
-	for zone, n := range counts {
-		if n < zoneGroupServers {
-			return ""
-		}
+	for zone := range counts {
 		if wait := s.waitOf(now, groupKey{service, zone}); wait+spillWait < least {
 			best, least = zone, wait
 		}
--- a/plugins/stages/group.go
+++ b/plugins/stages/group.go
@@ -71,6 +71,7 @@
 	rest     time.Time
 	failures int
 	called   time.Time // when the last call began
+	memory   memory
 }
 
 func newGroup(s *Stages, key groupKey) *group {
@@ -167,7 +168,7 @@
 func (g *group) newJob(now time.Time, r kernel.StageRequest, first, last int) *job {
 	j := &job{done: make(chan jobResult, 1), asked: now}
 	j.PieceJob = policy.PieceJob{
-		ID: g.stages.nextID.Add(1), Pieces: last - first, Goal: r.Goal, Deadline: r.Deadline, Priority: r.Priority, Zone: r.Zone,
+		ID: g.stages.nextID.Add(1), Pieces: last - first, Bytes: int64(r.ResultBytes), Goal: r.Goal, Deadline: r.Deadline, Priority: r.Priority, Zone: r.Zone,
 	}
 	for i := first; i < last; i++ {
 		j.pieces = append(j.pieces, platform.Piece{Request: r.Request, Stage: r.Stage, Index: i, Key: r.Key, Inputs: r.Inputs})
@@ -177,7 +178,10 @@
 
 // usual is a server of the group that works as stated. The caller holds mu.
 func (g *group) usual() policy.PieceServer {
-	return policy.PieceServer{MaxPieces: g.service.MaxPieces, CallTime: g.service.CallTime, PieceTime: g.service.PieceTime, Slowness: 1}
+	return policy.PieceServer{
+		MaxPieces: g.service.MaxPieces, CallTime: g.service.CallTime, PieceTime: g.service.PieceTime,
+		Room: g.room(), Slowness: 1,
+	}
 }
 
 // load is what bears on the wait now. The caller holds mu.
@@ -255,6 +259,7 @@
 func (g *group) policyServer(s *stageServer) policy.PieceServer {
 	ps := g.usual()
 	ps.ID, ps.Zone, ps.Slowness = s.server.ID, s.server.Zone, s.slowness
+	ps.Room -= s.memory.used
 	return ps
 }
 
@@ -346,5 +351,9 @@
 			g.requeue(j, c.server.server.ID)
 		}
 	}
+	for _, s := range g.servers {
+		s.memory.expire(now)
+	}
+	g.sendReleases()
 	g.schedule(now)
 }
--- a/plugins/stages/peer.go
+++ b/plugins/stages/peer.go
@@ -95,6 +95,10 @@
 	Worth    float64       `cbor:"10,keyasint"`
 	Priority int           `cbor:"11,keyasint"`
 	Wanted   string        `cbor:"12,keyasint,omitempty"`
+	Bytes    int           `cbor:"13,keyasint"`
+	// Released holds results that are not needed any more. A request that holds
+	// them asks for nothing else.
+	Released []string `cbor:"14,keyasint,omitempty"`
 }
 
 // dispatchAnswer is the result of a stage request.
@@ -115,7 +119,7 @@
 	now := time.Now()
 	body, err := cbor.Marshal(dispatchRequest{
 		Group: key.service, Zone: key.zone, Request: r.Request, Stage: r.Stage, Pieces: r.Pieces, Key: r.Key, Inputs: r.Inputs,
-		Goal: r.Goal.Sub(now), Deadline: r.Deadline.Sub(now), Worth: r.Worth, Priority: r.Priority, Wanted: r.Zone,
+		Goal: r.Goal.Sub(now), Deadline: r.Deadline.Sub(now), Worth: r.Worth, Priority: r.Priority, Wanted: r.Zone, Bytes: r.ResultBytes,
 	})
 	if err != nil {
 		panic("stages: dispatch request: " + err.Error())
@@ -141,26 +145,35 @@
 
 // exchange sends one stage request to another instance.
 func (s *Stages) exchange(ctx context.Context, address string, body []byte) (dispatchAnswer, error) {
+	data, err := s.post(ctx, address, body)
+	if err != nil {
+		return dispatchAnswer{}, err
+	}
+	var answer dispatchAnswer
+	if err := cbor.Unmarshal(data, &answer); err != nil {
+		return dispatchAnswer{}, errors.Wrap(err, "dispatch")
+	}
+	return answer, nil
+}
+
+// post makes one call of another instance.
+func (s *Stages) post(ctx context.Context, address string, body []byte) ([]byte, error) {
 	x, err := s.pool.Do(ctx, &upstream.Request{
 		Address: address, Method: http.MethodPost, URI: dispatchPath, Host: address,
 		Header: http.Header{"Content-Type": {"application/cbor"}}, Body: body, MaxIdle: idleConnections,
 	})
 	if err != nil {
-		return dispatchAnswer{}, err
+		return nil, err
 	}
 	defer x.Close()
 	data, err := io.ReadAll(io.LimitReader(x, maxDispatchBytes))
 	if err != nil {
-		return dispatchAnswer{}, errors.Wrap(err, "dispatch")
+		return nil, errors.Wrap(err, "dispatch")
 	}
 	if x.Response.StatusCode != http.StatusOK {
-		return dispatchAnswer{}, errors.Errorf("dispatch: status %d", x.Response.StatusCode)
-	}
-	var answer dispatchAnswer
-	if err := cbor.Unmarshal(data, &answer); err != nil {
-		return dispatchAnswer{}, errors.Wrap(err, "dispatch")
+		return nil, errors.Errorf("dispatch: status %d", x.Response.StatusCode)
 	}
-	return answer, x.Finish(0)
+	return data, x.Finish(0)
 }
 
 // listen takes stage requests of other instances.
@@ -195,15 +208,20 @@
 		return
 	}
 	var d dispatchRequest
-	if err := cbor.Unmarshal(data, &d); err != nil || d.Pieces <= 0 || s.host.Catalogs.Catalog() == nil {
+	if err := cbor.Unmarshal(data, &d); err != nil || d.Pieces <= 0 && len(d.Released) == 0 || s.host.Catalogs.Catalog() == nil {
 		http.Error(w, "no stage request, or no view of the servers yet", http.StatusServiceUnavailable)
 		return
 	}
 	now := time.Now()
 	g := s.group(groupKey{d.Group, d.Zone})
+	if len(d.Released) > 0 {
+		g.release(d.Released)
+		w.WriteHeader(http.StatusOK)
+		return
+	}
 	result, err := g.run(r.Context(), kernel.StageRequest{
 		Request: d.Request, Service: d.Group, Stage: d.Stage, Pieces: d.Pieces, Key: d.Key, Inputs: d.Inputs,
-		Goal: now.Add(d.Goal), Deadline: now.Add(d.Deadline), Worth: d.Worth, Priority: d.Priority, Zone: d.Wanted,
+		Goal: now.Add(d.Goal), Deadline: now.Add(d.Deadline), Worth: d.Worth, Priority: d.Priority, Zone: d.Wanted, ResultBytes: d.Bytes,
 	})
 	answer := dispatchAnswer{Handles: result.Handles, Zone: result.Zone, Wait: g.forecast(time.Now())}
 	var failure *kernel.StageFailure
--- a/plugins/stages/stages.go
+++ b/plugins/stages/stages.go
@@ -112,7 +112,7 @@
 			for _, g := range s.allGroups() {
 				g.tick(now)
 			}
-			s.sendReleases(ctx)
+			s.sendReleases(ctx, now)
 			s.pool.Trim(now)
 		}
 	}
--- a/policy/piecequeue.go
+++ b/policy/piecequeue.go
@@ -9,8 +9,10 @@
 // stage server together.
 type PieceJob struct {
 	ID uint64
-	// Pieces is the number of pieces.
+	// Pieces is the number of pieces, Bytes the memory that the result of each
+	// takes at the server.
 	Pieces int
+	Bytes  int64
 	// Goal is the time by which the whole request is worth most; Deadline is
 	// the time after which it is worth nothing.
 	Goal, Deadline time.Time
@@ -32,6 +34,8 @@
 	// PieceTime for each piece, times Slowness.
 	MaxPieces           int
 	CallTime, PieceTime time.Duration
+	// Room is the memory for results that is free, in bytes.
+	Room int64
 	// Slowness is how many times longer than stated the server's calls took
 	// lately; 1 for a server as stated.
 	Slowness float64
@@ -106,12 +110,14 @@
 	}
 	q.order(now, s)
 	var taken []PieceJob
-	n := 0
+	n, room := 0, s.Room
 	q.jobs = slices.DeleteFunc(q.jobs, func(j PieceJob) bool {
-		if j.Avoid == s.ID || n+j.Pieces > s.MaxPieces {
+		bytes := int64(j.Pieces) * j.Bytes
+		if j.Avoid == s.ID || n+j.Pieces > s.MaxPieces || bytes > room {
 			return false
 		}
 		n += j.Pieces
+		room -= bytes
 		taken = append(taken, j)
 		return true
 	})
