Forecast requests in time apart from late ones, and ask silent dispatchers

Cause: under the burst of three-stage requests a dispatcher answered nothing for half a second, so that instances made calls beside it; and admission took the backlog of late work for the wait of new requests, which go before it. Change: a dispatcher that is silent is asked how it is, by a call of its own, and given up only if that fails; forecasts hold two times, for requests that can meet their goal and for those that cannot; a job whose other call still runs is not failed by the first one.

--- a/kernel/catalogs.go
+++ b/kernel/catalogs.go
@@ -55,6 +55,13 @@
 	Zone string
 }
 
+// StageForecast is the expected time until a stage that begins now is done.
+type StageForecast struct {
+	// InTime is the time for a request that can still meet its goal, which goes
+	// before those that cannot. Late is the time for one that cannot.
+	InTime, Late time.Duration
+}
+
 // StageResult is what a stage made.
 type StageResult struct {
 	Handles []string
@@ -79,9 +86,8 @@
 type StageRunner interface {
 	// Run does one stage. Its error is a *StageFailure.
 	Run(ctx context.Context, r StageRequest) (StageResult, error)
-	// Forecast is the expected time from now until a stage of a service that
-	// begins now is done.
-	Forecast(now time.Time, service string) time.Duration
+	// Forecast is what to expect of a stage of a service that begins now.
+	Forecast(now time.Time, service string) StageForecast
 	// Release tells the stage servers that results are not needed any more.
 	Release(handles []string)
 }
--- a/plugins/forward/stages.go
+++ b/plugins/forward/stages.go
@@ -23,22 +23,29 @@
 }
 
 // forecast is the expected time from now until the first byte of the answer:
-// the longest way through the stages from one on, and the server's time.
-func (f *Forward) forecast(now time.Time, r *request, after int) time.Duration {
-	done := make([]time.Duration, len(r.route.Stages))
-	longest := time.Duration(0)
+// the longest way through the stages that follow one, or through all if after
+// is negative, and the server's time.
+func (f *Forward) forecast(now time.Time, r *request, after int) kernel.StageForecast {
+	done := make([]kernel.StageForecast, len(r.route.Stages))
+	var longest kernel.StageForecast
 	for i, s := range r.route.Stages {
-		var start time.Duration
 		for _, before := range s.After {
-			start = max(start, done[before])
+			done[i] = longer(done[i], done[before])
 		}
-		done[i] = start
 		if r.stagePieces(i) > 0 && (after < 0 || followed(r, i, after)) {
-			done[i] += f.host.Stages.Forecast(now, s.Service)
+			stage := f.host.Stages.Forecast(now, s.Service)
+			done[i].InTime += stage.InTime
+			done[i].Late += stage.Late
 		}
-		longest = max(longest, done[i])
+		longest = longer(longest, done[i])
 	}
-	return longest + f.latency.get(r.service.Name)
+	server := f.latency.get(r.service.Name)
+	return kernel.StageForecast{InTime: longest.InTime + server, Late: longest.Late + server}
+}
+
+// longer returns the longer times of two forecasts.
+func longer(a, b kernel.StageForecast) kernel.StageForecast {
+	return kernel.StageForecast{InTime: max(a.InTime, b.InTime), Late: max(a.Late, b.Late)}
 }
 
 // followed reports whether stage i needs the result of a stage, by itself or by
@@ -60,9 +67,12 @@
 	}
 	now := time.Now()
 	forecast := f.forecast(now, r, -1)
-	r.log.Add("admission", "forecast", forecast, "left", r.deadline.Sub(now))
-	if now.Add(forecast).After(r.deadline) {
-		return kernel.Outcome{Kind: kernel.NotRun, Reason: kernel.ReasonOverload, Detail: "the stages cannot be done in time", RetryAfter: retryAfter(forecast, r.deadline.Sub(now))}
+	r.log.Add("admission", "forecast_in_time", forecast.InTime, "forecast_late", forecast.Late, "to_goal", r.goal.Sub(now), "left", r.deadline.Sub(now))
+	if now.Add(forecast.InTime).After(r.goal) && now.Add(forecast.Late).After(r.deadline) {
+		return kernel.Outcome{
+			Kind: kernel.NotRun, Reason: kernel.ReasonOverload, Detail: "the stages cannot be done in time",
+			RetryAfter: retryAfter(forecast.Late, r.deadline.Sub(now)),
+		}
 	}
 	p := newPlan(f, r)
 	return p.run(ctx)
@@ -154,10 +164,10 @@
 	r := p.request
 	s := r.route.Stages[i]
 	now := time.Now()
-	rest := p.forward.forecast(now, r, i)
+	rest := p.forward.forecast(now, r, i).InTime
 	q := kernel.StageRequest{
 		Request: r.call.ID, Service: s.Service, Stage: i, Pieces: r.stagePieces(i), ResultBytes: s.ResultBytes,
-		Goal: r.goal.Add(-rest), Deadline: r.deadline.Add(-p.forward.latency.get(r.service.Name)), Priority: r.priority(),
+		Goal: r.goal.Add(-rest), Deadline: r.deadline.Add(-rest), Priority: r.priority(),
 	}
 	for _, before := range s.After {
 		q.Inputs = append(q.Inputs, p.results[before].Handles...)
--- a/plugins/stages/call.go
+++ b/plugins/stages/call.go
@@ -47,6 +47,7 @@
 	var latest time.Time
 	for _, j := range jobs {
 		j.attempts++
+		j.running++
 		if j.Deadline.After(latest) {
 			latest = j.Deadline
 		}
@@ -116,6 +117,9 @@
 	delete(g.calls, c)
 	c.server.calls--
 	c.server.memory.used -= c.reserved
+	for _, j := range c.jobs {
+		j.running--
+	}
 	took := now.Sub(c.began)
 	if err != nil {
 		g.failed(now, c, err)
@@ -158,10 +162,11 @@
 				g.stages.Release(handles)
 			}
 			continue
-		case platform.PieceLate:
-			g.settle(j, jobResult{failure: &kernel.StageFailure{Reason: kernel.ReasonDeadline, Detail: "the deadline passed before the call's turn"}})
-		case platform.PieceInputGone:
-			g.settle(j, jobResult{failure: &kernel.StageFailure{Reason: kernel.ReasonStageFailed, Detail: "a result of an earlier stage is gone", InputGone: true}})
+		case platform.PieceLate, platform.PieceInputGone:
+			if j.running > 0 || g.jobs[j.ID] != nil {
+				break // another call may still make them
+			}
+			g.fail(j, failure)
 		case platform.PieceNoRoom:
 			c.server.rest = now.Add(restFull)
 			j.attempts-- // the server is full, not at fault
@@ -174,6 +179,15 @@
 	}
 }
 
+// fail ends a job whose pieces cannot be made. The caller holds mu.
+func (g *group) fail(j *job, failure platform.PieceFailure) {
+	f := &kernel.StageFailure{Reason: kernel.ReasonDeadline, Detail: "the deadline passed before the call's turn"}
+	if failure == platform.PieceInputGone {
+		f = &kernel.StageFailure{Reason: kernel.ReasonInputGone, Detail: "a result of an earlier stage is gone", InputGone: true}
+	}
+	g.settle(j, jobResult{failure: f})
+}
+
 // collect returns the handles of a job's pieces, and why one was not made.
 func collect(results []platform.PieceResult) (handles []string, failure platform.PieceFailure) {
 	for _, r := range results {
--- a/plugins/stages/dispatcher.go
+++ b/plugins/stages/dispatcher.go
@@ -88,24 +88,15 @@
 	if counts[home] == 0 || !s.zoned(view, service) {
 		return ""
 	}
-	best, least := home, s.waitOf(now, groupKey{service, home})
+	best, least := home, s.told(now, groupKey{service, home}).InTime
 	for zone := range counts {
-		if wait := s.waitOf(now, groupKey{service, zone}); wait+spillWait < least {
+		if wait := s.told(now, groupKey{service, zone}).InTime; wait+spillWait < least {
 			best, least = zone, wait
 		}
 	}
 	return best
 }
 
-// waitOf is the wait that a group's dispatcher last told of.
-func (s *Stages) waitOf(now time.Time, key groupKey) time.Duration {
-	f, ok := s.waits.Load(key)
-	if !ok || now.Sub(f.(*forecast).at) > forecastLife {
-		return 0
-	}
-	return f.(*forecast).wait
-}
-
 // owner returns the reachable member with the highest rendezvous weight for a
 // group, of the group's zone if any stands there.
 func (p *peers) owner(now time.Time, key groupKey, members []kernel.FleetMember) kernel.FleetMember {
--- a/plugins/stages/group.go
+++ b/plugins/stages/group.go
@@ -52,7 +52,9 @@
 	// settled is true once done has its result.
 	settled  bool
 	attempts int
-	asked    time.Time
+	// running counts the calls in progress that the job is part of.
+	running int
+	asked   time.Time
 }
 
 type jobResult struct {
@@ -148,8 +150,13 @@
 		return nil, &kernel.StageFailure{Reason: kernel.ReasonNoServer, Detail: "no stage service " + g.key.service, RetryAfter: retryAfterMin}
 	}
 	usual := g.usual()
-	wait := policy.PieceWait(g.load(now), usual)
-	if done := now.Add(wait + usual.Duration(min(r.Pieces, usual.MaxPieces))); done.After(r.Deadline) {
+	waits := g.waits(now)
+	call := usual.Duration(min(r.Pieces, usual.MaxPieces))
+	wait := waits.InTime
+	if now.Add(wait + call).After(r.Goal) {
+		wait = waits.Late
+	}
+	if now.Add(wait + call).After(r.Deadline) {
 		return nil, &kernel.StageFailure{Reason: kernel.ReasonOverload, Detail: "the queue of stage service " + g.key.service + " is too long", RetryAfter: max(wait/2, retryAfterMin)}
 	}
 	var jobs []*job
@@ -212,14 +219,23 @@
 	return least
 }
 
-// forecast is the expected wait of a job that is queued now.
-func (g *group) forecast(now time.Time) time.Duration {
+// forecast is the expected wait for a call of a job that is queued now.
+func (g *group) forecast(now time.Time) kernel.StageForecast {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.service == nil {
-		return 0
+		return kernel.StageForecast{}
 	}
-	return policy.PieceWait(g.load(now), g.usual())
+	return g.waits(now)
+}
+
+// waits is forecast for a caller that holds mu.
+func (g *group) waits(now time.Time) kernel.StageForecast {
+	l, usual := g.load(now), g.usual()
+	f := kernel.StageForecast{Late: policy.PieceWait(l, usual)}
+	l.Waiting = g.queue.InTime(now, usual)
+	f.InTime = policy.PieceWait(l, usual)
+	return f
 }
 
 // drop takes jobs out whose request has ended.
--- /dev/null
+++ b/plugins/stages/link.go
@@ -0,0 +1,123 @@
+package stages
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/savoryfold/savoryfold/kernel"
+)
+
+const (
+	// avoidTime is how long an instance that did not answer is no dispatcher.
+	avoidTime = time.Second
+	// queryAfter is the time without an answer after which a dispatcher that
+	// has work of this instance is asked how it is. Under load it keeps a stage
+	// for long, but answers this at once.
+	queryAfter = 150 * time.Millisecond
+	// queryTimeout bounds such a question.
+	queryTimeout = 400 * time.Millisecond
+)
+
+// peers knows the dispatchers that do work for this instance.
+type peers struct {
+	avoid sync.Map // instance ID -> time.Time
+	mu    sync.Mutex
+	links map[groupKey]*peerLink // guarded by mu
+}
+
+// peerLink is the work that a dispatcher does for this instance. Its context
+// ends when the dispatcher turns out to be out of reach.
+type peerLink struct {
+	owner       kernel.FleetMember
+	ctx         context.Context
+	cancel      context.CancelFunc
+	outstanding int
+	heard       time.Time // when it answered last, or got work while it had none
+	querying    bool
+}
+
+func (p *peers) avoided(now time.Time, id string) bool {
+	until, ok := p.avoid.Load(id)
+	return ok && now.Before(until.(time.Time))
+}
+
+func (p *peers) avoidNow(id string) { p.avoid.Store(id, time.Now().Add(avoidTime)) }
+
+// begin counts a stage that is given to a dispatcher. The returned context ends
+// with the request or when the dispatcher is out of reach; done is called at
+// the end of the stage.
+func (p *peers) begin(ctx context.Context, now time.Time, key groupKey, owner kernel.FleetMember) (context.Context, func()) {
+	p.mu.Lock()
+	l := p.links[key]
+	if l == nil || l.owner.ID != owner.ID || l.ctx.Err() != nil {
+		l = &peerLink{owner: owner}
+		l.ctx, l.cancel = context.WithCancel(context.Background())
+		p.links[key] = l
+	}
+	if l.outstanding == 0 {
+		l.heard = now
+	}
+	l.outstanding++
+	p.mu.Unlock()
+	limited, cancel := context.WithCancel(ctx)
+	stop := context.AfterFunc(l.ctx, cancel)
+	return limited, func() {
+		stop()
+		cancel()
+		p.mu.Lock()
+		l.outstanding--
+		p.mu.Unlock()
+	}
+}
+
+// heard notes an answer of a group's dispatcher.
+func (s *Stages) heard(key groupKey, answer dispatchAnswer) {
+	now := time.Now()
+	s.waits.Store(key, &forecast{waits: kernel.StageForecast{InTime: answer.InTime, Late: answer.Late}, at: now})
+	s.peers.mu.Lock()
+	defer s.peers.mu.Unlock()
+	if l := s.peers.links[key]; l != nil {
+		l.heard = now
+	}
+}
+
+// queryPeers asks the dispatchers how they are that have work of this instance
+// and did not answer lately.
+func (s *Stages) queryPeers(ctx context.Context, now time.Time) {
+	s.peers.mu.Lock()
+	defer s.peers.mu.Unlock()
+	for key, l := range s.peers.links {
+		if l.outstanding == 0 || l.querying || now.Sub(l.heard) < queryAfter || l.ctx.Err() != nil {
+			continue
+		}
+		l.querying = true
+		s.done.Go(func() { s.query(ctx, key, l) })
+	}
+}
+
+// query asks a dispatcher how it is. If it does not answer, the work that it
+// has is done elsewhere.
+func (s *Stages) query(ctx context.Context, key groupKey, l *peerLink) {
+	body, err := cbor.Marshal(dispatchRequest{Group: key.service, Zone: key.zone})
+	if err != nil {
+		panic("stages: query: " + err.Error())
+	}
+	limited, cancel := context.WithTimeout(ctx, queryTimeout)
+	defer cancel()
+	answer, err := s.exchange(limited, l.owner.Address, body)
+	if err == nil {
+		s.heard(key, answer)
+	}
+	s.peers.mu.Lock()
+	defer s.peers.mu.Unlock()
+	l.querying = false
+	if err == nil || ctx.Err() != nil {
+		return
+	}
+	s.host.Logger.Warn("dispatcher out of reach", "dispatcher", l.owner.ID, "service", key.service, "zone", key.zone, "stages", l.outstanding, "error", err)
+	s.peers.avoidNow(l.owner.ID)
+	l.cancel()
+}
--- a/plugins/stages/peer.go
+++ b/plugins/stages/peer.go
@@ -1,13 +1,11 @@
 package stages
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"log/slog"
 	"net"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -22,15 +20,8 @@
 	dispatchPath = "/stages"
 	// maxDispatchBytes bounds a stage request and its answer.
 	maxDispatchBytes = 1 << 20
-	// avoidTime is how long an instance that did not answer is no dispatcher.
-	avoidTime = time.Second
-	// answerSlack is added to twice the forecast before a dispatcher that says
-	// nothing to anybody here counts as one that does not answer.
-	answerSlack = 400 * time.Millisecond
-	// heardWithin is the age up to which an answer to any request shows that a
-	// dispatcher works.
-	heardWithin = 500 * time.Millisecond
-	peerHeader  = 5 * time.Second
+	// peerHeaderTimeout bounds the time to read the header of a call.
+	peerHeaderTimeout = 5 * time.Second
 )
 
 // peerError says that another instance could not be asked. The work may be done
@@ -40,46 +31,6 @@
 // Error implements error.
 func (e *peerError) Error() string { return e.err.Error() }
 
-// peers knows which instances did not answer lately.
-type peers struct {
-	avoid sync.Map // instance ID -> time.Time
-	heard sync.Map // instance ID -> time.Time of its last answer
-}
-
-// silentFor is the time since an instance answered; long if it never did.
-func (p *peers) silentFor(now time.Time, id string) time.Duration {
-	at, ok := p.heard.Load(id)
-	if !ok {
-		return time.Hour
-	}
-	return now.Sub(at.(time.Time))
-}
-
-// watch cancels a call once the instance has not answered anything for too
-// long. A dispatcher under load keeps a stage for long, but answers others.
-func (p *peers) watch(ctx context.Context, id string, patience time.Duration, cancel context.CancelFunc) {
-	timer := time.NewTimer(patience)
-	defer timer.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-timer.C:
-			silent := p.silentFor(now, id)
-			if silent > heardWithin {
-				cancel()
-				return
-			}
-			timer.Reset(heardWithin - silent + time.Millisecond)
-		}
-	}
-}
-
-func (p *peers) avoided(now time.Time, id string) bool {
-	until, ok := p.avoid.Load(id)
-	return ok && now.Before(until.(time.Time))
-}
-
 // dispatchRequest is a stage request as one instance sends it to another. Times
 // are sent as what is left of them, since clocks differ.
 type dispatchRequest struct {
@@ -109,8 +60,9 @@
 	Detail     string               `cbor:"4,keyasint,omitempty"`
 	RetryAfter time.Duration        `cbor:"5,keyasint,omitempty"`
 	InputGone  bool                 `cbor:"6,keyasint,omitempty"`
-	// Wait is the group's forecast now.
-	Wait time.Duration `cbor:"7,keyasint"`
+	// InTime and Late are the group's forecast now.
+	InTime time.Duration `cbor:"7,keyasint"`
+	Late   time.Duration `cbor:"8,keyasint"`
 }
 
 // ask lets the dispatcher do a stage. The error is a *peerError if it does not
@@ -124,19 +76,17 @@
 	if err != nil {
 		panic("stages: dispatch request: " + err.Error())
 	}
-	limited, cancel := context.WithCancel(ctx)
-	defer cancel()
-	go s.peers.watch(limited, owner.ID, 2*s.Forecast(now, r.Service)+answerSlack, cancel)
+	limited, done := s.peers.begin(ctx, now, key, owner)
+	defer done()
 	answer, err := s.exchange(limited, owner.Address, body)
 	switch {
 	case err != nil && ctx.Err() != nil:
 		return kernel.StageResult{}, s.ended(ctx)
 	case err != nil:
-		s.peers.avoid.Store(owner.ID, time.Now().Add(avoidTime))
+		s.peers.avoidNow(owner.ID)
 		return kernel.StageResult{}, &peerError{errors.Wrap(err, owner.ID)}
 	}
-	s.peers.heard.Store(owner.ID, time.Now())
-	s.waits.Store(key, &forecast{wait: answer.Wait, at: time.Now()})
+	s.heard(key, answer)
 	if answer.Reason != "" || answer.InputGone {
 		return kernel.StageResult{}, &kernel.StageFailure{Reason: answer.Reason, Detail: answer.Detail, RetryAfter: answer.RetryAfter, InputGone: answer.InputGone}
 	}
@@ -189,7 +139,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+dispatchPath, s.serveDispatch)
 	s.server = &http.Server{
-		Handler: mux, ReadHeaderTimeout: peerHeader, IdleTimeout: 2 * idleConnections,
+		Handler: mux, ReadHeaderTimeout: peerHeaderTimeout, IdleTimeout: 2 * idleConnections,
 		ErrorLog: slog.NewLogLogger(s.host.Logger.Handler(), slog.LevelDebug),
 	}
 	go func() {
@@ -208,34 +158,43 @@
 		return
 	}
 	var d dispatchRequest
-	if err := cbor.Unmarshal(data, &d); err != nil || d.Pieces <= 0 && len(d.Released) == 0 || s.host.Catalogs.Catalog() == nil {
+	if err := cbor.Unmarshal(data, &d); err != nil || s.host.Catalogs.Catalog() == nil {
 		http.Error(w, "no stage request, or no view of the servers yet", http.StatusServiceUnavailable)
 		return
 	}
 	now := time.Now()
 	g := s.group(groupKey{d.Group, d.Zone})
-	if len(d.Released) > 0 {
+	if d.Pieces <= 0 {
+		// A release or a query asks for no pieces.
 		g.release(d.Released)
-		w.WriteHeader(http.StatusOK)
+		waits := g.forecast(now)
+		s.answer(w, dispatchAnswer{InTime: waits.InTime, Late: waits.Late})
 		return
 	}
 	result, err := g.run(r.Context(), kernel.StageRequest{
 		Request: d.Request, Service: d.Group, Stage: d.Stage, Pieces: d.Pieces, Key: d.Key, Inputs: d.Inputs,
 		Goal: now.Add(d.Goal), Deadline: now.Add(d.Deadline), Worth: d.Worth, Priority: d.Priority, Zone: d.Wanted, ResultBytes: d.Bytes,
 	})
-	answer := dispatchAnswer{Handles: result.Handles, Zone: result.Zone, Wait: g.forecast(time.Now())}
+	waits := g.forecast(time.Now())
+	answer := dispatchAnswer{Handles: result.Handles, Zone: result.Zone, InTime: waits.InTime, Late: waits.Late}
 	var failure *kernel.StageFailure
 	if errors.As(err, &failure) {
 		answer.Reason, answer.Detail, answer.RetryAfter, answer.InputGone = failure.Reason, failure.Detail, failure.RetryAfter, failure.InputGone
 	}
+	if !s.answer(w, answer) {
+		s.Release(result.Handles) // nobody knows of the results
+	}
+}
+
+// answer writes an answer to another instance, and reports whether it could.
+func (s *Stages) answer(w http.ResponseWriter, answer dispatchAnswer) bool {
 	body, err := cbor.Marshal(answer)
 	if err != nil {
 		panic("stages: dispatch answer: " + err.Error())
 	}
 	w.Header().Set("Content-Type", "application/cbor")
-	if _, err := io.Copy(w, bytes.NewReader(body)); err != nil {
-		s.Release(result.Handles) // nobody knows of the results
-	}
+	_, err = w.Write(body)
+	return err == nil
 }
 
 // ended is the failure of a request whose context has ended.
--- a/plugins/stages/stages.go
+++ b/plugins/stages/stages.go
@@ -75,6 +75,7 @@
 	s.groups = make(map[groupKey]*group)
 	s.pool = upstream.New(upstream.Options{DialTimeout: dialTimeout, Silence: silence, Idle: idleConnections})
 	s.frees.handles = make(map[string][]string)
+	s.peers.links = make(map[groupKey]*peerLink)
 	if h.Catalogs != nil {
 		h.Catalogs.OnCatalog(s.refresh)
 	}
@@ -113,6 +114,7 @@
 				g.tick(now)
 			}
 			s.sendReleases(ctx, now)
+			s.queryPeers(ctx, now)
 			s.pool.Trim(now)
 		}
 	}
@@ -165,34 +167,46 @@
 	return s.group(groupKey{service: r.Service}).run(ctx, r)
 }
 
-// forecast is what the dispatcher of a group last said of the wait for a call.
+// forecast is what the dispatcher of a group last said of the waits for a call.
 type forecast struct {
-	wait time.Duration
-	at   time.Time
+	waits kernel.StageForecast
+	at    time.Time
 }
 
 // forecastLife is the age at which a forecast counts nothing: some calls long.
 const forecastLife = 1500 * time.Millisecond
 
 // Forecast implements kernel.StageRunner.
-func (s *Stages) Forecast(now time.Time, service string) time.Duration {
+func (s *Stages) Forecast(now time.Time, service string) kernel.StageForecast {
 	view := s.host.Catalogs.Catalog()
 	if view == nil {
-		return 0
+		return kernel.StageForecast{}
 	}
 	c := view.Service(service)
 	if c == nil || c.Batch == nil {
-		return 0
+		return kernel.StageForecast{}
 	}
 	key, owner := s.dispatcher(now, service)
-	var wait time.Duration
+	var waits kernel.StageForecast
 	if owner.ID == "" || owner.ID == s.host.ID() {
-		wait = s.group(key).forecast(now)
-	} else if f, ok := s.waits.Load(key); ok {
-		f := f.(*forecast)
-		if age := now.Sub(f.at); age < forecastLife {
-			wait = time.Duration(float64(f.wait) * (1 - float64(age)/float64(forecastLife)))
-		}
+		waits = s.group(key).forecast(now)
+	} else {
+		waits = s.told(now, key)
+	}
+	call := c.Batch.CallTime + time.Duration(c.Batch.MaxPieces/2)*c.Batch.PieceTime
+	return kernel.StageForecast{InTime: waits.InTime + call, Late: waits.Late + call}
+}
+
+// told is what a dispatcher last said. It fades with its age.
+func (s *Stages) told(now time.Time, key groupKey) kernel.StageForecast {
+	value, ok := s.waits.Load(key)
+	if !ok {
+		return kernel.StageForecast{}
+	}
+	f := value.(*forecast)
+	left := max(0, 1-float64(now.Sub(f.at))/float64(forecastLife))
+	return kernel.StageForecast{
+		InTime: time.Duration(left * float64(f.waits.InTime)),
+		Late:   time.Duration(left * float64(f.waits.Late)),
 	}
-	return wait + c.Batch.CallTime + time.Duration(c.Batch.MaxPieces/2)*c.Batch.PieceTime
 }
--- a/policy/piecequeue.go
+++ b/policy/piecequeue.go
@@ -69,6 +69,19 @@
 // Pieces returns the number of waiting pieces.
 func (q *PieceQueue) Pieces() int { return q.pieces }
 
+// InTime returns the number of waiting pieces of jobs that can still meet their
+// goal in the next call of a server that works as usual.
+func (q *PieceQueue) InTime(now time.Time, s PieceServer) int {
+	call := s.Duration(min(q.pieces, s.MaxPieces))
+	n := 0
+	for _, j := range q.jobs {
+		if !late(now, call, j) {
+			n += j.Pieces
+		}
+	}
+	return n
+}
+
 // Push adds a job.
 func (q *PieceQueue) Push(j PieceJob) {
 	q.jobs = append(q.jobs, j)
