--- a/cmd/savoryfoldd/main.go
+++ b/cmd/savoryfoldd/main.go
@@ -8,6 +8,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"log/slog"
 	"os"
 	"os/signal"
 	"syscall"
@@ -52,7 +53,7 @@
 	cmd := &cobra.Command{
 		Use:           "savoryfoldd --settings FILE",
 		Short:         "Entry instance of savoryfold",
-		Long:          "savoryfoldd serves requests of callers on the routes and pools of savoryfold.\n\nSIGTERM and SIGINT stop it gracefully; SIGUSR1 writes a dump of its state to standard error.",
+		Long:          "savoryfoldd serves requests of callers on the routes and pools of savoryfold.\n\nSIGTERM and SIGINT stop it gracefully; SIGHUP reads the settings anew; SIGUSR1 writes a dump of its state to standard error.",
 		Example:       "  savoryfoldd --settings hobart-1.ini\n  savoryfoldd --settings hobart-1.ini --check\n  savoryfoldd --list-settings",
 		Version:       version.Version,
 		Args:          cobra.NoArgs,
@@ -87,6 +88,10 @@
 	if path == "" {
 		return settingsError{errors.New("want --settings FILE, or its path in " + settingsVariable)}
 	}
+	// From here on SIGHUP must not end the process.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
 	settings, err := kernel.Schema().LoadFile(path)
 	if err != nil {
 		return settingsError{err}
@@ -109,6 +114,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	go dumpOnSignal(ctx, in)
+	go reloadOnSignal(ctx, hangups, path, settings, level, logger)
 	logger.Info("starting", "version", version.Version, "settings", path, "pid", os.Getpid())
 	err = in.Run(ctx)
 	var faults config.Faults
@@ -118,6 +124,28 @@
 	return err
 }
 
+// reloadOnSignal reads the settings anew at every SIGHUP. The log level takes
+// effect at once, all other changes with the next start. Settings that are not
+// right change nothing.
+func reloadOnSignal(ctx context.Context, hangups <-chan os.Signal, path string, inForce *config.Settings, level *slog.LevelVar, logger *slog.Logger) {
+	for {
+		select {
+		case <-hangups:
+			fresh, err := kernel.Schema().LoadFile(path)
+			if err != nil {
+				logger.Error("settings are not right, those in force stay", "settings", path, "error", err)
+				continue
+			}
+			if err := level.UnmarshalText([]byte(fresh.String("log", "level"))); err != nil {
+				logger.Error("log level is not right, the one in force stays", "error", err)
+			}
+			logger.Info("settings read", "settings", path, "with_next_start", config.Changed(inForce, fresh))
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // dumpOnSignal writes a dump to standard error at every SIGUSR1.
 func dumpOnSignal(ctx context.Context, in *kernel.Instance) {
 	signals := make(chan os.Signal, 1)
--- a/config/settings.go
+++ b/config/settings.go
@@ -275,6 +275,20 @@
 	return out
 }
 
+// Changed names the settings whose values differ, as "[section] name".
+func Changed(a, b *Settings) []string {
+	var names []string
+	for _, k := range a.schema.keys {
+		if strings.HasSuffix(k.Section, " *") {
+			continue // sections that may be missing in one of them
+		}
+		if a.Lookup(k.Section, k.Name) != b.Lookup(k.Section, k.Name) {
+			names = append(names, "["+k.Section+"] "+k.Name)
+		}
+	}
+	return names
+}
+
 func splitList(text string) []string {
 	var out []string
 	for _, w := range strings.Split(text, ",") {
--- a/policy/piecequeue.go
+++ b/policy/piecequeue.go
@@ -126,7 +126,7 @@
 	n, room := 0, s.Room
 	q.jobs = slices.DeleteFunc(q.jobs, func(j PieceJob) bool {
 		bytes := int64(j.Pieces) * j.Bytes
-		if j.Avoid == s.ID || n+j.Pieces > s.MaxPieces || bytes > room {
+		if j.Avoid != "" && j.Avoid == s.ID || n+j.Pieces > s.MaxPieces || bytes > room {
 			return false
 		}
 		n += j.Pieces
--- /dev/null
+++ b/policy/piecequeue_test.go
@@ -0,0 +1,195 @@
+package policy
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+)
+
+// ms returns a duration of milliseconds.
+func ms(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+
+var stageServer = PieceServer{ID: "s1", MaxPieces: 10, CallTime: ms(200), PieceTime: ms(10), Room: 1 << 30, Slowness: 1}
+
+func ids(jobs []PieceJob) []uint64 {
+	var out []uint64
+	for _, j := range jobs {
+		out = append(out, j.ID)
+	}
+	return out
+}
+
+func TestPieceQueueOrder(t *testing.T) {
+	goal := func(n int) time.Time { return epoch.Add(ms(n)) }
+	far := goal(60000)
+	for _, c := range []struct {
+		name   string
+		server PieceServer
+		jobs   []PieceJob
+		want   []uint64
+	}{
+		{"burst: what can meet its goal goes before a backlog that cannot", stageServer,
+			[]PieceJob{{ID: 1, Pieces: 6, Goal: goal(-100), Deadline: far}, {ID: 2, Pieces: 6, Goal: goal(900), Deadline: far}},
+			[]uint64{2}},
+		{"the more urgent goes first among those in time", stageServer,
+			[]PieceJob{{ID: 1, Pieces: 6, Goal: goal(400), Deadline: far, Priority: 2}, {ID: 2, Pieces: 6, Goal: goal(900), Deadline: far}},
+			[]uint64{2}},
+		{"of the same rank the one that has to start first", stageServer,
+			[]PieceJob{{ID: 1, Pieces: 6, Goal: goal(900), Deadline: far}, {ID: 2, Pieces: 6, Goal: goal(800), Deadline: far}},
+			[]uint64{2}},
+		{"the rest of the way counts for the start", stageServer,
+			[]PieceJob{{ID: 1, Pieces: 6, Goal: goal(800), Deadline: far}, {ID: 2, Pieces: 6, Goal: goal(900), Rest: ms(300), Deadline: far}},
+			[]uint64{2}},
+		{"late work fills what is left of a call", stageServer,
+			[]PieceJob{{ID: 1, Pieces: 4, Goal: goal(-100), Deadline: far}, {ID: 2, Pieces: 6, Goal: goal(900), Deadline: far}},
+			[]uint64{2, 1}},
+		{"a large job lets smaller ones past it", stageServer,
+			[]PieceJob{{ID: 1, Pieces: 8, Goal: goal(800), Deadline: far}, {ID: 2, Pieces: 5, Goal: goal(850), Deadline: far}, {ID: 3, Pieces: 2, Goal: goal(900), Deadline: far}},
+			[]uint64{1, 3}},
+		{"results that find no room are not asked for", PieceServer{ID: "s1", MaxPieces: 10, CallTime: ms(200), Room: 1000, Slowness: 1},
+			[]PieceJob{{ID: 1, Pieces: 3, Bytes: 400, Goal: goal(800), Deadline: far}, {ID: 2, Pieces: 2, Bytes: 400, Goal: goal(900), Deadline: far}},
+			[]uint64{2}},
+		{"a server that failed the job does not get it again", stageServer,
+			[]PieceJob{{ID: 1, Pieces: 1, Goal: goal(800), Deadline: far, Avoid: "s1"}}, nil},
+	} {
+		Convey(c.name, t, func() {
+			var q PieceQueue
+			for _, j := range c.jobs {
+				q.Push(j)
+			}
+			So(ids(q.Take(epoch, c.server)), ShouldResemble, c.want)
+		})
+	}
+}
+
+func TestPieceQueueExpire(t *testing.T) {
+	Convey("A job is given up as soon as no call can do it in time, not at its deadline", t, func() {
+		var q PieceQueue
+		q.Push(PieceJob{ID: 1, Pieces: 1, Deadline: epoch.Add(ms(205))})
+		q.Push(PieceJob{ID: 2, Pieces: 1, Deadline: epoch.Add(ms(500)), Rest: ms(400)})
+		q.Push(PieceJob{ID: 3, Pieces: 1, Deadline: epoch.Add(ms(500))})
+		So(ids(q.Expire(epoch, stageServer)), ShouldResemble, []uint64{1, 2})
+		So(q.Pieces(), ShouldEqual, 1)
+	})
+}
+
+// Every job is taken, removed or expired once, and no call exceeds the server's
+// bounds.
+func TestPieceQueueLosesNothing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var q PieceQueue
+		waiting := make(map[uint64]int)
+		now := epoch
+		for id := uint64(1); id < 120; id++ {
+			now = now.Add(ms(rapid.IntRange(0, 40).Draw(t, "pause")))
+			j := PieceJob{
+				ID: id, Pieces: rapid.IntRange(1, 10).Draw(t, "pieces"), Bytes: int64(rapid.IntRange(0, 100).Draw(t, "bytes")),
+				Goal: now.Add(ms(rapid.IntRange(0, 1000).Draw(t, "goal"))), Deadline: now.Add(ms(rapid.IntRange(100, 3000).Draw(t, "deadline"))),
+				Priority: rapid.IntRange(0, 2).Draw(t, "priority"),
+			}
+			q.Push(j)
+			waiting[id] = j.Pieces
+			s := stageServer
+			s.Room = int64(rapid.IntRange(0, 1500).Draw(t, "room"))
+			leave := func(j PieceJob) {
+				if waiting[j.ID] != j.Pieces {
+					t.Fatalf("job %d left twice", j.ID)
+				}
+				delete(waiting, j.ID)
+			}
+			for _, j := range q.Expire(now, s) {
+				leave(j)
+			}
+			if rapid.Bool().Draw(t, "call") {
+				pieces, bytes := 0, int64(0)
+				for _, j := range q.Take(now, s) {
+					leave(j)
+					pieces += j.Pieces
+					bytes += int64(j.Pieces) * j.Bytes
+				}
+				if pieces > s.MaxPieces || bytes > s.Room {
+					t.Fatalf("call of %d pieces and %d bytes", pieces, bytes)
+				}
+			}
+			sum := 0
+			for _, n := range waiting {
+				sum += n
+			}
+			if q.Len() != len(waiting) || q.Pieces() != sum {
+				t.Fatalf("queue counts %d jobs and %d pieces, %d and %d wait", q.Len(), q.Pieces(), len(waiting), sum)
+			}
+		}
+	})
+}
+
+// Pattern: a kind of request comes at 2.5 times its usual rate for some seconds,
+// so that the servers cannot do all of it. Whatever does not fit is late or
+// refused; what is done in time must stay close to what the servers can do.
+func TestPieceQueueUnderBurst(t *testing.T) {
+	Convey("Under a burst beyond the capacity most of the capacity is spent on work in time", t, func() {
+		const servers, piecesEach = 5, 6
+		var q PieceQueue
+		s := PieceServer{MaxPieces: 60, CallTime: ms(200), PieceTime: ms(3), Room: 1 << 30, Slowness: 1}
+		goals := make(map[uint64]time.Time)
+		free := make([]time.Time, servers)
+		inTime, done := 0, 0
+		id := uint64(0)
+		for tick := range 6000 {
+			now := epoch.Add(ms(tick))
+			if tick%6 == 0 { // 1,000 pieces a second before servers that can make 790
+				id++
+				goals[id] = now.Add(ms(800))
+				q.Push(PieceJob{ID: id, Pieces: piecesEach, Goal: goals[id], Deadline: now.Add(ms(6000))})
+			}
+			q.Expire(now, s)
+			for i := range free {
+				if now.Before(free[i]) {
+					continue
+				}
+				jobs := q.Take(now, s)
+				if len(jobs) == 0 {
+					continue
+				}
+				free[i] = now.Add(s.Duration(len(jobs) * piecesEach))
+				for _, j := range jobs {
+					done++
+					if !free[i].After(goals[j.ID]) {
+						inTime++
+					}
+				}
+			}
+		}
+		So(float64(inTime), ShouldBeGreaterThan, 0.8*float64(done))
+	})
+}
+
+func TestPieceWait(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		load PieceLoad
+		want time.Duration
+	}{
+		{"an idle server", PieceLoad{Servers: 2, Idle: 1}, 0},
+		{"all busy, nothing waits", PieceLoad{Servers: 2, Soonest: ms(80)}, ms(80)},
+		{"two calls wait before two servers", PieceLoad{Waiting: 20, Servers: 2, Soonest: ms(80)}, ms(80 + 300)},
+		{"no server", PieceLoad{Waiting: 20}, 0},
+	} {
+		Convey(c.name, t, func() { So(PieceWait(c.load, stageServer), ShouldEqual, c.want) })
+	}
+}
+
+func TestSpareSlow(t *testing.T) {
+	slow := stageServer
+	slow.Slowness = 5
+	Convey("A slow server is left out while the others do the work sooner", t, func() {
+		So(SpareSlow(PieceLoad{Waiting: 5, Servers: 4, Soonest: ms(60)}, slow), ShouldBeTrue)
+	})
+	Convey("It works when the others have more than enough", t, func() {
+		So(SpareSlow(PieceLoad{Waiting: 200, Servers: 4, Soonest: ms(60)}, slow), ShouldBeFalse)
+	})
+	Convey("A server that is as stated is never left out", t, func() {
+		So(SpareSlow(PieceLoad{Waiting: 5, Servers: 4, Soonest: ms(60)}, stageServer), ShouldBeFalse)
+	})
+}
