Let reads wait long at the store, watched by the fleet's heartbeat

Change: reads wait for 15 s; the heartbeat that keeps an instance in the fleet, which counts a tenth, tells when the store was away, and has the reads made anew. Also: a race of released results, found by the new tests under the race detector; the body of a refused request is read on, so that its caller sees the answer; the time to leave connections at a stop is a setting.

--- a/plugins/discovery/discovery.go
+++ b/plugins/discovery/discovery.go
@@ -47,6 +47,7 @@
 	current atomic.Pointer[catalog.Catalog]
 	members atomic.Pointer[[]kernel.FleetMember]
 	changed []func(*catalog.Catalog)
+	renew   renewals
 	cancel  context.CancelFunc
 	running sync.WaitGroup
 	// leaving is closed when this instance is to leave the fleet.
@@ -86,7 +87,6 @@
 	ctx, d.cancel = context.WithCancel(ctx)
 	d.follow(ctx, platform.OperatorTopic, configPace, d.applyOperator)
 	d.follow(ctx, platform.ServersTopic, serverPace, d.applyServers)
-	d.follow(ctx, platform.StatusTopic, serverPace, d.applyStatus)
 	d.running.Go(func() { d.joinFleet(ctx) })
 	d.running.Go(func() { d.expire(ctx) })
 	return nil
@@ -107,20 +107,25 @@
 }
 
 func (d *Discovery) follow(ctx context.Context, topic string, pace time.Duration, apply func(time.Time, []platform.StoreRecord, bool)) {
-	w := &watch{client: d.client, logger: d.host.Logger, topic: topic, pace: pace, apply: apply}
+	w := &watch{client: d.client, logger: d.host.Logger, topic: topic, pace: pace, apply: apply, renewals: &d.renew}
 	w.lost = func(now time.Time, err error) {
 		d.host.Logger.Warn("metadata store lost", "topic", topic, "error", err)
 		d.host.Counter("store_lost").Inc(1)
 	}
 	w.regained = func(now time.Time, _ error) {
 		d.host.Logger.Info("metadata store regained", "topic", topic)
-		d.mu.Lock()
-		defer d.mu.Unlock()
-		d.state.regained = now
+		d.noteRegained(now)
 	}
 	d.running.Go(func() { w.run(ctx) })
 }
 
+// noteRegained notes that the store answers again after it was away.
+func (d *Discovery) noteRegained(now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.state.regained = now
+}
+
 // Catalog implements kernel.Catalogs.
 func (d *Discovery) Catalog() *catalog.Catalog { return d.current.Load() }
 
--- a/plugins/discovery/fleet.go
+++ b/plugins/discovery/fleet.go
@@ -43,6 +43,7 @@
 	}
 	var generation uint64
 	var listed time.Time
+	away := false
 	ticker := time.NewTicker(ttl / joinsPerTTL)
 	defer ticker.Stop()
 	for joined := true; joined; {
@@ -50,12 +51,22 @@
 		switch {
 		case err != nil:
 			d.host.Counter(`store_calls_failed{call="join"}`).Inc(1)
+			if !away {
+				d.host.Logger.Warn("metadata store does not answer the heartbeat", "error", err)
+			}
+			away = true
 		case group.Generation != generation || time.Since(listed) > ownersInterval:
 			generation = group.Generation
 			if d.listFleet(ctx, self) {
 				listed = time.Now()
 			}
 		}
+		if away && err == nil {
+			away = false
+			d.host.Logger.Info("metadata store answers the heartbeat again")
+			d.noteRegained(time.Now())
+			d.renew.renew()
+		}
 		select {
 		case <-ticker.C:
 		case <-d.leaving:
--- a/plugins/discovery/watch.go
+++ b/plugins/discovery/watch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -12,10 +13,10 @@
 )
 
 const (
-	// readWait is how long the store may hold a read that finds nothing. It is
-	// short against the bounds on configuration, since a cut that swallows
-	// answers shows only when a read is overdue.
-	readWait = 2 * time.Second
+	// readWait is how long the store may hold a read that finds nothing. Every
+	// read is a call that is paid for; whether the store still answers is seen
+	// by the heartbeat of the fleet, which costs less.
+	readWait = 15 * time.Second
 	// retryMin and retryMax bound the pause after a failed call.
 	retryMin = 100 * time.Millisecond
 	retryMax = 800 * time.Millisecond
@@ -35,6 +36,8 @@
 	apply func(now time.Time, records []platform.StoreRecord, whole bool)
 	// lost and regained tell that the store is out of reach and back.
 	lost, regained func(now time.Time, err error)
+	// renewals ends the reads that wait at the store.
+	renewals *renewals
 
 	next   uint64
 	listed bool
@@ -46,10 +49,13 @@
 	failing := false
 	for ctx.Err() == nil {
 		start := time.Now()
-		err := w.step(ctx)
+		reading, renewed := w.renewals.context(ctx)
+		err := w.step(reading)
 		switch {
 		case ctx.Err() != nil:
 			return
+		case err != nil && renewed():
+			continue // the read was given up so that it is made anew
 		case errors.Is(err, platform.ErrTrimmed):
 			w.logger.Info("records were trimmed, listing anew", "topic", w.topic, "from", w.next)
 			w.listed = false
@@ -70,6 +76,35 @@
 	}
 }
 
+// renewals lets the reads that wait at the store be made anew: after the store
+// was away, nobody knows whether a read that it held is still answered.
+type renewals struct {
+	mu     sync.Mutex
+	ctx    context.Context    // guarded by mu
+	cancel context.CancelFunc // guarded by mu
+}
+
+// context returns a context for a read that ends with the parent or with the
+// next renewal, and a function that reports whether it was renewed.
+func (r *renewals) context(parent context.Context) (context.Context, func() bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.ctx == nil || r.ctx.Err() != nil {
+		r.ctx, r.cancel = context.WithCancel(parent)
+	}
+	ctx := r.ctx
+	return ctx, func() bool { return ctx.Err() != nil && parent.Err() == nil }
+}
+
+// renew ends all reads in progress.
+func (r *renewals) renew() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.cancel != nil {
+		r.cancel()
+	}
+}
+
 // step makes one call of the store.
 func (w *watch) step(ctx context.Context) error {
 	if !w.listed {
--- a/plugins/forward/forward.go
+++ b/plugins/forward/forward.go
@@ -37,6 +37,7 @@
 			{Section: section, Name: "silence", Kind: config.Duration, Default: "1500ms", Doc: "time after which a connection to a backend server that acknowledges nothing is broken"},
 			{Section: section, Name: "idle_timeout", Kind: config.Duration, Default: "8s", Doc: "how long an idle connection to a backend server is kept, if the server says nothing shorter"},
 			{Section: section, Name: "grace", Kind: config.Duration, Default: "8s", Doc: "time from the signal to stop to the end by force"},
+			{Section: section, Name: "drain", Kind: config.Duration, Default: "2500ms", Doc: "how long callers may go on with open connections after a signal to stop; the platform needs two looks, a second apart, to see that the instance is not ready"},
 			{Section: section, Name: "memory", Kind: config.Size, Default: "0", Doc: "memory of the process; the garbage collector keeps well below. 0 means no bound"},
 			{Section: section, Name: "repeat_ratio", Kind: config.Float, Default: "0.1", Doc: "repeats permitted for each request of a service, over all instances"},
 			{Section: section, Name: "repeat_extra", Kind: config.Float, Default: "0", Doc: "repeats permitted beside that in a window, over all instances"},
@@ -153,10 +154,6 @@
 func (f *Forward) PrepareStop() { f.leaving.Store(true) }
 
 const (
-	// leaveConnections is how long callers may go on with open connections
-	// after a signal to stop. The platform needs two looks, a second apart, to
-	// see that the instance is not ready.
-	leaveConnections = 2500 * time.Millisecond
 	// stopMargin is left of the grace for what comes after the last answer.
 	stopMargin = 700 * time.Millisecond
 )
@@ -171,7 +168,7 @@
 	f.leaving.Store(true)
 	began := time.Now()
 	grace := f.host.Settings.Duration(section, "grace") - stopMargin
-	time.Sleep(min(leaveConnections, grace))
+	time.Sleep(min(f.host.Settings.Duration(section, "drain"), grace))
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(grace))
 	defer cancel()
 	err := f.entry.stop(ctx)
--- a/plugins/forward/request.go
+++ b/plugins/forward/request.go
@@ -162,6 +162,7 @@
 	}
 	most := r.view.Config.Limits.BodyBytes
 	if most > 0 && hr.ContentLength > most {
+		f.skipBody(r, hr.Body)
 		return kernel.Outcome{Kind: kernel.Rejected, Reason: kernel.ReasonTooLarge, Detail: "the body is too large"}
 	}
 	if f.bodies.Load() > f.maxBodies {
@@ -183,6 +184,7 @@
 		body, err = io.ReadAll(http.MaxBytesReader(w, hr.Body, most))
 	}
 	if errors.As(err, new(*http.MaxBytesError)) {
+		f.skipBody(r, hr.Body)
 		return kernel.Outcome{Kind: kernel.Rejected, Reason: kernel.ReasonTooLarge, Detail: "the body is too large"}
 	}
 	if err != nil {
@@ -197,6 +199,17 @@
 	return kernel.Outcome{}
 }
 
+// maxSkipped bounds what is read of a body that is too large, in bytes: a caller
+// that still sends when its connection is closed may not see the answer.
+const maxSkipped = 4 << 20
+
+// skipBody reads on from a body that is not used.
+func (f *Forward) skipBody(r *request, body io.Reader) {
+	if _, err := io.CopyN(io.Discard, body, maxSkipped); err != nil && err != io.EOF {
+		r.log.Add("rest of the body not read", "error", err)
+	}
+}
+
 // run does the stages of an accepted request and sends it to a server.
 func (f *Forward) run(ctx context.Context, w http.ResponseWriter, r *request) kernel.Outcome {
 	defer f.bodies.Add(-int64(len(r.body)))
--- a/plugins/stages/release.go
+++ b/plugins/stages/release.go
@@ -45,14 +45,13 @@
 // sendReleases tells the dispatchers of all results that wait for release.
 func (s *Stages) sendReleases(ctx context.Context, now time.Time) {
 	s.frees.mu.Lock()
-	all := s.frees.handles
-	if len(all) > 0 {
-		s.frees.handles = make(map[string][]string)
-	}
-	s.frees.mu.Unlock()
-	if len(all) == 0 {
+	if len(s.frees.handles) == 0 {
+		s.frees.mu.Unlock()
 		return
 	}
+	all := s.frees.handles
+	s.frees.handles = make(map[string][]string)
+	s.frees.mu.Unlock()
 	type target struct {
 		key     groupKey
 		id      string
--- a/test/passthrough/cluster.go
+++ b/test/passthrough/cluster.go
@@ -32,7 +32,8 @@
 	ID, Zone, Address, Readiness string
 	Kernel                       *kernel.Instance
 	Log                          *LogBuffer
-	done                         chan error
+	ended                        chan struct{}
+	err                          error // set before ended is closed
 }
 
 // LogBuffer keeps log lines.
@@ -66,7 +67,7 @@
 // ready, or only until it runs if the store has no configuration.
 func (c *Cluster) Start(id, zone string, ready bool, settings string) *Instance {
 	c.t.Helper()
-	in := &Instance{ID: id, Zone: zone, Address: freeAddress(c.t), Readiness: freeAddress(c.t), Log: &LogBuffer{}, done: make(chan error, 1)}
+	in := &Instance{ID: id, Zone: zone, Address: freeAddress(c.t), Readiness: freeAddress(c.t), Log: &LogBuffer{}, ended: make(chan struct{})}
 	peer := freeAddress(c.t)
 	text := fmt.Sprintf(`[instance]
 id = %s
@@ -85,6 +86,7 @@
 listen = %s
 readiness = %s
 grace = 5s
+drain = 200ms
 repeat_ratio = 0.2
 repeat_extra = 100
 %s`, id, zone, c.Store.Address(), peer, peer, in.Address, in.Readiness, settings)
@@ -97,7 +99,10 @@
 	if err != nil {
 		c.t.Fatal(err)
 	}
-	go func() { in.done <- in.Kernel.Run(context.Background()) }()
+	go func() {
+		in.err = in.Kernel.Run(context.Background())
+		close(in.ended)
+	}()
 	c.Instances = append(c.Instances, in)
 	c.Eventually("the instance runs", func() bool { return in.Kernel.State() == kernel.StateReady })
 	if ready {
@@ -133,15 +138,14 @@
 // Stop stops an instance gracefully and waits for its end.
 func (in *Instance) Stop() error {
 	in.Kernel.Shutdown()
-	return <-in.done
+	<-in.ended
+	return in.err
 }
 
 func (c *Cluster) close() {
 	for _, in := range c.Instances {
-		if in.Kernel.State() != kernel.StateStopped {
-			if err := in.Stop(); err != nil {
-				c.t.Errorf("%s: %v", in.ID, err)
-			}
+		if err := in.Stop(); err != nil {
+			c.t.Errorf("%s: %v", in.ID, err)
 		}
 	}
 	c.Store.Close()
--- a/test/passthrough/passthrough_test.go
+++ b/test/passthrough/passthrough_test.go
@@ -67,7 +67,9 @@
 	status int
 	header http.Header
 	body   string
-	err    error
+	// last is true if the caller is to leave the connection.
+	last bool
+	err  error
 }
 
 // ask sends a request and reads its answer.
@@ -87,7 +89,7 @@
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(resp.Body)
-	return answer{resp.StatusCode, resp.Header, string(body), err}
+	return answer{resp.StatusCode, resp.Header, string(body), resp.Close, err}
 }
 
 func TestUnchanged(t *testing.T) {
@@ -449,7 +451,7 @@
 		c.Eventually("it is not ready", func() bool { return !platformtest.Ready(in.Readiness) })
 		a := ask(in, "POST", "/once/x", "late")
 		So(a.status, ShouldEqual, 200)
-		So(a.header.Get("Connection"), ShouldEqual, "close")
+		So(a.last, ShouldBeTrue)
 		wg.Wait()
 		So(<-stopped, ShouldBeNil)
 		close(results)
