Move services to new versions by schedule and evidence

Cause: orders to move a service were read and not followed. Change: policy.ServiceMove and BadVersion decide, plugins/servicemoves follows and records. A version gets half the permitted exposure until the last part of the time, so that one which shows its fault late stays within it. Ruled out: the steps of policy.Rollout, whose later steps alone exceed the permitted exposure if the fault shows at the end. Shown by: table and property tests; two instances before an old and a new version (test/passthrough).

--- a/kernel/catalogs.go
+++ b/kernel/catalogs.go
@@ -15,6 +15,9 @@
 	// OnCatalog registers a function that is called with every new view. It is
 	// called during provisioning only.
 	OnCatalog(func(*catalog.Catalog))
+	// RecordMove records the state of a service's move, for operators and for
+	// the other instances.
+	RecordMove(ctx context.Context, service string, s catalog.MoveStatus) error
 }
 
 // FleetMember is an instance as the others know it.
@@ -94,8 +97,8 @@
 
 // VersionPicker divides a service's traffic between versions while it moves.
 type VersionPicker interface {
-	// PickVersion returns whether servers of a version may get a request of a
-	// service. Random is in [0, 1).
+	// PickVersion returns a function that reports whether servers of a version
+	// may get a request of a service, or nil if all may. Random is in [0, 1).
 	PickVersion(now time.Time, service string, random float64) (allow func(version string) bool)
 	// ObserveVersion takes the result of a request into the evidence. Bad
 	// answers are failures and those that are slower than usual.
--- a/plugins/discovery/discovery.go
+++ b/plugins/discovery/discovery.go
@@ -51,8 +51,10 @@
 	cancel  context.CancelFunc
 	running sync.WaitGroup
 	// leaving is closed when this instance is to leave the fleet.
-	leaving   chan struct{}
-	leaveOnce sync.Once
+	leaving    chan struct{}
+	life       context.Context // ends with the module
+	statusOnce sync.Once
+	leaveOnce  sync.Once
 
 	mu    sync.Mutex
 	state state // guarded by mu
@@ -85,6 +87,7 @@
 		return nil
 	}
 	ctx, d.cancel = context.WithCancel(ctx)
+	d.life = ctx
 	d.follow(ctx, platform.OperatorTopic, configPace, d.applyOperator)
 	d.follow(ctx, platform.ServersTopic, serverPace, d.applyServers)
 	d.running.Go(func() { d.joinFleet(ctx) })
@@ -119,6 +122,21 @@
 	d.running.Go(func() { w.run(ctx) })
 }
 
+// RecordMove implements kernel.Catalogs.
+func (d *Discovery) RecordMove(ctx context.Context, service string, s catalog.MoveStatus) error {
+	value, err := platform.EncodeStatus(s)
+	if err != nil {
+		return errors.Wrap(err, "state of a move")
+	}
+	return d.client.Put(ctx, platform.StatusTopic, platform.StatusKey(service), value)
+}
+
+// followStatus follows the states of moves from the first order on: without
+// orders there is nothing to read.
+func (d *Discovery) followStatus() {
+	d.statusOnce.Do(func() { d.follow(d.life, platform.StatusTopic, serverPace, d.applyStatus) })
+}
+
 // noteRegained notes that the store answers again after it was away.
 func (d *Discovery) noteRegained(now time.Time) {
 	d.mu.Lock()
@@ -204,6 +222,7 @@
 	}
 	m.Service, m.Seen = service, now
 	s.moves[service] = m
+	d.followStatus()
 	d.host.Logger.Info("move ordered", "service", service, "target", m.Target, "within", m.Duration, "order", m.Order)
 }
 
--- a/plugins/forward/choose.go
+++ b/plugins/forward/choose.go
@@ -64,14 +64,14 @@
 	// Servers may have left while the request was in its stages.
 	view := f.host.Catalogs.Catalog()
 	servers := view.Servers(r.service.Name)
-	allow := func(string) bool { return true }
+	var allow func(version string) bool
 	if f.host.Versioning != nil {
 		allow = f.host.Versioning.PickVersion(now, r.service.Name, r.random)
 	}
 	usable := make([]choice, 0, len(servers))
 	looks := make([]look, 0, len(servers))
 	for _, s := range servers {
-		if !view.Usable(s) || r.tried[s.ID] || !allow(s.Version) {
+		if !view.Usable(s) || r.tried[s.ID] || allow != nil && !allow(s.Version) {
 			continue
 		}
 		state := f.servers.get(s)
--- a/plugins/standard/standard.go
+++ b/plugins/standard/standard.go
@@ -17,6 +17,7 @@
 	_ "github.com/savoryfold/savoryfold/plugins/platformlog"  // log service
 	_ "github.com/savoryfold/savoryfold/plugins/policies"     // decisions
 	_ "github.com/savoryfold/savoryfold/plugins/rollout"      // version moves
+	_ "github.com/savoryfold/savoryfold/plugins/servicemoves" // version moves of services
 	_ "github.com/savoryfold/savoryfold/plugins/slots"        // call slots of other instances
 	_ "github.com/savoryfold/savoryfold/plugins/stages"       // stages made of pieces
 )
--- a/test/passthrough/passthrough_test.go
+++ b/test/passthrough/passthrough_test.go
@@ -152,7 +152,9 @@
 			w.Header().Set("Content-Encoding", "gzip")
 			platformtest.Answer(w, 200, "zipped")
 		}, 502, 502, 1},
-		{"a failure of its own", func(w http.ResponseWriter, _ *http.Request, _ platformtest.Seen) { platformtest.Answer(w, 500, "failed") }, 500, 500, 1},
+		{"a failure of its own", func(w http.ResponseWriter, _ *http.Request, _ platformtest.Seen) {
+			platformtest.Answer(w, 500, "failed")
+		}, 500, 500, 1},
 		{"a refusal", func(w http.ResponseWriter, _ *http.Request, _ platformtest.Seen) { platformtest.Refuse(w, 503) }, 503, 503, 4},
 	} {
 		Convey("When a server gives "+c.name, t, func() {
