Let instances tell one another how far they have read

Ruled out: the listing at the start (its instance had the version), the outage of the store before (the heartbeat had answered for 2 s). Change: reads wait shortly after a record and twice as long each time nothing came, 6 s at most; calls between instances carry how far each has read, and one that is behind reads anew. Also: explain tells a request's story from logs; answers count as slow for a move only 50 ms above three times the usual, as a busy machine showed.

--- a/cmd/savoryfoldctl/main.go
+++ b/cmd/savoryfoldctl/main.go
@@ -66,7 +66,7 @@
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return exitError{err, exitUsage} })
 	s.addFlags(root)
 	root.AddCommand(
-		quickstartCommand(), checkCommand(), hashCommand(), keysCommand(), loadCommand(),
+		explainCommand(), quickstartCommand(), checkCommand(), hashCommand(), keysCommand(), loadCommand(),
 		tablesCommand(s), zoneCommand(s), versionCommand(s),
 		sectionCommand(s, "route"), sectionCommand(s, "pool"), sectionCommand(s, "account"), sectionCommand(s, "zone"),
 		movesCommand(s), membersCommand(s), appliedCommand(s), claimsCommand(s),
--- a/kernel/catalogs.go
+++ b/kernel/catalogs.go
@@ -15,11 +15,29 @@
 	// OnCatalog registers a function that is called with every new view. It is
 	// called during provisioning only.
 	OnCatalog(func(*catalog.Catalog))
+	// Position is how far this instance has read what operators and servers
+	// write.
+	Position() CatalogPosition
+	// HearPosition takes the position of another instance. If this one is
+	// behind and stays so, it reads anew.
+	HearPosition(CatalogPosition)
 	// RecordMove records the state of a service's move, for operators and for
 	// the other instances.
 	RecordMove(ctx context.Context, service string, s catalog.MoveStatus) error
 }
 
+// CatalogPosition is how far an instance has read: the offsets behind the last
+// record of the operators and of the servers.
+type CatalogPosition struct {
+	Operators uint64 `cbor:"1,keyasint"`
+	Servers   uint64 `cbor:"2,keyasint"`
+}
+
+// Behind reports whether another position is further in any part.
+func (p CatalogPosition) Behind(other CatalogPosition) bool {
+	return p.Operators < other.Operators || p.Servers < other.Servers
+}
+
 // FleetMember is an instance as the others know it.
 type FleetMember struct {
 	ID   string
--- a/plugins/discovery/discovery.go
+++ b/plugins/discovery/discovery.go
@@ -48,6 +48,9 @@
 	members atomic.Pointer[[]kernel.FleetMember]
 	changed []func(*catalog.Catalog)
 	renew   renewals
+	// operators and servers follow what these write.
+	operators, servers *watch
+	catchingUp         atomic.Bool
 	cancel  context.CancelFunc
 	running sync.WaitGroup
 	// leaving is closed when this instance is to leave the fleet.
@@ -88,8 +91,8 @@
 	}
 	ctx, d.cancel = context.WithCancel(ctx)
 	d.life = ctx
-	d.follow(ctx, platform.OperatorTopic, configPace, d.applyOperator)
-	d.follow(ctx, platform.ServersTopic, serverPace, d.applyServers)
+	d.operators = d.follow(ctx, platform.OperatorTopic, configPace, d.applyOperator)
+	d.servers = d.follow(ctx, platform.ServersTopic, serverPace, d.applyServers)
 	d.running.Go(func() { d.joinFleet(ctx) })
 	d.running.Go(func() { d.expire(ctx) })
 	return nil
@@ -109,7 +112,7 @@
 	return nil
 }
 
-func (d *Discovery) follow(ctx context.Context, topic string, pace time.Duration, apply func(time.Time, []platform.StoreRecord, bool)) {
+func (d *Discovery) follow(ctx context.Context, topic string, pace time.Duration, apply func(time.Time, []platform.StoreRecord, bool)) *watch {
 	w := &watch{client: d.client, logger: d.host.Logger, topic: topic, pace: pace, apply: apply, renewals: &d.renew}
 	w.lost = func(now time.Time, err error) {
 		d.host.Logger.Warn("metadata store lost", "topic", topic, "error", err)
@@ -120,6 +123,36 @@
 		d.noteRegained(now)
 	}
 	d.running.Go(func() { w.run(ctx) })
+	return w
+}
+
+// catchUp is how long an instance that is behind another has to read on by
+// itself: some reads of the store.
+const catchUp = 150 * time.Millisecond
+
+// Position implements kernel.Catalogs.
+func (d *Discovery) Position() kernel.CatalogPosition {
+	if d.operators == nil {
+		return kernel.CatalogPosition{}
+	}
+	return kernel.CatalogPosition{Operators: d.operators.position.Load(), Servers: d.servers.position.Load()}
+}
+
+// HearPosition implements kernel.Catalogs. The store does not wake every read
+// that waits; other instances tell of the records that one was not told of.
+func (d *Discovery) HearPosition(p kernel.CatalogPosition) {
+	if !d.Position().Behind(p) || !d.catchingUp.CompareAndSwap(false, true) {
+		return
+	}
+	time.AfterFunc(catchUp, func() {
+		d.catchingUp.Store(false)
+		if own := d.Position(); own.Behind(p) {
+			d.host.Counter("store_reads_renewed").Inc(1)
+			d.host.Logger.Warn("behind another instance, reading anew", "operators", own.Operators, "servers", own.Servers,
+				"other_operators", p.Operators, "other_servers", p.Servers)
+			d.renew.renew()
+		}
+	})
 }
 
 // RecordMove implements kernel.Catalogs.
--- a/plugins/discovery/watch.go
+++ b/plugins/discovery/watch.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -13,10 +14,13 @@
 )
 
 const (
-	// readWait is how long the store may hold a read that finds nothing. Every
-	// read is a call that is paid for; whether the store still answers is seen
-	// by the heartbeat of the fleet, which costs less.
-	readWait = 15 * time.Second
+	// readWaitMin and readWaitMax bound how long the store may hold a read that
+	// finds nothing. Every read is a call that is paid for, so the wait doubles
+	// while nothing changes. It begins short, since a read that arrives together
+	// with a record may not be told of it. Whether the store still answers is
+	// seen by the heartbeat of the fleet, which costs less.
+	readWaitMin = 400 * time.Millisecond
+	readWaitMax = 6 * time.Second
 	// retryMin and retryMax bound the pause after a failed call.
 	retryMin = 100 * time.Millisecond
 	retryMax = 800 * time.Millisecond
@@ -39,8 +43,10 @@
 	// renewals ends the reads that wait at the store.
 	renewals *renewals
 
-	next   uint64
-	listed bool
+	next     uint64
+	position atomic.Uint64 // next, for other goroutines
+	wait     time.Duration
+	listed   bool
 }
 
 // run follows the topic until the context ends.
@@ -110,14 +116,17 @@
 	if !w.listed {
 		return w.list(ctx)
 	}
-	records, next, err := w.client.Read(ctx, w.topic, w.next, readWait)
+	w.wait = min(max(2*w.wait, readWaitMin), readWaitMax)
+	records, next, err := w.client.Read(ctx, w.topic, w.next, w.wait)
 	if err != nil {
+		w.wait = 0
 		return err
 	}
-	w.next = next
 	if len(records) > 0 {
+		w.wait = 0
 		w.apply(time.Now(), records, false)
 	}
+	w.moveTo(next)
 	return nil
 }
 
@@ -132,7 +141,14 @@
 	if end < w.next {
 		return errors.Wrapf(platform.ErrStoreUnavailable, "listing of %s ends at %d, %d was read before", w.topic, end, w.next)
 	}
-	w.next, w.listed = end, true
+	w.listed = true
 	w.apply(time.Now(), records, true)
+	w.moveTo(end)
 	return nil
 }
+
+// moveTo notes how far the topic was read.
+func (w *watch) moveTo(next uint64) {
+	w.next = next
+	w.position.Store(next)
+}
--- a/plugins/servicemoves/servicemoves.go
+++ b/plugins/servicemoves/servicemoves.go
@@ -35,6 +35,8 @@
 	// slowTimes is how many times longer than the old version's mean an answer
 	// takes that counts as bad.
 	slowTimes = 3
+	// slowMargin is added to that: below, a busy machine makes the difference.
+	slowMargin = 50 * time.Millisecond
 	// meanWeight is the weight of a new sample in the old version's mean.
 	meanWeight = 0.05
 )
@@ -188,7 +190,7 @@
 		}
 	}
 	count.Answers++
-	if failed || mv.usual > 0 && took > slowTimes*mv.usual {
+	if failed || mv.usual > 0 && took > slowTimes*mv.usual+slowMargin {
 		count.Bad++
 	}
 	if policy.BadVersion(mv.old, mv.fresh) && mv.rolledBack.CompareAndSwap(false, true) {
--- a/plugins/stages/peer.go
+++ b/plugins/stages/peer.go
@@ -50,6 +50,8 @@
 	// Released holds results that are not needed any more. A request that holds
 	// them asks for nothing else.
 	Released []string `cbor:"14,keyasint,omitempty"`
+	// Position is how far the sender has read the catalog.
+	Position kernel.CatalogPosition `cbor:"15,keyasint"`
 }
 
 // dispatchAnswer is the result of a stage request.
@@ -63,6 +65,8 @@
 	// InTime and Late are the group's forecast now.
 	InTime time.Duration `cbor:"7,keyasint"`
 	Late   time.Duration `cbor:"8,keyasint"`
+	// Position is how far the dispatcher has read the catalog.
+	Position kernel.CatalogPosition `cbor:"9,keyasint"`
 }
 
 // ask lets the dispatcher do a stage. The error is a *peerError if it does not
@@ -72,6 +76,7 @@
 	body, err := cbor.Marshal(dispatchRequest{
 		Group: key.service, Zone: key.zone, Request: r.Request, Stage: r.Stage, Pieces: r.Pieces, Key: r.Key, Inputs: r.Inputs,
 		Goal: r.Goal.Sub(now), Deadline: r.Deadline.Sub(now), Worth: r.Worth, Priority: r.Priority, Wanted: r.Zone, Bytes: r.ResultBytes,
+		Position: s.host.Catalogs.Position(),
 	})
 	if err != nil {
 		panic("stages: dispatch request: " + err.Error())
@@ -103,6 +108,7 @@
 	if err := cbor.Unmarshal(data, &answer); err != nil {
 		return dispatchAnswer{}, errors.Wrap(err, "dispatch")
 	}
+	s.host.Catalogs.HearPosition(answer.Position)
 	return answer, nil
 }
 
@@ -162,6 +168,7 @@
 		http.Error(w, "no stage request, or no view of the servers yet", http.StatusServiceUnavailable)
 		return
 	}
+	s.host.Catalogs.HearPosition(d.Position)
 	now := time.Now()
 	g := s.group(groupKey{d.Group, d.Zone})
 	if d.Pieces <= 0 {
@@ -188,6 +195,7 @@
 
 // answer writes an answer to another instance, and reports whether it could.
 func (s *Stages) answer(w http.ResponseWriter, answer dispatchAnswer) bool {
+	answer.Position = s.host.Catalogs.Position()
 	body, err := cbor.Marshal(answer)
 	if err != nil {
 		panic("stages: dispatch answer: " + err.Error())
