Make stage calls as large as the jobs in them bear

Cause: late work filled every call to its largest size, so that calls took 0.37 s in place of 0.26 s and requests in time became late; slow stage servers got work that was in time while the queue was long. Change: a call has as many pieces as can be in time together, and late work fills it as far as those bear it; a server's slowness fades while it is not called.

--- a/plugins/discovery/discovery.go
+++ b/plugins/discovery/discovery.go
@@ -51,8 +51,8 @@
 	// operators and servers follow what these write.
 	operators, servers *watch
 	catchingUp         atomic.Bool
-	cancel  context.CancelFunc
-	running sync.WaitGroup
+	cancel             context.CancelFunc
+	running            sync.WaitGroup
 	// leaving is closed when this instance is to leave the fleet.
 	leaving    chan struct{}
 	life       context.Context // ends with the module
--- a/plugins/stages/call.go
+++ b/plugins/stages/call.go
@@ -58,7 +58,7 @@
 		}
 	}
 	c.usual = g.usual().Duration(len(c.pieces))
-	c.expected = now.Add(g.policyServer(s).Duration(len(c.pieces)))
+	c.expected = now.Add(g.policyServer(now, s).Duration(len(c.pieces)))
 	c.overdue = now.Add(overdue*c.usual + overdueSlack)
 	s.memory.used += c.reserved
 	s.calls++
@@ -127,6 +127,7 @@
 		c.server.failures = 0
 		ratio := float64(took) / float64(c.usual)
 		c.server.slowness += slownessWeight * (ratio - c.server.slowness)
+		c.server.measured = now
 		g.distribute(now, c, results)
 	}
 	g.observe(c, took, err)
--- a/plugins/stages/group.go
+++ b/plugins/stages/group.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -23,9 +24,9 @@
 	overdueSlack = 100 * time.Millisecond
 	// slownessWeight is the weight of a new sample in a server's slowness.
 	slownessWeight = 0.5
-	// probeSlow is the time between two calls of a slow server that find out
-	// whether it still is.
-	probeSlow = 2 * time.Second
+	// slownessHalfLife is the time after which a server that was not called is
+	// taken to be half as slow, so that it is tried again.
+	slownessHalfLife = 2 * time.Second
 	// retryAfterMin is the least time after which a refused caller is asked to
 	// return: about one call.
 	retryAfterMin = 300 * time.Millisecond
@@ -73,6 +74,7 @@
 	rest     time.Time
 	failures int
 	called   time.Time // when the last call began
+	measured time.Time // when slowness was last seen
 	memory   memory
 }
 
@@ -262,8 +264,8 @@
 		if g.queue.Len() == 0 {
 			return
 		}
-		ps := g.policyServer(s)
-		if now.Sub(s.called) < probeSlow && policy.SpareSlow(g.load(now), ps) {
+		ps := g.policyServer(now, s)
+		if policy.SpareSlow(g.load(now), ps) {
 			continue
 		}
 		if jobs := g.take(now, ps); len(jobs) > 0 {
@@ -272,9 +274,11 @@
 	}
 }
 
-func (g *group) policyServer(s *stageServer) policy.PieceServer {
+// policyServer is a server as the policy sees it. The caller holds mu.
+func (g *group) policyServer(now time.Time, s *stageServer) policy.PieceServer {
 	ps := g.usual()
-	ps.ID, ps.Zone, ps.Slowness = s.server.ID, s.server.Zone, s.slowness
+	fade := math.Exp2(-float64(now.Sub(s.measured)) / float64(slownessHalfLife))
+	ps.ID, ps.Zone, ps.Slowness = s.server.ID, s.server.Zone, 1+(s.slowness-1)*fade
 	ps.Room -= s.memory.used
 	return ps
 }
@@ -362,6 +366,7 @@
 		}
 		c.hedged = true
 		c.server.slowness = max(c.server.slowness, float64(now.Sub(c.began))/float64(c.usual))
+		c.server.measured = now
 		g.stages.host.Counter(`stage_calls_overdue{service="` + g.key.service + `"}`).Inc(1)
 		for _, j := range c.jobs {
 			g.requeue(j, c.server.server.ID)
--- a/policy/piecequeue.go
+++ b/policy/piecequeue.go
@@ -55,9 +55,9 @@
 // that is not safe for concurrent use.
 //
 // A server takes the jobs that can still meet their goal first, the most urgent
-// of them first, and by the time at which they have to start. Those that will
-// be late anyway fill what is left, so that under overload the work that is
-// worth most is done and nothing that is in time waits behind what is not.
+// of them first. Those that will be late anyway fill what is left, so that under
+// overload the work that is worth most is done and nothing that is in time waits
+// behind what is not.
 type PieceQueue struct {
 	jobs   []PieceJob
 	pieces int
@@ -72,10 +72,9 @@
 // InTime returns the number of waiting pieces of jobs that can still meet their
 // goal in the next call of a server that works as usual.
 func (q *PieceQueue) InTime(now time.Time, s PieceServer) int {
-	call := s.Duration(min(q.pieces, s.MaxPieces))
 	n := 0
 	for _, j := range q.jobs {
-		if !late(now, call, j) {
+		if !late(now, s.Duration(j.Pieces), j) {
 			n += j.Pieces
 		}
 	}
@@ -115,20 +114,30 @@
 	return expired
 }
 
-// Take takes out the jobs of the next call to a server. Jobs are not divided,
-// unless one alone has more pieces than a call may have.
+// Take takes out the jobs of the next call to a server. Jobs are not divided.
+//
+// The more pieces a call has, the more it does in its time, and the later all of
+// them are. So the call is as large as it can be while every job that is in time
+// stays so: those that only a smaller call would serve in time are passed over,
+// as they would cost the others more than they are worth. What is left of the
+// call is filled with jobs that are late anyway.
 func (q *PieceQueue) Take(now time.Time, s PieceServer) []PieceJob {
 	if len(q.jobs) == 0 {
 		return nil
 	}
-	q.order(now, s)
+	call := s.Duration(q.largestInTime(now, s))
+	slices.SortStableFunc(q.jobs, func(a, b PieceJob) int { return comparePieceJobs(now, call, s.Zone, a, b) })
 	var taken []PieceJob
 	n, room := 0, s.Room
+	latest := time.Duration(1<<63 - 1) // the time of the call that its jobs bear
 	q.jobs = slices.DeleteFunc(q.jobs, func(j PieceJob) bool {
 		bytes := int64(j.Pieces) * j.Bytes
-		if j.Avoid != "" && j.Avoid == s.ID || n+j.Pieces > s.MaxPieces || bytes > room {
+		if j.Avoid != "" && j.Avoid == s.ID || n+j.Pieces > s.MaxPieces || bytes > room || s.Duration(n+j.Pieces) > latest {
 			return false
 		}
+		if !late(now, call, j) {
+			latest = min(latest, j.slack(now))
+		}
 		n += j.Pieces
 		room -= bytes
 		taken = append(taken, j)
@@ -138,32 +147,49 @@
 	return taken
 }
 
-// order puts the jobs in the order in which a server takes them.
-func (q *PieceQueue) order(now time.Time, s PieceServer) {
-	call := s.Duration(min(q.pieces, s.MaxPieces))
-	slices.SortStableFunc(q.jobs, func(a, b PieceJob) int {
-		lateA, lateB := late(now, call, a), late(now, call, b)
-		switch {
-		case lateA != lateB && lateA:
-			return 1
-		case lateA != lateB:
-			return -1
-		case a.Priority != b.Priority:
-			return a.Priority - b.Priority
-		case a.Zone != b.Zone && a.Zone == s.Zone:
-			return -1
-		case a.Zone != b.Zone && b.Zone == s.Zone:
-			return 1
+// largestInTime is the largest number of pieces that a call can have while all
+// of its jobs meet their goals; all that may be in a call if there is none.
+func (q *PieceQueue) largestInTime(now time.Time, s PieceServer) int {
+	slices.SortStableFunc(q.jobs, func(a, b PieceJob) int { return b.start().Compare(a.start()) })
+	largest, n := 0, 0
+	for _, j := range q.jobs {
+		n = min(n+j.Pieces, s.MaxPieces)
+		if s.Duration(n) <= j.slack(now) {
+			largest = n
 		}
-		return a.start().Compare(b.start())
-	})
+	}
+	if largest == 0 {
+		return min(q.pieces, s.MaxPieces)
+	}
+	return largest
 }
 
-// late reports whether a job misses its goal though it is in the next call.
-func late(now time.Time, call time.Duration, j PieceJob) bool {
-	return now.Add(call + j.Rest).After(j.Goal)
+// comparePieceJobs orders jobs for a call of a duration: first those that meet
+// their goal, of them the most urgent, and by the time at which they have to be
+// done.
+func comparePieceJobs(now time.Time, call time.Duration, zone string, a, b PieceJob) int {
+	lateA, lateB := late(now, call, a), late(now, call, b)
+	switch {
+	case lateA != lateB && lateA:
+		return 1
+	case lateA != lateB:
+		return -1
+	case a.Priority != b.Priority:
+		return a.Priority - b.Priority
+	case a.Zone != b.Zone && a.Zone == zone:
+		return -1
+	case a.Zone != b.Zone && b.Zone == zone:
+		return 1
+	}
+	return a.start().Compare(b.start())
 }
 
+// late reports whether a job misses its goal though it is in the next call.
+func late(now time.Time, call time.Duration, j PieceJob) bool { return call > j.slack(now) }
+
+// slack is the time that a call may take for a job to meet its goal.
+func (j PieceJob) slack(now time.Time) time.Duration { return j.start().Sub(now) }
+
 // start is the time by which a job has to be done to meet its goal.
 func (j PieceJob) start() time.Time { return j.Goal.Add(-j.Rest) }
 
