Ask the zone's reader for the members; keep zones apart when one is empty

Every change of the fleet cost a call of the store for each instance. Change: an instance without servers in its zone uses the group of another zone; the list of members comes from the zone's reader; an instance that leaves or lost the store is no reader; fallback calls stay in the group.

--- a/plugins/discovery/discovery.go
+++ b/plugins/discovery/discovery.go
@@ -51,7 +51,8 @@
 	// operators and servers follow what these write.
 	operators, servers *watch
 	catchingUp         atomic.Bool
-	avoid              sync.Map // readers that did not answer: ID -> time.Time
+	away               atomic.Bool // the store does not answer the heartbeat
+	avoid              sync.Map    // readers that did not answer: ID -> time.Time
 	cancel             context.CancelFunc
 	running            sync.WaitGroup
 	// leaving is closed when this instance is to leave the fleet.
@@ -75,6 +76,7 @@
 	}
 	if h.PeerCalls != nil {
 		h.PeerCalls.HandlePeer(recordsPath, d.serveRecords)
+		h.PeerCalls.HandlePeer(membersPath, d.serveMembers)
 	}
 	return nil
 }
--- a/plugins/discovery/fanout.go
+++ b/plugins/discovery/fanout.go
@@ -27,8 +27,8 @@
 	// configuration allow.
 	peerWait  = time.Second
 	peerSlack = 300 * time.Millisecond
-	// avoidReader is how long a reader that did not answer is left alone.
-	avoidReader = 3 * time.Second
+	// avoidTime is how long a reader that did not answer is left alone.
+	avoidTime = 3 * time.Second
 	// historyLength is the number of records that a reader keeps for the
 	// others. Who needs older ones reads the store.
 	historyLength = 1000
@@ -129,8 +129,8 @@
 	defer cancel()
 	for {
 		records, grown, ok := watch.history.from(q.From)
-		if !ok {
-			http.Error(w, "this instance does not read the store, or keeps no records that old", http.StatusServiceUnavailable)
+		if !ok || !d.mayRead() {
+			http.Error(w, notReading, http.StatusServiceUnavailable)
 			return
 		}
 		if len(records) > 0 || ctx.Err() != nil {
@@ -144,6 +144,19 @@
 	}
 }
 
+// notReading tells another instance to ask the store itself.
+const notReading = "this instance leaves, does not reach the store, or keeps no records that old"
+
+// mayRead reports whether others may rest on what this instance reads.
+func (d *Discovery) mayRead() bool {
+	select {
+	case <-d.leaving:
+		return false
+	default:
+		return !d.away.Load()
+	}
+}
+
 func writeRecords(w http.ResponseWriter, records []platform.StoreRecord) {
 	out := make([]wireRecord, len(records))
 	for i, r := range records {
@@ -230,9 +243,14 @@
 		return records, true
 	}
 	if ctx.Err() == nil {
-		d.avoid.Store(reader.ID, time.Now().Add(avoidReader))
-		d.host.Counter("reader_lost").Inc(1)
-		d.host.Logger.Info("the zone's reader does not answer, reading the store", "reader", reader.ID, "topic", topic, "for", avoidReader, "error", err)
+		d.avoidReader(reader, recordsPath, err)
 	}
 	return nil, false
 }
+
+// avoidReader leaves a reader alone for a while.
+func (d *Discovery) avoidReader(reader kernel.FleetMember, path string, err error) {
+	d.avoid.Store(reader.ID, time.Now().Add(avoidTime))
+	d.host.Counter("reader_lost").Inc(1)
+	d.host.Logger.Info("the zone's reader does not answer, asking the store", "reader", reader.ID, "path", path, "for", avoidTime, "error", err)
+}
--- a/plugins/discovery/fleet.go
+++ b/plugins/discovery/fleet.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"slices"
 	"strings"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"github.com/savoryfold/savoryfold/kernel"
 	"github.com/savoryfold/savoryfold/platform"
 )
@@ -23,6 +26,16 @@
 // that they changed.
 const ownersInterval = 5 * time.Second
 
+// looksPerJoin is how often an instance looks at the list of members for each
+// time that it tells that it lives.
+const looksPerJoin = 2
+
+const (
+	membersPath = "/members"
+	// membersTimeout bounds the call of the zone's reader for the members.
+	membersTimeout = 400 * time.Millisecond
+)
+
 // leaveTimeout bounds the call that leaves the fleet; without it the entry
 // expires by itself.
 const leaveTimeout = 500 * time.Millisecond
@@ -34,67 +47,131 @@
 // joinFleet keeps this instance in the fleet and knows the others.
 func (d *Discovery) joinFleet(ctx context.Context) {
 	settings := d.host.Settings
-	ttl := settings.Duration(section, "member_ttl")
-	self := kernel.FleetMember{ID: d.host.ID(), Zone: d.host.Zone(), Address: settings.String(section, "peer_address")}
-	name := encodeMember(self)
-	topics := make([]string, settings.Int(section, "member_topics"))
-	for i := range topics {
-		topics[i] = fmt.Sprintf("fleet-%d", i)
-	}
-	var generation uint64
-	var listed time.Time
-	away := false
-	ticker := time.NewTicker(ttl / joinsPerTTL)
+	f := &fleet{
+		d: d, ttl: settings.Duration(section, "member_ttl"),
+		self: kernel.FleetMember{ID: d.host.ID(), Zone: d.host.Zone(), Address: settings.String(section, "peer_address")},
+	}
+	for i := range settings.Int(section, "member_topics") {
+		f.topics = append(f.topics, fmt.Sprintf("fleet-%d", i))
+	}
+	ticker := time.NewTicker(f.ttl / joinsPerTTL / looksPerJoin)
 	defer ticker.Stop()
-	for joined := true; joined; {
-		group, err := d.client.Join(ctx, fleetGroup, name, topics, ttl, generation)
-		switch {
-		case err != nil:
-			d.host.Counter(`store_calls_failed{call="join"}`).Inc(1)
-			if !away {
-				d.host.Logger.Warn("metadata store does not answer the heartbeat", "error", err)
-			}
-			away = true
-		case group.Generation != generation || time.Since(listed) > ownersInterval:
-			generation = group.Generation
-			if d.listFleet(ctx, self) {
-				listed = time.Now()
-			}
-		}
-		if away && err == nil {
-			away = false
-			d.host.Logger.Info("metadata store answers the heartbeat again")
-			d.noteRegained(time.Now())
-			d.renew.renew()
+	for n := 0; ; n++ {
+		if n%looksPerJoin == 0 {
+			f.join(ctx)
 		}
+		f.look(ctx, time.Now())
 		select {
 		case <-ticker.C:
+			continue
 		case <-d.leaving:
-			joined = false
 		case <-ctx.Done():
-			joined = false
 		}
+		f.leave(ctx)
+		return
 	}
-	leave, cancel := context.WithTimeout(context.WithoutCancel(ctx), leaveTimeout)
-	defer cancel()
-	if err := d.client.Leave(leave, fleetGroup, name); err != nil {
-		d.host.Logger.Warn("could not leave the fleet, the entry expires", "after", ttl, "error", err)
+}
+
+// fleet is this instance's membership.
+type fleet struct {
+	d      *Discovery
+	self   kernel.FleetMember
+	topics []string
+	ttl    time.Duration
+	// generation is that of the last join, listed that of the last list of
+	// members, which was read at listedAt.
+	generation, listed uint64
+	listedAt           time.Time
+}
+
+// join tells the store that this instance lives.
+func (f *fleet) join(ctx context.Context) {
+	d := f.d
+	group, err := d.client.Join(ctx, fleetGroup, encodeMember(f.self), f.topics, f.ttl, f.generation)
+	if err != nil {
+		d.host.Counter(`store_calls_failed{call="join"}`).Inc(1)
+		if !d.away.Swap(true) {
+			d.host.Logger.Warn("metadata store does not answer the heartbeat", "error", err)
+		}
+		return
+	}
+	f.generation = group.Generation
+	if d.away.Swap(false) {
+		d.host.Logger.Info("metadata store answers the heartbeat again")
+		d.noteRegained(time.Now())
+		d.renew.renew()
 	}
 }
 
-// listFleet reads the members and reports whether it could.
-func (d *Discovery) listFleet(ctx context.Context, self kernel.FleetMember) bool {
+// look brings the list of members up to date: from the zone's reader, or from
+// the store if this instance is the reader or gets no answer.
+func (f *fleet) look(ctx context.Context, now time.Time) {
+	d := f.d
+	if reader := d.reader(now); reader.ID != "" {
+		if members, ok := d.readMembers(ctx, reader); ok {
+			d.setMembers(members)
+			return
+		}
+	}
+	if d.away.Load() || f.listed == f.generation && now.Sub(f.listedAt) < ownersInterval {
+		return
+	}
 	parts, err := d.client.Owners(ctx, fleetGroup)
 	if err != nil {
 		d.host.Logger.Warn("members of the fleet cannot be read", "error", err)
-		return false
+		return
 	}
-	members := membersOf(parts, self)
+	f.listed, f.listedAt = f.generation, now
+	d.setMembers(membersOf(parts, f.self))
+}
+
+// leave tells the store that this instance takes no work of others.
+func (f *fleet) leave(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), leaveTimeout)
+	defer cancel()
+	if err := f.d.client.Leave(ctx, fleetGroup, encodeMember(f.self)); err != nil {
+		f.d.host.Logger.Warn("could not leave the fleet, the entry expires", "after", f.ttl, "error", err)
+	}
+}
+
+// setMembers puts a list of members in force.
+func (d *Discovery) setMembers(members []kernel.FleetMember) {
 	if old := d.members.Swap(&members); old == nil || !slices.Equal(*old, members) {
 		d.host.Logger.Info("fleet changed", "members", len(members))
 		d.host.Gauge("fleet_members").Update(int64(len(members)))
 	}
-	return true
+}
+
+// serveMembers tells another instance of the members.
+func (d *Discovery) serveMembers(w http.ResponseWriter, _ *http.Request) {
+	if !d.mayRead() {
+		http.Error(w, notReading, http.StatusServiceUnavailable)
+		return
+	}
+	body, err := cbor.Marshal(d.Members())
+	if err != nil {
+		panic("discovery: members: " + err.Error())
+	}
+	_, _ = w.Write(body) // an instance that left needs nothing
+}
+
+// readMembers asks the zone's reader for the members, of which this instance is
+// one in any case.
+func (d *Discovery) readMembers(ctx context.Context, reader kernel.FleetMember) ([]kernel.FleetMember, bool) {
+	ctx, cancel := context.WithTimeout(ctx, membersTimeout)
+	defer cancel()
+	data, err := d.host.PeerCalls.CallPeer(ctx, reader.Address, membersPath, nil)
+	if err != nil {
+		d.avoidReader(reader, membersPath, err)
+		return nil, false
+	}
+	var members []kernel.FleetMember
+	if err := cbor.Unmarshal(data, &members); err != nil {
+		d.avoidReader(reader, membersPath, err)
+		return nil, false
+	}
+	known := slices.ContainsFunc(members, func(m kernel.FleetMember) bool { return m.ID == d.host.ID() })
+	return members, known
 }
 
 // membersOf returns the members that hold partitions, and self, in order of ID.
--- a/plugins/stages/dispatcher.go
+++ b/plugins/stages/dispatcher.go
@@ -1,6 +1,8 @@
 package stages
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/savoryfold/savoryfold/catalog"
@@ -83,14 +85,20 @@
 // chooseZone returns the zone whose group is to do the work, or "" if the
 // service is one group.
 func (s *Stages) chooseZone(now time.Time, view *catalog.Catalog, service string) string {
+	if !s.zoned(view, service) {
+		return ""
+	}
 	counts := usableByZone(view, service)
 	home := s.host.Zone()
-	if counts[home] == 0 || !s.zoned(view, service) {
-		return ""
+	best, least := "", time.Duration(0)
+	if counts[home] > 0 {
+		best, least = home, s.told(now, groupKey{service, home}).InTime-spillWait
 	}
-	best, least := home, s.told(now, groupKey{service, home}).InTime
-	for zone := range counts {
-		if wait := s.told(now, groupKey{service, zone}).InTime; wait+spillWait < least {
+	for _, zone := range slices.Sorted(maps.Keys(counts)) {
+		// Instances without servers in their own zone spread over the others.
+		wait := s.told(now, groupKey{service, zone}).InTime
+		nearer := wait == least && policy.Rendezvous(s.host.ID(), zone) > policy.Rendezvous(s.host.ID(), best)
+		if best == "" || wait < least || nearer && best != home {
 			best, least = zone, wait
 		}
 	}
--- a/plugins/stages/stages.go
+++ b/plugins/stages/stages.go
@@ -160,7 +160,7 @@
 	}
 	s.host.Counter(`stage_dispatch{by="fallback"}`).Inc(1)
 	s.host.Logger.Warn("dispatcher does not answer, making the calls here", "request", r.Request, "service", r.Service, "dispatcher", owner.ID, "error", err)
-	return s.group(groupKey{service: r.Service}).run(ctx, r)
+	return s.group(key).run(ctx, r)
 }
 
 // forecast is what the dispatcher of a group last said of the waits for a call.
