--- a/test/passthrough/fleet_test.go
+++ b/test/passthrough/fleet_test.go
@@ -1,10 +1,15 @@
 package passthrough
 
 import (
+	"fmt"
+	"net/http"
+	"sync"
 	"testing"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/savoryfold/savoryfold/platform/platformtest"
 )
 
 func TestZoneReader(t *testing.T) {
@@ -57,3 +62,47 @@
 		})
 	})
 }
+
+// Pattern: a zone with stage servers of its own is taken out, so that its
+// instances have none, while those of the other zones go on.
+func TestZoneOutKeepsGroupsApart(t *testing.T) {
+	Convey("When a zone is out, its instances join the queue of another zone, and no server gets two calls at once", t, func() {
+		c := New(t)
+		c.Store.PutConfig(config(1))
+		engine := c.backend("i-0", "llm")
+		engine.Do = func(w http.ResponseWriter, _ *http.Request, _ platformtest.Seen) { platformtest.Stream(w, 1, 1) }
+		c.stageServer("second-1", "second")
+		var firsts []*platformtest.StageServer
+		for i := range 9 {
+			s := platformtest.NewStageServer(fmt.Sprint("first-", i), 50*time.Millisecond)
+			c.t.Cleanup(s.Close)
+			c.Store.PutServer(platformtest.Entry{ID: s.ID, Service: "first", Address: s.Address(), Zone: []string{"z1", "z2", "z3"}[i%3], Version: "v1", Slots: 1, Born: 1, Sequence: 1})
+			firsts = append(firsts, s)
+		}
+		c.Store.PutZoneOut("z3", true)
+		instances := []*Instance{c.Start("e1", "z1", true, ""), c.Start("e2", "z2", true, ""), c.Start("e3", "z3", true, "")}
+		c.Members(3)
+		for _, in := range instances {
+			c.knows(in, "first", 9)
+			c.knows(in, "second", 1)
+			c.Eventually("the zone is out", func() bool { return in.Kernel.Host.Catalogs.Catalog().ZonesOut["z3"] })
+		}
+		var wg sync.WaitGroup
+		for i := range 120 {
+			wg.Go(func() {
+				askWith(platformtest.Request{Address: instances[i%3].Address, Method: "POST", Host: host, Path: "/staged/x", ID: fmt.Sprint("r", i), Key: "key-1", Wait: 4 * time.Second, Pieces: "1,1", Body: "b"})
+			})
+			time.Sleep(5 * time.Millisecond)
+		}
+		wg.Wait()
+		calls := 0
+		for i, s := range firsts {
+			So(s.MostAtOnce(), ShouldBeLessThanOrEqualTo, 1)
+			if i%3 == 2 {
+				So(s.Calls(), ShouldBeEmpty)
+			}
+			calls += len(s.Calls())
+		}
+		So(calls, ShouldBeGreaterThan, 3)
+	})
+}
