Name the present dispatcher to who still asks the former one

Cause: for up to a second after each change of the fleet two instances made the calls of one group (roll_term changes it about once a second). Change: an instance that leaves, or knows another dispatcher, answers with it.

--- a/plugins/stages/dispatcher.go
+++ b/plugins/stages/dispatcher.go
@@ -44,7 +44,7 @@
 	if view := s.host.Catalogs.Catalog(); view != nil {
 		key.zone = s.chooseZone(now, view, service)
 	}
-	return key, s.peers.owner(now, key, members)
+	return key, s.owner(now, key, members)
 }
 
 // dispatcherOf returns the group that a server belongs to, and its dispatcher.
@@ -56,7 +56,7 @@
 	if view := s.host.Catalogs.Catalog(); view != nil && s.zoned(view, server.Service) {
 		key.zone = server.Zone
 	}
-	return key, s.peers.owner(now, key, s.host.Fleet.Members())
+	return key, s.owner(now, key, s.host.Fleet.Members())
 }
 
 // zoned reports whether every zone with servers of a service has enough of them
@@ -106,13 +106,15 @@
 }
 
 // owner returns the reachable member with the highest rendezvous weight for a
-// group, of the group's zone if any stands there.
-func (p *peers) owner(now time.Time, key groupKey, members []kernel.FleetMember) kernel.FleetMember {
+// group, of the group's zone if any stands there. An instance that leaves is no
+// dispatcher, as it knows before the others do.
+func (s *Stages) owner(now time.Time, key groupKey, members []kernel.FleetMember) kernel.FleetMember {
 	var best kernel.FleetMember
 	var weight uint64
 	local := false
+	leaving := s.host.Instance.State() == kernel.StateLeaving
 	for _, m := range members {
-		if m.Address == "" || p.avoided(now, m.ID) {
+		if m.Address == "" || s.peers.avoided(now, m.ID) || leaving && m.ID == s.host.ID() {
 			continue
 		}
 		here := key.zone != "" && m.Zone == key.zone
--- a/plugins/stages/peer.go
+++ b/plugins/stages/peer.go
@@ -47,6 +47,9 @@
 	Released []string `cbor:"14,keyasint,omitempty"`
 	// Position is how far the sender has read the catalog.
 	Position kernel.CatalogPosition `cbor:"15,keyasint"`
+	// Final is true if the receiver is to do the work, whoever it takes for the
+	// dispatcher.
+	Final bool `cbor:"16,keyasint,omitempty"`
 }
 
 // dispatchAnswer is the result of a stage request.
@@ -62,16 +65,37 @@
 	Late   time.Duration `cbor:"8,keyasint"`
 	// Position is how far the dispatcher has read the catalog.
 	Position kernel.CatalogPosition `cbor:"9,keyasint"`
+	// Dispatcher is set if another instance is the group's dispatcher now.
+	Dispatcher *kernel.FleetMember `cbor:"10,keyasint,omitempty"`
 }
 
-// ask lets the dispatcher do a stage. The error is a *peerError if it does not
-// answer in time.
+// ask lets the dispatcher do a stage, or the one that it names in its place. The
+// error is a *peerError if it does not answer in time.
 func (s *Stages) ask(ctx context.Context, key groupKey, owner kernel.FleetMember, r kernel.StageRequest) (kernel.StageResult, error) {
+	answer, err := s.askOne(ctx, key, owner, r, false)
+	if err == nil && answer.Dispatcher != nil {
+		s.host.Counter(`stage_dispatch{by="redirect"}`).Inc(1)
+		if answer.Dispatcher.ID == s.host.ID() {
+			return s.group(key).run(ctx, r)
+		}
+		answer, err = s.askOne(ctx, key, *answer.Dispatcher, r, true)
+	}
+	if err != nil {
+		return kernel.StageResult{}, err
+	}
+	if answer.Reason != "" || answer.InputGone {
+		return kernel.StageResult{}, &kernel.StageFailure{Reason: answer.Reason, Detail: answer.Detail, RetryAfter: answer.RetryAfter, InputGone: answer.InputGone}
+	}
+	return kernel.StageResult{Handles: answer.Handles, Zone: answer.Zone}, nil
+}
+
+// askOne asks one instance.
+func (s *Stages) askOne(ctx context.Context, key groupKey, owner kernel.FleetMember, r kernel.StageRequest, final bool) (dispatchAnswer, error) {
 	now := time.Now()
 	body, err := cbor.Marshal(dispatchRequest{
 		Group: key.service, Zone: key.zone, Request: r.Request, Stage: r.Stage, Pieces: r.Pieces, Key: r.Key, Inputs: r.Inputs,
 		Goal: r.Goal.Sub(now), Deadline: r.Deadline.Sub(now), Worth: r.Worth, Priority: r.Priority, Wanted: r.Zone, Bytes: r.ResultBytes,
-		Position: s.host.Catalogs.Position(),
+		Position: s.host.Catalogs.Position(), Final: final,
 	})
 	if err != nil {
 		panic("stages: dispatch request: " + err.Error())
@@ -81,16 +105,13 @@
 	answer, err := s.exchange(limited, owner.Address, body)
 	switch {
 	case err != nil && ctx.Err() != nil:
-		return kernel.StageResult{}, s.ended(ctx)
+		return dispatchAnswer{}, s.ended(ctx)
 	case err != nil:
 		s.peers.avoidNow(owner.ID)
-		return kernel.StageResult{}, &peerError{errors.Wrap(err, owner.ID)}
+		return dispatchAnswer{}, &peerError{errors.Wrap(err, owner.ID)}
 	}
 	s.heard(key, answer)
-	if answer.Reason != "" || answer.InputGone {
-		return kernel.StageResult{}, &kernel.StageFailure{Reason: answer.Reason, Detail: answer.Detail, RetryAfter: answer.RetryAfter, InputGone: answer.InputGone}
-	}
-	return kernel.StageResult{Handles: answer.Handles, Zone: answer.Zone}, nil
+	return answer, nil
 }
 
 // exchange sends one stage request to another instance.
@@ -129,6 +150,10 @@
 		s.answer(w, dispatchAnswer{InTime: waits.InTime, Late: waits.Late})
 		return
 	}
+	if other := s.owner(now, g.key, s.host.Fleet.Members()); !d.Final && other.ID != "" && other.ID != s.host.ID() {
+		s.answer(w, dispatchAnswer{Dispatcher: &other})
+		return
+	}
 	result, err := g.run(r.Context(), kernel.StageRequest{
 		Request: d.Request, Service: d.Group, Stage: d.Stage, Pieces: d.Pieces, Key: d.Key, Inputs: d.Inputs,
 		Goal: now.Add(d.Goal), Deadline: now.Add(d.Deadline), Worth: d.Worth, Priority: d.Priority, Zone: d.Wanted, ResultBytes: d.Bytes,
