Give duties by capacity, and keep zones with few stage servers from merging all

Change: zones with few servers join the group of another; dispatchers and readers are found by rendezvous weighted with the link.

--- a/kernel/catalogs.go
+++ b/kernel/catalogs.go
@@ -44,6 +44,9 @@
 	Zone string
 	// Address is where it takes calls of other instances.
 	Address string
+	// Capacity is its part of what instances do for one another, relative to
+	// the others.
+	Capacity float64
 }
 
 // Fleet knows the instances that take requests now.
--- a/plugins/discovery/fanout.go
+++ b/plugins/discovery/fanout.go
@@ -185,9 +185,9 @@
 		return kernel.FleetMember{}
 	}
 	members := d.Members()
-	best, weight := kernel.FleetMember{}, uint64(0)
+	best, weight := kernel.FleetMember{}, 0.0
 	for _, m := range members {
-		if w := policy.Rendezvous(m.Zone+"/reader", m.ID); m.Zone == d.host.Zone() && m.Address != "" && w > weight {
+		if w := policy.WeightedRendezvous(m.Zone+"/reader", m.ID, m.Capacity); m.Zone == d.host.Zone() && m.Address != "" && w > weight {
 			best, weight = m, w
 		}
 	}
--- a/plugins/discovery/fleet.go
+++ b/plugins/discovery/fleet.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -49,7 +50,7 @@
 	settings := d.host.Settings
 	f := &fleet{
 		d: d, ttl: settings.Duration(section, "member_ttl"),
-		self: kernel.FleetMember{ID: d.host.ID(), Zone: d.host.Zone(), Address: settings.String(section, "peer_address")},
+		self: kernel.FleetMember{ID: d.host.ID(), Zone: d.host.Zone(), Address: settings.String(section, "peer_address"), Capacity: settings.Float(section, "capacity")},
 	}
 	for i := range settings.Int(section, "member_topics") {
 		f.topics = append(f.topics, fmt.Sprintf("fleet-%d", i))
@@ -199,13 +200,14 @@
 }
 
 func encodeMember(m kernel.FleetMember) string {
-	return strings.Join([]string{m.ID, m.Zone, m.Address}, memberSeparator)
+	return strings.Join([]string{m.ID, m.Zone, m.Address, strconv.FormatFloat(m.Capacity, 'g', -1, 64)}, memberSeparator)
 }
 
 func decodeMember(name string) (kernel.FleetMember, bool) {
 	fields := strings.Split(name, memberSeparator)
-	if len(fields) != 3 || fields[0] == "" {
+	if len(fields) != 4 || fields[0] == "" {
 		return kernel.FleetMember{}, false
 	}
-	return kernel.FleetMember{ID: fields[0], Zone: fields[1], Address: fields[2]}, true
+	capacity, err := strconv.ParseFloat(fields[3], 64)
+	return kernel.FleetMember{ID: fields[0], Zone: fields[1], Address: fields[2], Capacity: capacity}, err == nil
 }
--- a/plugins/discovery/state_test.go
+++ b/plugins/discovery/state_test.go
@@ -73,16 +73,16 @@
 }
 
 func TestMembersOf(t *testing.T) {
-	self := kernel.FleetMember{ID: "b", Zone: "z", Address: "10.0.0.2:1"}
+	self := kernel.FleetMember{ID: "b", Zone: "z", Address: "10.0.0.2:1", Capacity: 1}
 	Convey("Members are known by the partitions that they hold, and self always", t, func() {
 		parts := []platform.GroupPart{
-			{Member: encodeMember(kernel.FleetMember{ID: "c", Zone: "y", Address: "10.0.0.3:1"})},
-			{Member: encodeMember(kernel.FleetMember{ID: "a", Zone: "z", Address: "10.0.0.1:1"})},
-			{Member: encodeMember(kernel.FleetMember{ID: "a", Zone: "z", Address: "10.0.0.1:1"})},
+			{Member: encodeMember(kernel.FleetMember{ID: "c", Zone: "y", Address: "10.0.0.3:1", Capacity: 10})},
+			{Member: encodeMember(kernel.FleetMember{ID: "a", Zone: "z", Address: "10.0.0.1:1", Capacity: 1})},
+			{Member: encodeMember(kernel.FleetMember{ID: "a", Zone: "z", Address: "10.0.0.1:1", Capacity: 1})},
 			{Member: "of another system"},
 		}
 		So(membersOf(parts, self), ShouldResemble, []kernel.FleetMember{
-			{ID: "a", Zone: "z", Address: "10.0.0.1:1"}, self, {ID: "c", Zone: "y", Address: "10.0.0.3:1"},
+			{ID: "a", Zone: "z", Address: "10.0.0.1:1", Capacity: 1}, self, {ID: "c", Zone: "y", Address: "10.0.0.3:1", Capacity: 10},
 		})
 	})
 }
--- a/plugins/stages/dispatcher.go
+++ b/plugins/stages/dispatcher.go
@@ -24,11 +24,6 @@
 	return k.service + "/" + k.zone
 }
 
-// zoneGroupServers is the number of servers in every zone from which on each
-// zone is a group of its own: a queue before three servers waits little longer
-// than one before all, and stays in the zone.
-const zoneGroupServers = 3
-
 // spillWait is how much longer the wait in the own zone's group must be before
 // work goes to another zone.
 const spillWait = 100 * time.Millisecond
@@ -53,22 +48,15 @@
 	if !s.shared || s.host.Fleet == nil {
 		return key, kernel.FleetMember{}
 	}
-	if view := s.host.Catalogs.Catalog(); view != nil && s.zoned(view, server.Service) {
-		key.zone = server.Zone
+	if view := s.host.Catalogs.Catalog(); view != nil {
+		key.zone = groupsOf(view, server.Service)[server.Zone]
 	}
 	return key, s.owner(now, key, s.host.Fleet.Members())
 }
 
-// zoned reports whether every zone with servers of a service has enough of them
-// to be a group of its own.
-func (s *Stages) zoned(view *catalog.Catalog, service string) bool {
-	counts := usableByZone(view, service)
-	for _, n := range counts {
-		if n < zoneGroupServers {
-			return false
-		}
-	}
-	return len(counts) > 1
+// groupsOf returns the group of each zone that has servers of a service.
+func groupsOf(view *catalog.Catalog, service string) map[string]string {
+	return policy.StageGroups(usableByZone(view, service))
 }
 
 // usableByZone counts the servers that may get work.
@@ -82,24 +70,20 @@
 	return counts
 }
 
-// chooseZone returns the zone whose group is to do the work, or "" if the
-// service is one group.
+// chooseZone returns the name of the group that is to do the work.
 func (s *Stages) chooseZone(now time.Time, view *catalog.Catalog, service string) string {
-	if !s.zoned(view, service) {
-		return ""
-	}
-	counts := usableByZone(view, service)
-	home := s.host.Zone()
+	groups := groupsOf(view, service)
 	best, least := "", time.Duration(0)
-	if counts[home] > 0 {
+	home, ok := groups[s.host.Zone()]
+	if ok {
 		best, least = home, s.told(now, groupKey{service, home}).InTime-spillWait
 	}
-	for _, zone := range slices.Sorted(maps.Keys(counts)) {
+	for _, group := range slices.Sorted(maps.Values(groups)) {
 		// Instances without servers in their own zone spread over the others.
-		wait := s.told(now, groupKey{service, zone}).InTime
-		nearer := wait == least && policy.Rendezvous(s.host.ID(), zone) > policy.Rendezvous(s.host.ID(), best)
-		if best == "" || wait < least || nearer && best != home {
-			best, least = zone, wait
+		wait := s.told(now, groupKey{service, group}).InTime
+		nearer := !ok && wait == least && policy.Rendezvous(s.host.ID(), group) > policy.Rendezvous(s.host.ID(), best)
+		if best == "" || wait < least || nearer {
+			best, least = group, wait
 		}
 	}
 	return best
@@ -110,7 +94,7 @@
 // dispatcher, as it knows before the others do.
 func (s *Stages) owner(now time.Time, key groupKey, members []kernel.FleetMember) kernel.FleetMember {
 	var best kernel.FleetMember
-	var weight uint64
+	var weight float64
 	local := false
 	leaving := s.host.Instance.State() == kernel.StateLeaving
 	for _, m := range members {
@@ -118,7 +102,7 @@
 			continue
 		}
 		here := key.zone != "" && m.Zone == key.zone
-		w := policy.Rendezvous(key.String(), m.ID)
+		w := policy.WeightedRendezvous(key.String(), m.ID, m.Capacity)
 		if here && !local || here == local && w > weight {
 			best, weight, local = m, w, here
 		}
--- a/plugins/stages/group.go
+++ b/plugins/stages/group.go
@@ -96,8 +96,10 @@
 		g.service = c.Batch
 	}
 	known := make(map[string]bool)
+	groups := groupsOf(view, g.key.service)
 	for _, server := range view.Servers(g.key.service) {
-		if g.key.zone != "" && server.Zone != g.key.zone {
+		// Servers that get nothing more stay with the group that knows them.
+		if group, ok := groups[server.Zone]; ok && group != g.key.zone || !ok && g.servers[server.ID] == nil {
 			continue
 		}
 		known[server.ID] = true
