Never refuse as not run what may have run; write slow requests' stories as they go

The test fails without the change. Also: a request that was lost with its process left no line; one older than a second is now logged as it goes.

--- a/kernel/requestlog.go
+++ b/kernel/requestlog.go
@@ -14,6 +14,10 @@
 // one in so many.
 const sampleEvery = 32
 
+// slowStory is the age from which on a request's story is written as it goes, so
+// that it is there if the process is lost.
+const slowStory = time.Second
+
 // maxStoryLines bounds the lines of one request.
 const maxStoryLines = 64
 
@@ -24,9 +28,13 @@
 	host   *Host
 	id     string
 	sample bool
+	began  time.Time
 
 	mu    sync.Mutex
-	lines []storyLine // guarded by mu
+	lines []storyLine // those not written yet; guarded by mu
+	added int         // guarded by mu
+	// open is true once the story is written as it goes; guarded by mu
+	open bool
 }
 
 type storyLine struct {
@@ -56,7 +64,7 @@
 // NewRequestLog begins the story of a request.
 func (h *Host) NewRequestLog(id string) *RequestLog {
 	h.stories.init(h)
-	return &RequestLog{host: h, id: id, sample: h.stories.count.Add(1)%sampleEvery == 0}
+	return &RequestLog{host: h, id: id, sample: h.stories.count.Add(1)%sampleEvery == 0, began: time.Now()}
 }
 
 // Add notes a decision: what was decided, and the inputs as pairs of name and
@@ -64,27 +72,48 @@
 func (l *RequestLog) Add(msg string, args ...any) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(l.lines) < maxStoryLines {
-		l.lines = append(l.lines, storyLine{time.Now(), msg, args})
+	l.add(msg, args)
+	if l.open || time.Since(l.began) > slowStory && l.allow() {
+		l.open = true
+		l.write()
 	}
 }
 
-// End notes the end of the request and writes its story if keep is true, if the
-// request belongs to the sample, and if the bound on stories allows it.
-func (l *RequestLog) End(keep bool, msg string, args ...any) {
-	l.Add(msg, args...)
-	if !keep && !l.sample || !l.host.Logger.Enabled(context.Background(), slog.LevelInfo) {
-		return
+// add notes a line. The caller holds mu.
+func (l *RequestLog) add(msg string, args []any) {
+	if l.added++; l.added <= maxStoryLines {
+		l.lines = append(l.lines, storyLine{time.Now(), msg, args})
 	}
+}
+
+// allow reports whether the bounds on the log let one more story through.
+func (l *RequestLog) allow() bool {
 	s := &l.host.stories
+	if !l.host.Logger.Enabled(context.Background(), slog.LevelInfo) {
+		return false
+	}
 	if !s.limiter.Allow() {
 		s.skipped.Add(1)
 		l.host.Counter("log_requests_skipped").Inc(1)
-		return
+		return false
 	}
 	s.tellSkipped(l.host)
+	return true
+}
+
+// End notes the end of the request and writes its story if keep is true, if the
+// request belongs to the sample, and if the bound on stories allows it.
+func (l *RequestLog) End(keep bool, msg string, args ...any) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.add(msg, args)
+	if l.open || (keep || l.sample) && l.allow() {
+		l.write()
+	}
+}
+
+// write writes the lines that are not written yet. The caller holds mu.
+func (l *RequestLog) write() {
 	handler := l.host.Logger.Handler()
 	for _, line := range l.lines {
 		r := slog.NewRecord(line.at, slog.LevelInfo, line.msg, 0)
@@ -94,6 +123,7 @@
 			l.host.Counter("log_lines_failed").Inc(1)
 		}
 	}
+	l.lines = nil
 }
 
 // tellSkipped logs, once a second at most, how many stories were left out.
--- a/plugins/forward/request.go
+++ b/plugins/forward/request.go
@@ -221,7 +221,9 @@
 		out := f.send(ctx, a, r)
 		out.Broken = out.Broken || a.began && out.Kind != kernel.Served
 		f.host.ReleaseResults(r.inputs)
-		if out.Reason != kernel.ReasonInputGone || round > 0 {
+		// Once a server may have run the request, a further round could end in a
+		// refusal that is not true.
+		if out.Reason != kernel.ReasonInputGone || out.Kind != kernel.NotRun || round > 0 {
 			return out
 		}
 		r.log.Add("inputs gone, stages begin anew")
--- a/test/passthrough/passthrough_test.go
+++ b/test/passthrough/passthrough_test.go
@@ -32,6 +32,8 @@
 			{Name: "resume", Host: host, Prefix: "/resume/", Kind: "streaming", Service: "llm", TimeoutMS: 5000, GoalMS: 1000, Attempts: 3, Prompted: true, Resumable: true},
 			{Name: "staged", Host: host, Prefix: "/staged/", Kind: "streaming", Service: "llm", TimeoutMS: 5000, GoalMS: 2000, Attempts: 1, Prompted: true,
 				Stages: []platformtest.Stage{{Service: "first", Bytes: 1000}, {Service: "second", After: []int{0}, Bytes: 1000}}},
+			{Name: "restage", Host: host, Prefix: "/restage/", Kind: "streaming", Service: "llm", TimeoutMS: 5000, GoalMS: 2000, Attempts: 3, Prompted: true, Resumable: true,
+				Stages: []platformtest.Stage{{Service: "first", Bytes: 1000}}},
 		},
 		Services: []platformtest.Service{
 			{Name: "app", Connections: 100}, {Name: "llm", Engine: true, Connections: 100},
@@ -295,6 +297,34 @@
 	})
 }
 
+func TestRefusalAfterRun(t *testing.T) {
+	Convey("A request that may have run is never refused as not run, also if its inputs are gone at the next server", t, func() {
+		c := New(t)
+		c.Store.PutConfig(config(1))
+		engines := []*platformtest.Backend{c.backend("i-0", "llm"), c.backend("i-1", "llm")}
+		var mu sync.Mutex
+		arrivals := 0
+		for _, e := range engines {
+			e.Do = func(w http.ResponseWriter, _ *http.Request, _ platformtest.Seen) {
+				mu.Lock()
+				arrivals++
+				first := arrivals == 1
+				mu.Unlock()
+				if first {
+					platformtest.Break()
+				}
+				platformtest.Refuse(w, http.StatusConflict)
+			}
+		}
+		c.stageServer("s-1", "first")
+		in := c.Start("e1", "z1", true, "")
+		c.knows(in, "llm", 2)
+		c.knows(in, "first", 1)
+		a := askWith(platformtest.Request{Address: in.Address, Method: "POST", Host: host, Path: "/restage/x", ID: "r1", Key: "key-1", Wait: 4 * time.Second, Pieces: "1", Body: "b"})
+		So(a.status, ShouldEqual, 502)
+	})
+}
+
 func TestStages(t *testing.T) {
 	Convey("With stage servers and two instances", t, func() {
 		c := New(t)
