Turn to the next dispatcher together; leave a store alone that answers nothing

While the store was silent for 8 s, about 90 instances tried it again and again, and refused calls are paid for too. Change: the next dispatcher in order is asked, three at most, before an instance makes calls itself; while the heartbeat gets no answer nothing else is tried.

--- a/plugins/discovery/discovery.go
+++ b/plugins/discovery/discovery.go
@@ -123,7 +123,7 @@
 }
 
 func (d *Discovery) newWatch(topic string, pace time.Duration, apply func(time.Time, []platform.StoreRecord, bool)) *watch {
-	w := &watch{client: d.client, logger: d.host.Logger, topic: topic, pace: pace, apply: apply, renewals: &d.renew}
+	w := &watch{client: d.client, logger: d.host.Logger, topic: topic, pace: pace, apply: apply, renewals: &d.renew, away: d.away.Load}
 	w.lost = func(now time.Time, err error) {
 		d.host.Logger.Warn("metadata store lost", "topic", topic, "error", err)
 		d.host.Counter("store_lost").Inc(1)
--- a/plugins/discovery/watch.go
+++ b/plugins/discovery/watch.go
@@ -25,7 +25,7 @@
 	readSlackMax = 3 * time.Second
 	// retryMin and retryMax bound the pause after a failed call.
 	retryMin = 100 * time.Millisecond
-	retryMax = 800 * time.Millisecond
+	retryMax = 500 * time.Millisecond
 )
 
 // watch follows one keyed topic: first the newest record of each key, then
@@ -49,6 +49,9 @@
 	position atomic.Uint64 // next, for other goroutines
 	listed   bool
 	slack    time.Duration
+	// away reports that the store does not answer the fleet's heartbeat. Every
+	// call is paid for, so only the heartbeat tries until it does.
+	away func() bool
 	// peer reads from the zone's reader, and reports whether it could.
 	peer    func(ctx context.Context, topic string, from uint64) ([]platform.StoreRecord, bool)
 	history history
@@ -116,9 +119,15 @@
 	}
 }
 
-// step makes one call of the store.
+// errAway says that the store was not called.
+var errAway = errors.Wrap(platform.ErrStoreUnavailable, "no answer to the heartbeat")
+
+// step makes one call of the zone's reader or of the store.
 func (w *watch) step(ctx context.Context) error {
 	if !w.listed {
+		if w.away() {
+			return errAway
+		}
 		return w.list(ctx)
 	}
 	if w.peer != nil {
@@ -128,6 +137,10 @@
 			return nil
 		}
 	}
+	if w.away() {
+		w.history.setDirect(false)
+		return errAway
+	}
 	w.slack = min(max(w.slack, readSlackMin), readSlackMax)
 	records, _, err := w.client.Read(ctx, w.topic, w.next, readWait, w.slack)
 	w.history.setDirect(err == nil)
--- a/plugins/stages/stages.go
+++ b/plugins/stages/stages.go
@@ -148,21 +148,29 @@
 
 // Run implements kernel.StageRunner.
 func (s *Stages) Run(ctx context.Context, r kernel.StageRequest) (kernel.StageResult, error) {
-	now := time.Now()
-	key, owner := s.dispatcher(now, r.Service)
-	if owner.ID == "" || owner.ID == s.host.ID() {
-		return s.group(key).run(ctx, r)
-	}
-	result, err := s.ask(ctx, key, owner, r)
-	var unreachable *peerError
-	if !errors.As(err, &unreachable) {
-		return result, err
+	key, owner := s.dispatcher(time.Now(), r.Service)
+	for range maxDispatchers {
+		if owner.ID == "" || owner.ID == s.host.ID() {
+			break
+		}
+		result, err := s.ask(ctx, key, owner, r)
+		var unreachable *peerError
+		if !errors.As(err, &unreachable) {
+			return result, err
+		}
+		// All who cannot reach a dispatcher turn to the same next one: if each
+		// made calls of its own, they would fill the servers' queues.
+		s.host.Counter(`stage_dispatch{by="next"}`).Inc(1)
+		s.host.Logger.Warn("dispatcher does not answer", "request", r.Request, "service", r.Service, "dispatcher", owner.ID, "error", err)
+		key, owner = s.dispatcher(time.Now(), r.Service)
 	}
-	s.host.Counter(`stage_dispatch{by="fallback"}`).Inc(1)
-	s.host.Logger.Warn("dispatcher does not answer, making the calls here", "request", r.Request, "service", r.Service, "dispatcher", owner.ID, "error", err)
 	return s.group(key).run(ctx, r)
 }
 
+// maxDispatchers bounds the instances that are asked to do a stage before this
+// one does it itself.
+const maxDispatchers = 3
+
 // forecast is what the dispatcher of a group last said of the waits for a call.
 type forecast struct {
 	waits kernel.StageForecast
