Keep a dispatcher's newest view; refuse stage work without servers at once

Change: the group is known before it reads the view, and takes no older one; work for which no server may get calls is refused at once.

--- a/plugins/stages/group.go
+++ b/plugins/stages/group.go
@@ -39,6 +39,7 @@
 
 	mu      sync.Mutex
 	service *catalog.Batch          // guarded by mu
+	epoch   uint64                  // of the view in force; guarded by mu
 	queue   policy.PieceQueue       // guarded by mu
 	jobs    map[uint64]*job         // those that wait; guarded by mu
 	servers map[string]*stageServer // by ID; guarded by mu
@@ -92,6 +93,10 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if view.Epoch < g.epoch {
+		return // a newer one came first
+	}
+	g.epoch = view.Epoch
 	if c := view.Service(g.key.service); c != nil {
 		g.service = c.Batch
 	}
@@ -153,6 +158,9 @@
 	if g.service == nil {
 		return nil, &kernel.StageFailure{Reason: kernel.ReasonNoServer, Detail: "no stage service " + g.key.service, RetryAfter: retryAfterMin}
 	}
+	if !g.anyUsable() {
+		return nil, &kernel.StageFailure{Reason: kernel.ReasonNoServer, Detail: "no server of stage service " + g.key.service, RetryAfter: retryAfterMin}
+	}
 	usual := g.usual()
 	waits := g.waits(now)
 	call := usual.Duration(min(r.Pieces, usual.MaxPieces))
@@ -175,6 +183,17 @@
 	return jobs, nil
 }
 
+// anyUsable reports whether a server may get work, now or after a rest. The
+// caller holds mu.
+func (g *group) anyUsable() bool {
+	for _, s := range g.servers {
+		if s.usable {
+			return true
+		}
+	}
+	return false
+}
+
 // newJob makes a job of the pieces from first to behind last.
 func (g *group) newJob(now time.Time, r kernel.StageRequest, first, last int) *job {
 	j := &job{done: make(chan jobResult, 1), asked: now}
--- a/plugins/stages/stages.go
+++ b/plugins/stages/stages.go
@@ -140,8 +140,10 @@
 	g := s.groups[key]
 	if g == nil {
 		g = newGroup(s, key)
-		g.refresh(s.host.Catalogs.Catalog())
+		// The group is known before it reads the view, so that it misses no
+		// change that is put in force meanwhile.
 		s.groups[key] = g
+		g.refresh(s.host.Catalogs.Catalog())
 	}
 	return g
 }
--- /dev/null
+++ b/test/passthrough/views_test.go
@@ -0,0 +1,126 @@
+package passthrough
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/savoryfold/savoryfold/platform"
+	"github.com/savoryfold/savoryfold/platform/platformtest"
+)
+
+func TestViews(t *testing.T) {
+	Convey("With an instance", t, func() {
+		c := New(t)
+		Convey("that starts without a configuration it is not ready and refuses truly", func() {
+			in := c.Start("e1", "z1", false, "")
+			So(platformtest.Ready(in.Readiness), ShouldBeFalse)
+			So(ask(in, "GET", "/again/x", "r").status, ShouldEqual, 503)
+			c.Store.PutConfig(config(1))
+			c.Eventually("it is ready", func() bool { return platformtest.Ready(in.Readiness) })
+		})
+		Convey("that is in force", func() {
+			c.Store.PutConfig(config(5))
+			b0, b1 := c.backend("i-0", "app"), c.backend("i-1", "app")
+			in := c.Start("e1", "z1", true, "")
+			c.knows(in, "app", 2)
+			version := func() int64 { return in.Kernel.Host.Catalogs.Catalog().Config.Version }
+			Convey("an older or unreadable configuration changes nothing", func() {
+				c.Store.PutConfig(config(4))
+				c.Store.Put(platform.OperatorTopic, "config", []byte("{"))
+				c.Store.PutConfig(config(9))
+				c.Eventually("the newer one is in force", func() bool { return version() == 9 })
+				c.Store.PutConfig(config(6))
+				c.Store.PutServer(platformtest.Entry{ID: "i-9", Service: "app", Address: "127.0.0.1:9", Zone: "z1", Slots: 1})
+				c.knows(in, "app", 3)
+				So(version(), ShouldEqual, 9)
+			})
+			Convey("a record of which the store does not tell is read when another instance speaks of it", func() {
+				c.Store.Deaf.Store(true)
+				c.Store.PutConfig(config(9))
+				began := time.Now()
+				at := in.Kernel.Host.Catalogs.Position()
+				at.Operators++
+				in.Kernel.Host.Catalogs.HearPosition(at)
+				c.Eventually("the newer one is in force", func() bool { return version() == 9 })
+				So(time.Since(began), ShouldBeLessThan, 500*time.Millisecond)
+			})
+			Convey("a history that was dropped is listed anew", func() {
+				c.Store.Trim(platform.OperatorTopic)
+				c.Store.PutConfig(config(9))
+				c.Eventually("the newer one is in force", func() bool { return version() == 9 })
+			})
+			Convey("a server that leaves gets nothing more", func() {
+				c.Store.PutServer(platformtest.Entry{ID: "i-0", Service: "app", Address: b0.Address(), Zone: "z1", Slots: 8, Born: 1, Sequence: 2, Draining: true})
+				c.Eventually("it is known", func() bool { return in.Kernel.Host.Catalogs.Catalog().Server("i-0").Draining })
+				before := len(b0.Seen())
+				for i := range 10 {
+					So(ask(in, "GET", "/again/x", fmt.Sprint("r", i)).status, ShouldEqual, 200)
+				}
+				So(len(b0.Seen()), ShouldEqual, before)
+				So(len(b1.Seen()), ShouldBeGreaterThanOrEqualTo, 10)
+			})
+			Convey("a zone that is taken out gets nothing, and gets work when it is back", func() {
+				c.Store.PutZoneOut("z1", true)
+				c.Eventually("it is known", func() bool { return in.Kernel.Host.Catalogs.Catalog().ZonesOut["z1"] })
+				So(ask(in, "GET", "/again/x", "r").status, ShouldEqual, 503)
+				c.Store.PutZoneOut("z1", false)
+				c.Eventually("it is known", func() bool { return !in.Kernel.Host.Catalogs.Catalog().ZonesOut["z1"] })
+				So(ask(in, "GET", "/again/x", "r2").status, ShouldEqual, 200)
+			})
+			Convey("an address that another server has now runs nothing", func() {
+				c.Store.PutServer(platformtest.Entry{ID: "i-0", Service: "app", Address: b1.Address(), Zone: "z1", Slots: 8, Born: 1, Sequence: 2})
+				c.Eventually("it is known", func() bool {
+					return in.Kernel.Host.Catalogs.Catalog().Server("i-0").Address == b1.Address()
+				})
+				for i := range 10 {
+					So(ask(in, "POST", "/once/x", fmt.Sprint("r", i)).status, ShouldEqual, 200)
+				}
+				So(len(b1.Seen()), ShouldEqual, 10)
+			})
+			Convey("with the store away it serves on what it knows", func() {
+				c.Store.Down.Store(true)
+				for i := range 5 {
+					So(ask(in, "GET", "/again/x", fmt.Sprint("r", i)).status, ShouldEqual, 200)
+				}
+				So(platformtest.Ready(in.Readiness), ShouldBeTrue)
+			})
+		})
+	})
+}
+
+func TestPlannedStop(t *testing.T) {
+	Convey("A planned stop cuts no request, and asks callers to leave", t, func() {
+		c := New(t)
+		c.Store.PutConfig(config(1))
+		b := c.backend("i-0", "app")
+		b.Do = func(w http.ResponseWriter, _ *http.Request, _ platformtest.Seen) {
+			time.Sleep(400 * time.Millisecond)
+			platformtest.Answer(w, 200, "ok")
+		}
+		in := c.Start("e1", "z1", true, "")
+		c.knows(in, "app", 1)
+		var wg sync.WaitGroup
+		results := make(chan answer, 20)
+		for i := range 10 {
+			wg.Go(func() { results <- ask(in, "POST", "/once/x", fmt.Sprint("r", i)) })
+		}
+		c.Eventually("the requests run", func() bool { return len(b.Seen()) == 10 })
+		stopped := make(chan error, 1)
+		go func() { stopped <- in.Stop() }()
+		c.Eventually("it is not ready", func() bool { return !platformtest.Ready(in.Readiness) })
+		a := ask(in, "POST", "/once/x", "late")
+		So(a.status, ShouldEqual, 200)
+		So(a.last, ShouldBeTrue)
+		wg.Wait()
+		So(<-stopped, ShouldBeNil)
+		close(results)
+		for r := range results {
+			So(r.status, ShouldEqual, 200)
+		}
+	})
+}
