Give work to stage servers that all seem slow; take signals from the first line

Change: slow servers are spared only while others work as stated, what one call can say is bounded, and a job goes back to a server that failed it if no other may get it; signals are taken at the beginning of main.

--- a/cmd/savoryfoldd/main.go
+++ b/cmd/savoryfoldd/main.go
@@ -88,7 +88,9 @@
 	if path == "" {
 		return settingsError{errors.New("want --settings FILE, or its path in " + settingsVariable)}
 	}
-	// From here on SIGHUP must not end the process.
+	// From here on signals must not end the process by themselves.
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	defer signal.Stop(hangups)
@@ -111,8 +113,6 @@
 		fmt.Println("settings are right")
 		return nil
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
 	go dumpOnSignal(ctx, in)
 	go reloadOnSignal(ctx, hangups, path, settings, level, logger)
 	logger.Info("starting", "version", version.Version, "settings", path, "pid", os.Getpid())
--- a/plugins/stages/call.go
+++ b/plugins/stages/call.go
@@ -125,7 +125,7 @@
 		g.failed(now, c, err)
 	} else {
 		c.server.failures = 0
-		ratio := float64(took) / float64(c.usual)
+		ratio := min(float64(took)/float64(c.usual), maxSlowness)
 		c.server.slowness += slownessWeight * (ratio - c.server.slowness)
 		c.server.measured = now
 		g.distribute(now, c, results)
--- a/plugins/stages/group.go
+++ b/plugins/stages/group.go
@@ -24,6 +24,8 @@
 	overdueSlack = 100 * time.Millisecond
 	// slownessWeight is the weight of a new sample in a server's slowness.
 	slownessWeight = 0.5
+	// maxSlowness bounds what one call can say of a server.
+	maxSlowness = 16
 	// slownessHalfLife is the time after which a server that was not called is
 	// taken to be half as slow, so that it is tried again.
 	slownessHalfLife = 2 * time.Second
@@ -222,6 +224,9 @@
 			continue
 		}
 		l.Servers++
+		if !g.policyServer(now, s).Slow() {
+			l.Usual++
+		}
 		if s.calls < g.service.Slots {
 			l.Idle++
 		}
@@ -369,13 +374,25 @@
 		return
 	}
 	j.Avoid = avoid
-	if len(g.servers) < 2 {
+	if g.usableBeside(avoid) == 0 {
 		j.Avoid = ""
 	}
 	g.jobs[j.ID] = j
 	g.queue.Push(j.PieceJob)
 }
 
+// usableBeside counts the servers that may get work but for one. The caller
+// holds mu.
+func (g *group) usableBeside(id string) int {
+	n := 0
+	for _, s := range g.servers {
+		if s.usable && s.server.ID != id {
+			n++
+		}
+	}
+	return n
+}
+
 // tick gives the jobs of calls that take too long to other servers too, and
 // ends those that are late.
 func (g *group) tick(now time.Time) {
@@ -386,7 +403,7 @@
 			continue
 		}
 		c.hedged = true
-		c.server.slowness = max(c.server.slowness, float64(now.Sub(c.began))/float64(c.usual))
+		c.server.slowness = min(max(c.server.slowness, float64(now.Sub(c.began))/float64(c.usual)), maxSlowness)
 		c.server.measured = now
 		g.stages.host.Counter(`stage_calls_overdue{service="` + g.key.service + `"}`).Inc(1)
 		for _, j := range c.jobs {
--- a/policy/piecequeue.go
+++ b/policy/piecequeue.go
@@ -200,6 +200,8 @@
 	// Servers is the number of servers that take calls, Idle of those that
 	// have none.
 	Servers, Idle int
+	// Usual is the number of servers that work as stated.
+	Usual int
 	// Soonest is the time until the next busy server is expected to be free.
 	Soonest time.Duration
 }
@@ -218,12 +220,17 @@
 	return l.Soonest + rounds
 }
 
+// Slow reports whether a server is clearly slower than stated.
+func (s PieceServer) Slow() bool { return s.Slowness >= maxSlowness }
+
 // SpareSlow reports whether a slow server should not get a call now, because
-// those that work as usual will have done all waiting work sooner.
+// those that work as usual will have done all waiting work sooner. If all seem
+// slow, it is more likely that this instance stood still.
 func SpareSlow(l PieceLoad, s PieceServer) bool {
-	if s.Slowness < maxSlowness || l.Servers == 0 {
+	if !s.Slow() || l.Usual == 0 {
 		return false
 	}
+	l.Servers = l.Usual
 	usual := s
 	usual.Slowness = 1
 	return PieceWait(l, usual)+usual.Duration(min(l.Waiting, s.MaxPieces)) < s.Duration(min(l.Waiting, s.MaxPieces))
