Take a setting without a value for its default; drop a field nobody used

Cause: found in reading: a field that a deployment does not have leaves the line of the settings template without a value, which counted as 0 for numbers. Change: only texts, addresses and lists may be empty. StageRequest.Worth is gone. Not measured: on the sites all fields have values.

--- a/config/settings.go
+++ b/config/settings.go
@@ -32,6 +32,10 @@
 // String returns the kind's name as shown to operators.
 func (k Kind) String() string { return kindNames[k] }
 
+// mayBeEmpty reports whether an empty text is a value of the kind. For others it
+// means that nothing was set, as in a template whose field has no value.
+func (k Kind) mayBeEmpty() bool { return k == String || k == Address || k == List }
+
 // Key declares one setting. A Section that ends in " *" stands for any number
 // of sections with that prefix, such as "operator *".
 type Key struct {
@@ -211,10 +215,11 @@
 	if !ok {
 		panic("config: undeclared setting [" + section + "] " + name)
 	}
-	if v, ok := s.values[lineKey{section, name}]; ok {
-		return v
+	v, ok := s.values[lineKey{section, name}]
+	if !ok || v == "" && !key.Kind.mayBeEmpty() {
+		return key.Default
 	}
-	return key.Default
+	return v
 }
 
 // String returns a setting as text.
--- a/kernel/catalogs.go
+++ b/kernel/catalogs.go
@@ -72,8 +72,7 @@
 	// Goal is the time by which the result is worth most, Deadline the time
 	// after which it is worth nothing.
 	Goal, Deadline time.Time
-	// Worth weighs the request against others of its kind of urgency.
-	Worth    float64
+	// Priority ranks requests; 0 is the most urgent.
 	Priority int
 	// Zone is where the result is wanted, if that is known.
 	Zone string
--- a/plugins/stages/peer.go
+++ b/plugins/stages/peer.go
@@ -38,7 +38,6 @@
 	Inputs   []string      `cbor:"7,keyasint,omitempty"`
 	Goal     time.Duration `cbor:"8,keyasint"`
 	Deadline time.Duration `cbor:"9,keyasint"`
-	Worth    float64       `cbor:"10,keyasint"`
 	Priority int           `cbor:"11,keyasint"`
 	Wanted   string        `cbor:"12,keyasint,omitempty"`
 	Bytes    int           `cbor:"13,keyasint"`
@@ -94,7 +93,7 @@
 	now := time.Now()
 	body, err := cbor.Marshal(dispatchRequest{
 		Group: key.service, Zone: key.zone, Request: r.Request, Stage: r.Stage, Pieces: r.Pieces, Key: r.Key, Inputs: r.Inputs,
-		Goal: r.Goal.Sub(now), Deadline: r.Deadline.Sub(now), Worth: r.Worth, Priority: r.Priority, Wanted: r.Zone, Bytes: r.ResultBytes,
+		Goal: r.Goal.Sub(now), Deadline: r.Deadline.Sub(now), Priority: r.Priority, Wanted: r.Zone, Bytes: r.ResultBytes,
 		Position: s.host.Catalogs.Position(), Final: final,
 	})
 	if err != nil {
@@ -156,7 +155,7 @@
 	}
 	result, err := g.run(r.Context(), kernel.StageRequest{
 		Request: d.Request, Service: d.Group, Stage: d.Stage, Pieces: d.Pieces, Key: d.Key, Inputs: d.Inputs,
-		Goal: now.Add(d.Goal), Deadline: now.Add(d.Deadline), Worth: d.Worth, Priority: d.Priority, Zone: d.Wanted, ResultBytes: d.Bytes,
+		Goal: now.Add(d.Goal), Deadline: now.Add(d.Deadline), Priority: d.Priority, Zone: d.Wanted, ResultBytes: d.Bytes,
 	})
 	waits := g.forecast(time.Now())
 	answer := dispatchAnswer{Handles: result.Handles, Zone: result.Zone, InTime: waits.InTime, Late: waits.Late}
