Answer requests that a stop cannot wait for before their connections end

Change: 0.4 s before the end requests in progress are ended with what is true of them: 503 if they have not run, 502 otherwise. Shown by: TestPlannedStopAnswersAll, which fails without the change with EOF.

--- a/plugins/forward/forward.go
+++ b/plugins/forward/forward.go
@@ -73,6 +73,10 @@
 
 	cancel context.CancelFunc
 	done   sync.WaitGroup
+	// ending ends when the requests in progress have to be answered, since the
+	// grace of a stop is nearly over.
+	ending   context.Context
+	endGrace context.CancelFunc
 }
 
 // Provision implements kernel.Provisioner.
@@ -97,6 +101,7 @@
 		debug.SetMemoryLimit(int64(memoryPart * float64(memory)))
 		f.maxBodies = memory / bodyMemoryPart
 	}
+	f.ending, f.endGrace = context.WithCancel(context.Background())
 	f.entry = newEntryServer(h.Logger, http.HandlerFunc(f.serve))
 	if h.Catalogs != nil {
 		h.Catalogs.OnCatalog(f.refresh)
@@ -156,6 +161,9 @@
 const (
 	// stopMargin is left of the grace for what comes after the last answer.
 	stopMargin = 700 * time.Millisecond
+	// answerTime is left before that for the answers to requests that cannot be
+	// finished within the grace: a refusal if they have not run.
+	answerTime = 400 * time.Millisecond
 )
 
 // Stop implements kernel.Stopper: requests go on to be served until callers
@@ -171,6 +179,8 @@
 	time.Sleep(min(f.host.Settings.Duration(section, "drain"), grace))
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(grace))
 	defer cancel()
+	answerAll := time.AfterFunc(time.Until(began.Add(grace-answerTime)), f.endGrace)
+	defer answerAll.Stop()
 	err := f.entry.stop(ctx)
 	if err != nil {
 		f.host.Logger.Warn("requests were cut at the end of the grace", "in_progress", f.entry.inProgress.Load(), "error", err)
--- a/plugins/forward/request.go
+++ b/plugins/forward/request.go
@@ -91,8 +91,13 @@
 	if outcome.Kind == "" {
 		f.budgets.request(now, r.service.Name)
 		ctx, cancel := context.WithDeadline(hr.Context(), r.deadline)
+		stop := context.AfterFunc(f.ending, cancel)
 		outcome = f.run(ctx, w, r)
+		stop()
 		cancel()
+		if outcome.Reason == kernel.ReasonCallerGone && f.ending.Err() != nil {
+			outcome.Reason, outcome.Detail, outcome.RetryAfter = kernel.ReasonLeaving, "the instance stops", retryBusy
+		}
 	}
 	f.finish(w, r, outcome)
 }
--- a/test/passthrough/passthrough_test.go
+++ b/test/passthrough/passthrough_test.go
@@ -28,6 +28,7 @@
 			{Name: "again", Host: host, Prefix: "/again/", Kind: "idempotent", Service: "app", TimeoutMS: 3000, GoalMS: 500, Attempts: 2},
 			{Name: "open", Host: host, Prefix: "/open/", Kind: "idempotent", Service: "app", TimeoutMS: 3000, GoalMS: 500, Attempts: 2, Public: true},
 			{Name: "short", Host: host, Prefix: "/short/", Kind: "non_idempotent", Service: "app", TimeoutMS: 300, GoalMS: 100, Attempts: 1},
+			{Name: "long", Host: host, Prefix: "/long/", Kind: "non_idempotent", Service: "app", TimeoutMS: 30000, GoalMS: 500, Attempts: 1},
 			{Name: "stream", Host: host, Prefix: "/stream/", Kind: "streaming", Service: "llm", TimeoutMS: 5000, GoalMS: 1000, Attempts: 1, Prompted: true},
 			{Name: "resume", Host: host, Prefix: "/resume/", Kind: "streaming", Service: "llm", TimeoutMS: 5000, GoalMS: 1000, Attempts: 3, Prompted: true, Resumable: true},
 			{Name: "staged", Host: host, Prefix: "/staged/", Kind: "streaming", Service: "llm", TimeoutMS: 5000, GoalMS: 2000, Attempts: 1, Prompted: true,
--- a/test/passthrough/views_test.go
+++ b/test/passthrough/views_test.go
@@ -93,6 +93,26 @@
 	})
 }
 
+func TestPlannedStopAnswersAll(t *testing.T) {
+	Convey("A request that cannot be finished within the grace of a stop gets an answer, and is not cut", t, func() {
+		c := New(t)
+		c.Store.PutConfig(config(1))
+		server := c.backend("i-0", "app")
+		server.Do = func(_ http.ResponseWriter, r *http.Request, _ platformtest.Seen) { <-r.Context().Done() }
+		in := c.Start("e1", "z1", true, "")
+		c.knows(in, "app", 1)
+		result := make(chan answer, 1)
+		go func() {
+			result <- askWith(platformtest.Request{Address: in.Address, Method: "POST", Host: host, Path: "/long/x", ID: "r1", Key: "key-1", Wait: 30 * time.Second, Body: "b"})
+		}()
+		c.Eventually("the server works on it", func() bool { return len(server.Seen()) == 1 })
+		So(in.Stop(), ShouldBeNil)
+		a := <-result
+		So(a.err, ShouldBeNil)
+		So(a.status, ShouldEqual, 502)
+	})
+}
+
 func TestPlannedStop(t *testing.T) {
 	Convey("A planned stop cuts no request, and asks callers to leave", t, func() {
 		c := New(t)
