Send a request where its prompt is held unless its inputs are large

Cause: an engine in the zone of the inputs always came first, also for inputs of some kilobytes and for none.

Change: only inputs that outweigh the shared tokens bind a request to their zone. Large results are asked for in the zone of the engine that holds the prompt, a stage with large inputs in theirs. Decisions are policy.InputsBind and policy.StageZone, with tests.

--- a/kernel/catalogs.go
+++ b/kernel/catalogs.go
@@ -74,7 +74,8 @@
 	Goal, Deadline time.Time
 	// Priority ranks requests; 0 is the most urgent.
 	Priority int
-	// Zone is where the result is wanted, if that is known.
+	// Zone is where the stage is best done: where its inputs lie or where its
+	// result is wanted. It is empty if that matters little.
 	Zone string
 }
 
--- a/plugins/forward/choose.go
+++ b/plugins/forward/choose.go
@@ -40,10 +40,11 @@
 }
 
 // promptKey identifies requests that share all of a prompt but the last part,
-// which is the request's own or its session's. It is 0 if nothing is shared.
-func promptKey(c *platform.Call) uint64 {
+// which is the request's own or its session's, and counts the tokens that are
+// shared. The key is 0 if nothing is shared.
+func promptKey(c *platform.Call) (key uint64, tokens int) {
 	if len(c.Parts) == 0 {
-		return 0
+		return 0, 0
 	}
 	shared := c.Parts[:max(1, len(c.Parts)-1)]
 	d := xxhash.New()
@@ -54,13 +55,44 @@
 			b[i] = byte(p.ID >> (8 * i))
 		}
 		_, _ = d.Write(b[:])
+		tokens += p.Tokens
 	}
-	return d.Sum64()
+	return d.Sum64(), tokens
 }
 
 // choose returns the server for a request, or none. Servers that were tried are
 // left out while others are there.
 func (f *Forward) choose(now time.Time, r *request) (choice, bool) {
+	usable, looks := f.candidates(now, r)
+	for n := len(usable); len(usable) > 0; {
+		i, reason := f.pick(r, usable, looks, policy.InputsBind(r.inputBytes, r.sharedTokens))
+		if i == policy.NoServer {
+			return choice{}, false
+		}
+		c := usable[i]
+		if f.coldAllows(now, r.service, c.server, c.state) {
+			c.reason, c.candidates = reason, n
+			return c, true
+		}
+		usable = append(usable[:i], usable[i+1:]...)
+		looks = append(looks[:i], looks[i+1:]...)
+	}
+	return choice{}, false
+}
+
+// homeZone is the zone of the server that would get a request now if its inputs
+// lay beside it; empty if there is none.
+func (f *Forward) homeZone(now time.Time, r *request) string {
+	usable, looks := f.candidates(now, r)
+	i, _ := f.pick(r, usable, looks, false)
+	if i == policy.NoServer {
+		return ""
+	}
+	return usable[i].server.Zone
+}
+
+// candidates returns the servers that may get a request now.
+func (f *Forward) candidates(now time.Time, r *request) ([]choice, []look) {
 	// Servers may have left while the request was in its stages.
 	view := f.host.Catalogs.Catalog()
 	servers := view.Servers(r.service.Name)
@@ -80,24 +112,12 @@
 			looks = append(looks, l)
 		}
 	}
-	for n := len(usable); len(usable) > 0; {
-		i, reason := f.pick(r, usable, looks)
-		if i == policy.NoServer {
-			return choice{}, false
-		}
-		c := usable[i]
-		if f.coldAllows(now, r.service, c.server, c.state) {
-			c.reason, c.candidates = reason, n
-			return c, true
-		}
-		usable = append(usable[:i], usable[i+1:]...)
-		looks = append(looks[:i], looks[i+1:]...)
-	}
-	return choice{}, false
+	return usable, looks
 }
 
-// pick chooses among usable servers.
-func (f *Forward) pick(r *request, usable []choice, looks []look) (int, policy.Reason) {
+// pick chooses among usable servers, those in the zone of the inputs first if
+// these bind the request.
+func (f *Forward) pick(r *request, usable []choice, looks []look, bound bool) (int, policy.Reason) {
 	fleet := len(f.members())
 	zone := r.zone
 	if zone == "" {
@@ -114,7 +134,7 @@
 	usual := usualFirst(looks)
 	engines := make([]policy.Engine, len(usable))
 	for i, c := range usable {
-		engines[i] = policy.Engine{ID: c.state.hash, Near: c.server.Zone == zone, InFlight: looks[i].inFlight, Reported: looks[i].reported, Slowness: 1}
+		engines[i] = policy.Engine{ID: c.state.hash, Near: !bound || c.server.Zone == zone, InFlight: looks[i].inFlight, Reported: looks[i].reported, Slowness: 1}
 		if usual > 0 && looks[i].samples >= slowSamples {
 			engines[i].Slowness = float64(looks[i].first) / usual
 		}
--- a/plugins/forward/request.go
+++ b/plugins/forward/request.go
@@ -50,10 +50,14 @@
 	deadline time.Time
 	random   float64
 	prompt   uint64
-	// zone is where the inputs lie; empty if the request has none.
-	zone   string
-	inputs []string
-	tried  map[string]bool
+	// sharedTokens is the part of the prompt that other requests share.
+	sharedTokens int
+	// zone is where most of the inputs lie, inputBytes their size; empty if the
+	// request has none.
+	zone       string
+	inputBytes int
+	inputs     []string
+	tried      map[string]bool
 	// attempts counts the servers that may have run the request.
 	attempts int
 }
@@ -124,7 +128,7 @@
 		return kernel.Outcome{Kind: kernel.NotRun, Reason: kernel.ReasonNoServer, Detail: "the route's service is not configured", RetryAfter: retryBusy}
 	}
 	r.setTimes()
-	r.prompt = promptKey(&r.call)
+	r.prompt, r.sharedTokens = promptKey(&r.call)
 	r.log.Add("accepted", "route", r.route.Name, "kind", r.route.Kind.String(), "service", r.service.Name, "account", r.accountName(),
 		"config", r.view.Config.Version, "view", r.view.Epoch, "left", r.deadline.Sub(r.began))
 	return f.readBody(w, hr, r)
--- a/plugins/forward/stages.go
+++ b/plugins/forward/stages.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/savoryfold/savoryfold/kernel"
+	"github.com/savoryfold/savoryfold/policy"
 )
 
 // stagePieces is the number of pieces of a stage: what the caller said, or one
@@ -61,7 +62,7 @@
 
 // stages does all stages of a request. The outcome is empty if all are done.
 func (f *Forward) stages(ctx context.Context, r *request) kernel.Outcome {
-	r.inputs, r.zone = nil, ""
+	r.inputs, r.zone, r.inputBytes = nil, "", 0
 	if len(r.route.Stages) == 0 {
 		return kernel.Outcome{}
 	}
@@ -171,28 +172,54 @@
 	}
 	for _, before := range s.After {
 		q.Inputs = append(q.Inputs, p.results[before].Handles...)
-		q.Zone = p.results[before].Zone
 	}
 	if len(q.Inputs) == 0 {
 		q.Key = r.call.PieceKey
 	}
+	q.Zone = p.zone(now, i)
 	result, err := p.forward.host.Stages.Run(ctx, q)
-	r.log.Add("stage", "stage", i, "service", s.Service, "pieces", q.Pieces, "zone", result.Zone, "rest", rest, "took", time.Since(now), "error", err)
+	r.log.Add("stage", "stage", i, "service", s.Service, "pieces", q.Pieces, "wanted", q.Zone, "zone", result.Zone, "rest", rest, "took", time.Since(now), "error", err)
 	p.forward.host.CountStage(s.Service, err, time.Since(now))
 	p.done <- stageDone{i, result, err}
 }
 
+// zone is where stage i is best done. Every piece fetches all inputs.
+func (p *plan) zone(now time.Time, i int) string {
+	r := p.request
+	inputZone, inputBytes := p.largest(r.route.Stages[i].After)
+	inputBytes *= r.stagePieces(i)
+	if !slices.Contains(r.route.FinalStages(), i) {
+		return policy.StageZone(inputZone, inputBytes, "", 0)
+	}
+	resultBytes := r.route.Stages[i].ResultBytes * r.stagePieces(i)
+	if resultBytes <= inputBytes || !policy.InputsBind(resultBytes, r.sharedTokens) {
+		return policy.StageZone(inputZone, inputBytes, "", 0)
+	}
+	return policy.StageZone(inputZone, inputBytes, p.forward.homeZone(now, r), resultBytes)
+}
+
+// largest returns the zone where most of the results of some stages lie, and
+// the size of all.
+func (p *plan) largest(stages []int) (zone string, bytes int) {
+	most := -1
+	for _, i := range stages {
+		size := p.request.route.Stages[i].ResultBytes * len(p.results[i].Handles)
+		if size > most && len(p.results[i].Handles) > 0 {
+			zone, most = p.results[i].Zone, size
+		}
+		bytes += size
+	}
+	return zone, bytes
+}
+
 // collect takes the results that the request itself needs.
 func (p *plan) collect() {
 	r := p.request
-	largest := -1
 	final := r.route.FinalStages()
 	for _, i := range final {
 		r.inputs = append(r.inputs, p.results[i].Handles...)
-		if size := r.route.Stages[i].ResultBytes * len(p.results[i].Handles); len(p.results[i].Handles) > 0 && size > largest {
-			largest, r.zone = size, p.results[i].Zone
-		}
 	}
+	r.zone, r.inputBytes = p.largest(final)
 }
 
 // releaseUsed gives up the results of stages whose followers are all done:
--- a/plugins/stages/dispatcher.go
+++ b/plugins/stages/dispatcher.go
@@ -1,6 +1,7 @@
 package stages
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -28,16 +29,17 @@
 // work goes to another zone.
 const spillWait = 100 * time.Millisecond
 
-// dispatcher returns the group that is to do a stage of a service, and the
-// instance that makes its calls. The instance has no ID if none is known.
-func (s *Stages) dispatcher(now time.Time, service string) (groupKey, kernel.FleetMember) {
+// dispatcher returns the group that is to do a stage of a service, best in a
+// zone if one is named, and the instance that makes its calls. The instance has
+// no ID if none is known.
+func (s *Stages) dispatcher(now time.Time, service, zone string) (groupKey, kernel.FleetMember) {
 	key := groupKey{service: service}
 	if !s.shared || s.host.Fleet == nil {
 		return key, kernel.FleetMember{}
 	}
 	members := s.host.Fleet.Members()
 	if view := s.host.Catalogs.Catalog(); view != nil {
-		key.zone = s.chooseZone(now, view, service)
+		key.zone = s.chooseZone(now, view, service, cmp.Or(zone, s.host.Zone()))
 	}
 	return key, s.owner(now, key, members)
 }
@@ -70,16 +72,17 @@
 	return counts
 }
 
-// chooseZone returns the name of the group that is to do the work.
-func (s *Stages) chooseZone(now time.Time, view *catalog.Catalog, service string) string {
+// chooseZone returns the name of the group that is to do work which is best done
+// in a zone.
+func (s *Stages) chooseZone(now time.Time, view *catalog.Catalog, service, zone string) string {
 	groups := groupsOf(view, service)
 	best, least := "", time.Duration(0)
-	home, ok := groups[s.host.Zone()]
+	home, ok := groups[zone]
 	if ok {
 		best, least = home, s.told(now, groupKey{service, home}).InTime-spillWait
 	}
 	for _, group := range slices.Sorted(maps.Values(groups)) {
-		// Instances without servers in their own zone spread over the others.
+		// Instances spread over the other zones if that one has no servers.
 		wait := s.told(now, groupKey{service, group}).InTime
 		nearer := !ok && wait == least && policy.Rendezvous(s.host.ID(), group) > policy.Rendezvous(s.host.ID(), best)
 		if best == "" || wait < least || nearer {
--- a/plugins/stages/stages.go
+++ b/plugins/stages/stages.go
@@ -150,7 +150,7 @@
 
 // Run implements kernel.StageRunner.
 func (s *Stages) Run(ctx context.Context, r kernel.StageRequest) (kernel.StageResult, error) {
-	key, owner := s.dispatcher(time.Now(), r.Service)
+	key, owner := s.dispatcher(time.Now(), r.Service, r.Zone)
 	for range maxDispatchers {
 		if owner.ID == "" || owner.ID == s.host.ID() {
 			break
@@ -164,7 +164,7 @@
 		// made calls of its own, they would fill the servers' queues.
 		s.host.Counter(`stage_dispatch{by="next"}`).Inc(1)
 		s.host.Logger.Warn("dispatcher does not answer", "request", r.Request, "service", r.Service, "dispatcher", owner.ID, "error", err)
-		key, owner = s.dispatcher(time.Now(), r.Service)
+		key, owner = s.dispatcher(time.Now(), r.Service, r.Zone)
 	}
 	return s.group(key).run(ctx, r)
 }
@@ -192,7 +192,7 @@
 	if c == nil || c.Batch == nil {
 		return kernel.StageForecast{}
 	}
-	key, owner := s.dispatcher(now, service)
+	key, owner := s.dispatcher(now, service, "")
 	var waits kernel.StageForecast
 	if owner.ID == "" || owner.ID == s.host.ID() {
 		waits = s.group(key).forecast(now)
--- a/policy/enginechoice.go
+++ b/policy/enginechoice.go
@@ -100,6 +100,35 @@
 	return found
 }
 
+// tokenBytes is the number of bytes of inputs that are moved between zones as
+// soon as one shared token of a prompt is read again. The links between zones
+// are shared and paid for, so a byte weighs more than the time it takes.
+const tokenBytes = 500
+
+// InputsBind reports whether a request should stay in the zone where its inputs
+// lie, given their size and the tokens of its prompt that other requests share.
+// Otherwise it should go to the server that holds these.
+func InputsBind(bytes, sharedTokens int) bool {
+	return sharedTokens == 0 || bytes > tokenBytes*sharedTokens
+}
+
+// zoneBytes is the size from which on data should stay in its zone: what is
+// smaller takes a link of 10 Gbit/s less than a round trip between zones.
+const zoneBytes = 128 << 10
+
+// StageZone returns the zone in which a stage is best done: where its inputs lie,
+// or where its result goes, whichever is more. It is empty if both are small.
+func StageZone(inputZone string, inputBytes int, resultZone string, resultBytes int) string {
+	zone, bytes := inputZone, inputBytes
+	if resultBytes > inputBytes {
+		zone, bytes = resultZone, resultBytes
+	}
+	if bytes < zoneBytes {
+		return ""
+	}
+	return zone
+}
+
 // PlainServer is what the choice among servers without prompts knows of one.
 type PlainServer struct {
 	Near     bool
--- a/policy/forward_test.go
+++ b/policy/forward_test.go
@@ -65,6 +65,20 @@
 	})
 }
 
+func TestPlaceOfInputs(t *testing.T) {
+	Convey("Large inputs bind a request to their zone, small ones leave it to its prompt", t, func() {
+		So(InputsBind(4_000_000, 6300), ShouldBeTrue)
+		So(InputsBind(60_000, 570), ShouldBeFalse)
+		So(InputsBind(0, 0), ShouldBeTrue)
+	})
+	Convey("A stage goes where most of its data lies or goes", t, func() {
+		So(StageZone("a", 3_000_000, "b", 60_000), ShouldEqual, "a")
+		So(StageZone("a", 8_000, "b", 3_000_000), ShouldEqual, "b")
+		So(StageZone("a", 8_000, "b", 60_000), ShouldEqual, "")
+		So(StageZone("", 0, "", 0), ShouldEqual, "")
+	})
+}
+
 func TestChoosePlain(t *testing.T) {
 	Convey("A server of the own zone is chosen while it is as free", t, func() {
 		for r := range uint64(50) {
