Let stage work wait a little for a server of its own zone

Cause: the first free server took all that waited, whatever zone the inputs lay in. With stages asked for in a zone, 45 of 100 were still done elsewhere.

Change: delay scheduling. A job leaves a server of another zone alone while one of its own zone is free within half a call, if it stays in time and has waited less than one and a half calls.

--- a/plugins/stages/call.go
+++ b/plugins/stages/call.go
@@ -212,6 +212,6 @@
 	h.Counter(`stage_pieces{service="` + g.key.service + `"}`).Inc(int64(len(c.pieces)))
 	h.Histogram(`stage_batch_seconds{service="` + g.key.service + `"}`).Update(int64(took))
 	for _, j := range c.jobs {
-		h.Histogram(`stage_wait_seconds{service="` + g.key.service + `"}`).Update(int64(c.began.Sub(j.asked)))
+		h.Histogram(`stage_wait_seconds{service="` + g.key.service + `"}`).Update(int64(c.began.Sub(j.Asked)))
 	}
 }
--- a/plugins/stages/group.go
+++ b/plugins/stages/group.go
@@ -58,7 +58,6 @@
 	attempts int
 	// running counts the calls in progress that the job is part of.
 	running int
-	asked   time.Time
 }
 
 type jobResult struct {
@@ -198,9 +197,9 @@
 
 // newJob makes a job of the pieces from first to behind last.
 func (g *group) newJob(now time.Time, r kernel.StageRequest, first, last int) *job {
-	j := &job{done: make(chan jobResult, 1), asked: now}
+	j := &job{done: make(chan jobResult, 1)}
 	j.PieceJob = policy.PieceJob{
-		ID: g.stages.nextID.Add(1), Pieces: last - first, Bytes: int64(r.ResultBytes), Goal: r.Goal, Deadline: r.Deadline, Priority: r.Priority, Zone: r.Zone,
+		ID: g.stages.nextID.Add(1), Pieces: last - first, Bytes: int64(r.ResultBytes), Goal: r.Goal, Deadline: r.Deadline, Priority: r.Priority, Zone: r.Zone, Asked: now,
 	}
 	for i := first; i < last; i++ {
 		j.pieces = append(j.pieces, platform.Piece{Request: r.Request, Stage: r.Stage, Index: i, Key: r.Key, Inputs: r.Inputs})
@@ -291,6 +290,7 @@
 			return
 		}
 		ps := g.policyServer(now, s)
+		ps.FreeIn = g.freeIn(now)
 		if policy.SpareSlow(g.load(now), ps) {
 			continue
 		}
@@ -309,6 +309,29 @@
 	return ps
 }
 
+// freeIn is, by zone, the time until a server that works as usual is free. The
+// caller holds mu.
+func (g *group) freeIn(now time.Time) map[string]time.Duration {
+	busy := make(map[*stageServer]time.Duration, len(g.calls))
+	for c := range g.calls {
+		busy[c.server] = max(busy[c.server], c.expected.Sub(now))
+	}
+	in := make(map[string]time.Duration)
+	for _, s := range g.servers {
+		if !s.usable || now.Before(s.rest) || g.policyServer(now, s).Slow() {
+			continue
+		}
+		wait := time.Duration(0)
+		if s.calls >= g.service.Slots {
+			wait = max(0, busy[s])
+		}
+		if least, ok := in[s.server.Zone]; !ok || wait < least {
+			in[s.server.Zone] = wait
+		}
+	}
+	return in
+}
+
 // free returns the servers that can take a call. The caller holds mu.
 func (g *group) free(now time.Time) []*stageServer {
 	var free []*stageServer
--- a/policy/piecequeue.go
+++ b/policy/piecequeue.go
@@ -20,8 +20,11 @@
 	Rest time.Duration
 	// Priority ranks requests; 0 is the most urgent.
 	Priority int
-	// Zone is where the result is wanted; empty if anywhere.
+	// Zone is where the job is best done: where its inputs lie, or where its
+	// result is wanted. It is empty if that matters little.
 	Zone string
+	// Asked is when the job was queued.
+	Asked time.Time
 	// Avoid names a server that failed the job.
 	Avoid string
 }
@@ -39,6 +42,9 @@
 	// Slowness is how many times longer than stated the server's calls took
 	// lately; 1 for a server as stated.
 	Slowness float64
+	// FreeIn is, by zone, the time until one of the group's servers that stand
+	// there is free.
+	FreeIn map[string]time.Duration
 }
 
 // Duration is the expected time of a call of n pieces.
@@ -125,6 +131,8 @@
 	if len(q.jobs) == 0 {
 		return nil
 	}
+	waiting := q.setAside(now, s)
+	defer func() { q.jobs = append(q.jobs, waiting...) }()
 	call := s.Duration(q.largestInTime(now, s))
 	slices.SortStableFunc(q.jobs, func(a, b PieceJob) int { return comparePieceJobs(now, call, s.Zone, a, b) })
 	var taken []PieceJob
@@ -147,6 +155,36 @@
 	return taken
 }
 
+const (
+	// zoneFreeIn is how soon a server of a job's own zone must be free for the
+	// job to wait for it while others are free, zoneWait how long it waits so at
+	// most, both in times of an empty call: waiting fills the calls, but a
+	// request has several stages and can wait in each.
+	zoneFreeIn = 0.5
+	zoneWait   = 1.5
+)
+
+// setAside takes out the jobs that a server of another zone should leave alone,
+// as one of their own zone will be free soon enough for them (delay scheduling).
+func (q *PieceQueue) setAside(now time.Time, s PieceServer) []PieceJob {
+	var waiting []PieceJob
+	soon, most := time.Duration(zoneFreeIn*float64(s.CallTime)), time.Duration(zoneWait*float64(s.CallTime))
+	usual := s
+	usual.Slowness = 1
+	q.jobs = slices.DeleteFunc(q.jobs, func(j PieceJob) bool {
+		if j.Zone == "" || j.Zone == s.Zone {
+			return false
+		}
+		free, ok := s.FreeIn[j.Zone]
+		if !ok || free > soon || now.Add(free).Sub(j.Asked) > most || free+usual.Duration(j.Pieces) > j.slack(now) {
+			return false
+		}
+		waiting = append(waiting, j)
+		return true
+	})
+	return waiting
+}
+
 // largestInTime is the largest number of pieces that a call can have while all
 // of its jobs meet their goals; all that may be in a call if there is none.
 func (q *PieceQueue) largestInTime(now time.Time, s PieceServer) int {
@@ -159,7 +197,7 @@
 		}
 	}
 	if largest == 0 {
-		return min(q.pieces, s.MaxPieces)
+		return min(n, s.MaxPieces)
 	}
 	return largest
 }
--- a/policy/piecequeue_test.go
+++ b/policy/piecequeue_test.go
@@ -73,6 +73,89 @@
 	}
 }
 
+// Pattern: a server of another zone is free while work waits that is best done
+// in its own zone.
+func TestPieceQueueZones(t *testing.T) {
+	at := func(zone string, freeHere int) PieceServer {
+		s := stageServer
+		s.Zone, s.FreeIn = zone, map[string]time.Duration{"a": ms(freeHere), "b": 0}
+		return s
+	}
+	far := epoch.Add(ms(60000))
+	job := PieceJob{ID: 1, Pieces: 2, Zone: "a", Goal: epoch.Add(ms(900)), Deadline: far, Asked: epoch}
+	for _, c := range []struct {
+		name   string
+		server PieceServer
+		change func(j *PieceJob)
+		want   []uint64
+	}{
+		{"it waits while one of its own is free soon", at("b", 40), func(*PieceJob) {}, nil},
+		{"its own takes it", at("a", 0), func(*PieceJob) {}, []uint64{1}},
+		{"it does not wait long", at("b", 150), func(*PieceJob) {}, []uint64{1}},
+		{"it does not wait again and again", at("b", 40), func(j *PieceJob) { j.Asked = epoch.Add(ms(-270)) }, []uint64{1}},
+		{"it does not wait until it is late", at("b", 40), func(j *PieceJob) { j.Goal = epoch.Add(ms(250)) }, []uint64{1}},
+		{"it does not wait for a zone without servers", at("b", 40), func(j *PieceJob) { j.Zone = "c" }, []uint64{1}},
+		{"work for any zone does not wait", at("b", 0), func(j *PieceJob) { j.Zone = "" }, []uint64{1}},
+	} {
+		Convey(c.name, t, func() {
+			j := job
+			c.change(&j)
+			var q PieceQueue
+			q.Push(j)
+			So(ids(q.Take(epoch, c.server)), ShouldResemble, c.want)
+			So(q.Len(), ShouldEqual, 1-len(c.want))
+			So(q.Pieces(), ShouldEqual, 2-2*len(c.want))
+		})
+	}
+}
+
+// Pattern: steady load of a stage whose inputs lie in one zone or another, as
+// many as keep the servers half busy. Most of the work should be done where its
+// inputs lie, and the wait for a server stay short.
+func TestPieceQueueStaysInZone(t *testing.T) {
+	Convey("Under steady load most work is done in the zone of its inputs", t, func() {
+		zones := []string{"a", "a", "b", "b", "c"}
+		free := make([]time.Time, len(zones))
+		var q PieceQueue
+		local, done, waited := 0, 0, time.Duration(0)
+		for tick := range 60000 {
+			now := epoch.Add(ms(tick))
+			if tick%50 == 0 {
+				zone := zones[int(mix(uint64(tick))%uint64(len(zones)))]
+				q.Push(PieceJob{ID: uint64(tick), Pieces: 6, Zone: zone, Goal: now.Add(ms(900)), Deadline: now.Add(ms(4000)), Asked: now})
+			}
+			in := make(map[string]time.Duration)
+			for i, z := range zones {
+				wait := max(0, free[i].Sub(now))
+				if least, ok := in[z]; !ok || wait < least {
+					in[z] = wait
+				}
+			}
+			for i, z := range zones {
+				if free[i].After(now) {
+					continue
+				}
+				s := PieceServer{ID: z, Zone: z, MaxPieces: 52, CallTime: ms(200), PieceTime: ms(3), Room: 1 << 30, Slowness: 1, FreeIn: in}
+				jobs := q.Take(now, s)
+				pieces := 0
+				for _, j := range jobs {
+					pieces += j.Pieces
+					waited += now.Sub(j.Asked)
+					done++
+					if j.Zone == z {
+						local++
+					}
+				}
+				if pieces > 0 {
+					free[i] = now.Add(s.Duration(pieces))
+				}
+			}
+		}
+		So(float64(local)/float64(done), ShouldBeGreaterThan, 0.75)
+		So(waited/time.Duration(done), ShouldBeLessThan, ms(50))
+	})
+}
+
 func TestPieceQueueExpire(t *testing.T) {
 	Convey("A job is given up as soon as no call can do it in time, not at its deadline", t, func() {
 		var q PieceQueue
