Share one topic each, so that instances which return are known

Cause: all instances listed the same eight topics to be members of the fleet. The store divides each topic evenly; with more instances than a topic has partitions everyone holds one or none of each, and nobody has to give one up. Who came back after a cut or a restart got none, was not listed, and took itself for the only dispatcher.

Ruled out: generations sent back (they were), lists that are not read anew.

Change: an instance lists one topic, by the hash of its ID; after four joins without a partition it tries the next. A holder that gets fewer joins again at once, as the store waits for that. TestNewInstancesAreKnown fails without the change.

--- a/plugins/discovery/discovery.go
+++ b/plugins/discovery/discovery.go
@@ -33,7 +33,7 @@
 			{Section: section, Name: "address", Kind: config.Address, Doc: "address of the platform's metadata store; empty means none"},
 			{Section: section, Name: "timeout", Kind: config.Duration, Default: "1500ms", Doc: "longest call of the store, without the wait of a read"},
 			{Section: section, Name: "member_ttl", Kind: config.Duration, Default: "3s", Doc: "time after which an instance that is not heard counts as gone"},
-			{Section: section, Name: "member_topics", Kind: config.Int, Default: "8", Doc: "topics whose partitions the instances share; their partitions bound the instances that are known"},
+			{Section: section, Name: "member_topics", Kind: config.Int, Default: "16", Doc: "topics over which the instances spread; each instance holds a partition of one, so that their partitions bound the instances that are known"},
 			{Section: section, Name: "capacity", Kind: config.Float, Default: "1", Doc: "capacity of this instance relative to others, such as its link in Mbit/s; it gets that part of what one instance does for all"},
 			{Section: section, Name: "peer_address", Kind: config.Address, Doc: "address at which this instance takes calls of others; empty means none"},
 		},
--- a/plugins/discovery/fleet.go
+++ b/plugins/discovery/fleet.go
@@ -13,6 +13,7 @@
 
 	"github.com/savoryfold/savoryfold/kernel"
 	"github.com/savoryfold/savoryfold/platform"
+	"github.com/savoryfold/savoryfold/policy"
 )
 
 // fleetGroup is the group of the store that all instances join. Its members
@@ -52,9 +53,7 @@
 		d: d, ttl: settings.Duration(section, "member_ttl"),
 		self: kernel.FleetMember{ID: d.host.ID(), Zone: d.host.Zone(), Address: settings.String(section, "peer_address"), Capacity: settings.Float(section, "capacity")},
 	}
-	for i := range settings.Int(section, "member_topics") {
-		f.topics = append(f.topics, fmt.Sprintf("fleet-%d", i))
-	}
+	f.allTopics = uint64(max(1, settings.Int(section, "member_topics")))
 	ticker := time.NewTicker(f.ttl / joinsPerTTL / looksPerJoin)
 	defer ticker.Stop()
 	for n := 0; ; n++ {
@@ -75,33 +74,71 @@
 
 // fleet is this instance's membership.
 type fleet struct {
-	d      *Discovery
-	self   kernel.FleetMember
-	topics []string
-	ttl    time.Duration
+	d    *Discovery
+	self kernel.FleetMember
+	ttl  time.Duration
+	// topic is the one whose partitions this instance shares with others, of
+	// allTopics. The store divides each topic evenly, so that who lists many
+	// may get nothing of any; of one topic everyone gets a partition while the
+	// members are no more than these.
+	topic, allTopics uint64
+	// parts is the number of partitions held; empty counts the joins in a row
+	// that brought none.
+	parts, empty int
 	// generation is that of the last join, listed that of the last list of
 	// members, which was read at listedAt.
 	generation, listed uint64
 	listedAt           time.Time
 }
 
-// join tells the store that this instance lives.
+// joinsToMove is the number of joins without a partition after which an instance
+// turns to another topic: the holders give up theirs with their next join or the
+// one after it.
+const joinsToMove = 4
+
+// topicName is the topic that this instance shares now.
+func (f *fleet) topicName() string {
+	return fmt.Sprintf("fleet-%d", (policy.Rendezvous(fleetGroup, f.self.ID)+f.topic)%f.allTopics)
+}
+
+// join tells the store that this instance lives. Partitions that go to others
+// do so once the store hears that this instance knows, so it joins again.
 func (f *fleet) join(ctx context.Context) {
+	held := f.parts
+	if !f.joinOnce(ctx) {
+		return
+	}
+	if f.parts < held {
+		f.joinOnce(ctx)
+	}
+	if f.parts > 0 {
+		f.empty = 0
+		return
+	}
+	if f.empty++; f.empty%joinsToMove == 0 {
+		f.topic++
+		f.d.host.Logger.Info("no partition to be known by, taking another topic", "topic", f.topicName(), "joins", f.empty)
+	}
+}
+
+// joinOnce makes one call, and reports whether it was answered.
+func (f *fleet) joinOnce(ctx context.Context) bool {
 	d := f.d
-	group, err := d.client.Join(ctx, fleetGroup, encodeMember(f.self), f.topics, f.ttl, f.generation)
+	group, err := d.client.Join(ctx, fleetGroup, encodeMember(f.self), []string{f.topicName()}, f.ttl, f.generation)
 	if err != nil {
 		d.host.Counter(`store_calls_failed{call="join"}`).Inc(1)
 		if !d.away.Swap(true) {
 			d.host.Logger.Warn("metadata store does not answer the heartbeat", "error", err)
 		}
-		return
+		return false
 	}
-	f.generation = group.Generation
+	f.generation, f.parts = group.Generation, len(group.Parts)
 	if d.away.Swap(false) {
 		d.host.Logger.Info("metadata store answers the heartbeat again")
 		d.noteRegained(time.Now())
 		d.renew.renew()
 	}
+	return true
 }
 
 // look brings the list of members up to date: from the zone's reader, or from
--- a/test/passthrough/fleet_test.go
+++ b/test/passthrough/fleet_test.go
@@ -63,6 +63,29 @@
 	})
 }
 
+// Pattern: more instances than a topic has partitions, of which some stop and
+// others start. The store divides each topic evenly, so that those which hold one
+// partition of it keep it.
+func TestNewInstancesAreKnown(t *testing.T) {
+	Convey("Instances that start among more than a topic's partitions are known to all", t, func() {
+		c := New(t)
+		c.Store.PutConfig(config(1))
+		for i := range 15 {
+			c.Start(fmt.Sprintf("e%d", i), "z1", false, "")
+		}
+		c.Members(15)
+		for i := range 3 {
+			So(c.Instances[i].Stop(), ShouldBeNil)
+		}
+		c.Instances = c.Instances[3:]
+		c.Members(12)
+		for i := range 3 {
+			c.Start(fmt.Sprintf("f%d", i), "z1", false, "")
+		}
+		c.Members(15)
+	})
+}
+
 // Pattern: a zone with stage servers of its own is taken out, so that its
 // instances have none, while those of the other zones go on.
 func TestZoneOutKeepsGroupsApart(t *testing.T) {
--- a/test/soak/world.go
+++ b/test/soak/world.go
@@ -241,7 +241,7 @@
 address = %s
 peer_address = %s
 member_ttl = 2s
-member_topics = 1
+member_topics = 2
 [peer]
 listen = %s
 [forward]
