Give stage work to zones within reach

A connection that could not be opened counted as one of a job's four attempts.

Change: after two instances of another zone did not answer, its groups and instances get no stage work for two seconds or until one answers (policy.ZoneReach, with a table test); attempts count calls that were sent, and a server to which there is no connection rests a second.

Ruled out: a zone counts as cut off after one failure: a single instance that died would send its zone's work away.

--- a/plugins/stages/call.go
+++ b/plugins/stages/call.go
@@ -18,6 +18,9 @@
 	// gets nothing; it doubles with every failure in a row.
 	restFirst   = 100 * time.Millisecond
 	restLongest = 2 * time.Second
+	// restUnreachable is how long a server to which there is no connection gets
+	// nothing at least: it went away, or the link did.
+	restUnreachable = time.Second
 	// restFull is how long a server without room for results gets nothing.
 	restFull = 150 * time.Millisecond
 	// callTimes bounds a call, in multiples of what it should take.
@@ -139,13 +142,20 @@
 func (g *group) failed(now time.Time, c *call, err error) {
 	c.server.failures++
 	rest := min(restFirst<<min(c.server.failures-1, 5), restLongest)
-	if errors.Is(err, errRefused) {
+	sent := upstream.Sent(err)
+	switch {
+	case errors.Is(err, errRefused):
 		rest = restFirst
+	case errors.Is(err, upstream.ErrNotSent):
+		rest = max(rest, restUnreachable)
 	}
 	c.server.rest = now.Add(rest)
 	g.stages.host.Logger.Warn("stage call failed", "service", g.key.service, "server", c.server.server.ID, "pieces", len(c.pieces),
 		"took", now.Sub(c.began), "rest", rest, "error", err)
 	for _, j := range c.jobs {
+		if !sent {
+			j.attempts-- // nothing was tried; the deadline bounds the repeats
+		}
 		g.requeue(j, c.server.server.ID)
 	}
 }
--- a/plugins/stages/dispatcher.go
+++ b/plugins/stages/dispatcher.go
@@ -38,10 +38,14 @@
 		return key, kernel.FleetMember{}
 	}
 	members := s.host.Fleet.Members()
+	cut := s.peers.cut(now, s.host.Zone(), members)
+	if cut[zone] {
+		zone = ""
+	}
 	if view := s.host.Catalogs.Catalog(); view != nil {
-		key.zone = s.chooseZone(now, view, service, cmp.Or(zone, s.host.Zone()))
+		key.zone = s.chooseZone(now, view, service, cmp.Or(zone, s.host.Zone()), cut)
 	}
-	return key, s.owner(now, key, members)
+	return key, s.owner(now, key, reachable(members, cut))
 }
 
 // dispatcherOf returns the group that a server belongs to, and its dispatcher.
@@ -56,6 +60,14 @@
 	return key, s.owner(now, key, s.host.Fleet.Members())
 }
 
+// reachable leaves out the members of zones that are cut off.
+func reachable(members []kernel.FleetMember, cut map[string]bool) []kernel.FleetMember {
+	if len(cut) == 0 {
+		return members
+	}
+	return slices.DeleteFunc(slices.Clone(members), func(m kernel.FleetMember) bool { return cut[m.Zone] })
+}
+
 // groupsOf returns the group of each zone that has servers of a service.
 func groupsOf(view *catalog.Catalog, service string) map[string]string {
 	return policy.StageGroups(usableByZone(view, service))
@@ -73,9 +85,12 @@
 }
 
 // chooseZone returns the name of the group that is to do work which is best done
-// in a zone.
-func (s *Stages) chooseZone(now time.Time, view *catalog.Catalog, service, zone string) string {
+// in a zone. Groups of zones that are cut off get none while there are others.
+func (s *Stages) chooseZone(now time.Time, view *catalog.Catalog, service, zone string, cut map[string]bool) string {
 	groups := groupsOf(view, service)
+	if !allCut(groups, cut) {
+		maps.DeleteFunc(groups, func(_, group string) bool { return cut[group] })
+	}
 	best, least := "", time.Duration(0)
 	home, ok := groups[zone]
 	if ok {
@@ -92,6 +107,16 @@
 	return best
 }
 
+// allCut reports whether no group is within reach.
+func allCut(groups map[string]string, cut map[string]bool) bool {
+	for _, group := range groups {
+		if !cut[group] {
+			return false
+		}
+	}
+	return true
+}
+
 // owner returns the reachable member with the highest rendezvous weight for a
 // group, of the group's zone if any stands there. An instance that leaves is no
 // dispatcher, as it knows before the others do.
--- a/plugins/stages/group_test.go
+++ b/plugins/stages/group_test.go
@@ -1,15 +1,53 @@
 package stages
 
 import (
+	"context"
+	"fmt"
+	"log/slog"
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/savoryfold/savoryfold/catalog"
+	"github.com/savoryfold/savoryfold/internal/upstream"
 	"github.com/savoryfold/savoryfold/kernel"
+	"github.com/savoryfold/savoryfold/platform/platformtest"
 )
 
+// Pattern: most servers of a group stand in zones that are cut off.
+func TestServersOutOfReach(t *testing.T) {
+	Convey("Work is done by the one server within reach, however many are not", t, func() {
+		server := platformtest.NewStageServer("good", time.Millisecond)
+		defer server.Close()
+		servers := []*catalog.Server{{ID: "good", Service: "s", Zone: "z", Address: server.Address()}}
+		for i := range 20 {
+			gone := platformtest.NewStageServer("gone", 0)
+			servers = append(servers, &catalog.Server{ID: fmt.Sprint("gone-", i), Service: "s", Zone: "y", Address: gone.Address()})
+			gone.Close()
+		}
+		s := &Stages{
+			host: &kernel.Host{Logger: slog.New(slog.DiscardHandler), Metrics: metrics.NewRegistry()},
+			pool: upstream.New(upstream.Options{DialTimeout: time.Second, Silence: time.Second, Idle: time.Second}),
+		}
+		s.frees.handles = make(map[string][]string)
+		g := newGroup(s, groupKey{service: "s"})
+		view := viewOf(1, servers...)
+		view.Service("s").Batch.CallTime, view.Service("s").Batch.ResultMemory = 10*time.Millisecond, 1<<30
+		g.refresh(view)
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		for i := range 5 {
+			_, err := g.run(ctx, kernel.StageRequest{
+				Request: fmt.Sprint("r", i), Service: "s", Pieces: 1, Goal: time.Now().Add(5 * time.Second), Deadline: time.Now().Add(5 * time.Second),
+			})
+			So(err, ShouldBeNil)
+		}
+		So(len(server.Calls()), ShouldEqual, 5)
+	})
+}
+
 func viewOf(epoch uint64, servers ...*catalog.Server) *catalog.Catalog {
 	c := &catalog.Config{Services: map[string]*catalog.Service{"s": {Name: "s", Batch: &catalog.Batch{Slots: 1, MaxPieces: 10, CallTime: time.Second}}}}
 	v := catalog.New(c, servers)
--- a/plugins/stages/link.go
+++ b/plugins/stages/link.go
@@ -8,6 +8,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/savoryfold/savoryfold/kernel"
+	"github.com/savoryfold/savoryfold/policy"
 )
 
 const (
@@ -26,6 +27,7 @@
 	avoid sync.Map // instance ID -> time.Time
 	mu    sync.Mutex
 	links map[groupKey]*peerLink // guarded by mu
+	reach policy.ZoneReach       // guarded by mu
 }
 
 // peerLink is the work that a dispatcher does for this instance. Its context
@@ -44,7 +46,31 @@
 	return ok && now.Before(until.(time.Time))
 }
 
-func (p *peers) avoidNow(id string) { p.avoid.Store(id, time.Now().Add(avoidTime)) }
+// failed notes that an instance did not answer.
+func (p *peers) failed(m kernel.FleetMember) {
+	now := time.Now()
+	p.avoid.Store(m.ID, now.Add(avoidTime))
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.reach.Failed(now, m.Zone, m.ID)
+}
+
+// cut returns the zones among those of the members that seem to be out of reach.
+// The own zone never is: whoever is silent there has died.
+func (p *peers) cut(now time.Time, own string, members []kernel.FleetMember) map[string]bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var zones map[string]bool
+	for _, m := range members {
+		if m.Zone != own && !zones[m.Zone] && p.reach.Cut(now, m.Zone) {
+			if zones == nil {
+				zones = make(map[string]bool)
+			}
+			zones[m.Zone] = true
+		}
+	}
+	return zones
+}
 
 // begin counts a stage that is given to a dispatcher. The returned context ends
 // with the request or when the dispatcher is out of reach; done is called at
@@ -74,11 +100,12 @@
 }
 
 // heard notes an answer of a group's dispatcher.
-func (s *Stages) heard(key groupKey, answer dispatchAnswer) {
+func (s *Stages) heard(key groupKey, owner kernel.FleetMember, answer dispatchAnswer) {
 	now := time.Now()
 	s.waits.Store(key, &forecast{waits: kernel.StageForecast{InTime: answer.InTime, Late: answer.Late}, at: now})
 	s.peers.mu.Lock()
 	defer s.peers.mu.Unlock()
+	s.peers.reach.Reached(owner.Zone)
 	if l := s.peers.links[key]; l != nil {
 		l.heard = now
 	}
@@ -109,15 +136,16 @@
 	defer cancel()
 	answer, err := s.exchange(limited, l.owner.Address, body)
 	if err == nil {
-		s.heard(key, answer)
+		s.heard(key, l.owner, answer)
 	}
 	s.peers.mu.Lock()
-	defer s.peers.mu.Unlock()
 	l.querying = false
+	stages := l.outstanding
+	s.peers.mu.Unlock()
 	if err == nil || ctx.Err() != nil {
 		return
 	}
-	s.host.Logger.Warn("dispatcher out of reach", "dispatcher", l.owner.ID, "service", key.service, "zone", key.zone, "stages", l.outstanding, "error", err)
-	s.peers.avoidNow(l.owner.ID)
+	s.host.Logger.Warn("dispatcher out of reach", "dispatcher", l.owner.ID, "service", key.service, "zone", key.zone, "stages", stages, "error", err)
+	s.peers.failed(l.owner)
 	l.cancel()
 }
--- a/plugins/stages/peer.go
+++ b/plugins/stages/peer.go
@@ -106,10 +106,10 @@
 	case err != nil && ctx.Err() != nil:
 		return dispatchAnswer{}, s.ended(ctx)
 	case err != nil:
-		s.peers.avoidNow(owner.ID)
+		s.peers.failed(owner)
 		return dispatchAnswer{}, &peerError{errors.Wrap(err, owner.ID)}
 	}
-	s.heard(key, answer)
+	s.heard(key, owner, answer)
 	return answer, nil
 }
 
--- /dev/null
+++ b/policy/zonereach_test.go
@@ -0,0 +1,27 @@
+package policy
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+func TestZoneReach(t *testing.T) {
+	Convey("A zone counts as cut off once two of its instances are out of reach", t, func() {
+		var z ZoneReach
+		So(z.Cut(epoch, "a"), ShouldBeFalse)
+		z.Failed(epoch, "a", "1")
+		z.Failed(epoch.Add(ms(100)), "a", "1")
+		So(z.Cut(epoch.Add(ms(100)), "a"), ShouldBeFalse)
+		z.Failed(epoch.Add(ms(200)), "a", "2")
+		So(z.Cut(epoch.Add(ms(200)), "a"), ShouldBeTrue)
+		So(z.Cut(epoch.Add(ms(200)), "b"), ShouldBeFalse)
+		Convey("until one answers", func() {
+			z.Reached("a")
+			So(z.Cut(epoch.Add(ms(300)), "a"), ShouldBeFalse)
+		})
+		Convey("or for some seconds", func() {
+			So(z.Cut(epoch.Add(ms(2150)), "a"), ShouldBeFalse)
+		})
+	})
+}
