Let stand-ins for a zone's reader read the store less, and ask it again sooner

Cause: an instance whose reader did not answer read the store itself for three seconds, five times a second, also when the reader was alive and only had no answer yet: after every return of the store and every start of all processes a whole zone did so.

Change: a reader that refuses is asked again after 0.7 s, one that is silent after 3 s as before; a stand-in reads at most every 0.6 s.

Ruled out: a slower reader; the bounds on leaving servers rest on its pace.

--- a/plugins/discovery/discovery.go
+++ b/plugins/discovery/discovery.go
@@ -101,6 +101,7 @@
 	d.operators = d.newWatch(platform.OperatorTopic, configPace, d.applyOperator)
 	d.servers = d.newWatch(platform.ServersTopic, serverPace, d.applyServers)
 	d.operators.peer, d.servers.peer = d.readPeer, d.readPeer
+	d.operators.standsIn, d.servers.standsIn = d.standsIn, d.standsIn
 	d.running.Go(func() { d.operators.run(ctx) })
 	d.running.Go(func() { d.servers.run(ctx) })
 	d.running.Go(func() { d.joinFleet(ctx) })
--- a/plugins/discovery/fanout.go
+++ b/plugins/discovery/fanout.go
@@ -27,8 +27,14 @@
 	// configuration allow.
 	peerWait  = time.Second
 	peerSlack = 300 * time.Millisecond
-	// avoidTime is how long a reader that did not answer is left alone.
+	// avoidTime is how long a reader that did not answer is left alone, avoidAway
+	// one that answers but cannot tell: soon after the store came back, or after
+	// it started, it can.
 	avoidTime = 3 * time.Second
+	avoidAway = 700 * time.Millisecond
+	// standInPace is the least time between two reads of the store by an instance
+	// that only stands in for its reader: a whole zone may do so.
+	standInPace = 600 * time.Millisecond
 	// historyLength is the number of records that a reader keeps for the
 	// others. Who needs older ones reads the store.
 	historyLength = 1000
@@ -181,19 +187,31 @@
 // reader returns the reader of this instance's zone, or no ID if it is this
 // instance or cannot be asked.
 func (d *Discovery) reader(now time.Time) kernel.FleetMember {
-	if d.host.PeerCalls == nil {
+	best := d.zoneReader()
+	if best.ID == d.host.ID() || d.avoided(now, best.ID) {
 		return kernel.FleetMember{}
 	}
-	members := d.Members()
+	return best
+}
+
+// standsIn reports whether another instance is the zone's reader.
+func (d *Discovery) standsIn() bool {
+	reader := d.zoneReader()
+	return reader.ID != "" && reader.ID != d.host.ID()
+}
+
+// zoneReader returns the reader of this instance's zone; without an ID if no
+// instance is known.
+func (d *Discovery) zoneReader() kernel.FleetMember {
 	best, weight := kernel.FleetMember{}, 0.0
-	for _, m := range members {
+	if d.host.PeerCalls == nil {
+		return best
+	}
+	for _, m := range d.Members() {
 		if w := policy.WeightedRendezvous(m.Zone+"/reader", m.ID, m.Capacity); m.Zone == d.host.Zone() && m.Address != "" && w > weight {
 			best, weight = m, w
 		}
 	}
-	if best.ID == d.host.ID() || d.avoided(now, best.ID) {
-		return kernel.FleetMember{}
-	}
 	return best
 }
 
@@ -250,7 +268,11 @@
 
 // avoidReader leaves a reader alone for a while.
 func (d *Discovery) avoidReader(reader kernel.FleetMember, path string, err error) {
-	d.avoid.Store(reader.ID, time.Now().Add(avoidTime))
+	pause := avoidTime
+	if errors.Is(err, kernel.ErrPeerRefused) {
+		pause = avoidAway
+	}
+	d.avoid.Store(reader.ID, time.Now().Add(pause))
 	d.host.Counter("reader_lost").Inc(1)
-	d.host.Logger.Info("the zone's reader does not answer, asking the store", "reader", reader.ID, "path", path, "for", avoidTime, "error", err)
+	d.host.Logger.Info("the zone's reader does not answer, asking the store", "reader", reader.ID, "path", path, "for", pause, "error", err)
 }
--- a/plugins/discovery/watch.go
+++ b/plugins/discovery/watch.go
@@ -48,13 +48,17 @@
 	next     uint64
 	position atomic.Uint64 // next, for other goroutines
 	listed   bool
+	direct   bool // the last step read the store
 	slack    time.Duration
 	// away reports that the store does not answer the fleet's heartbeat. Every
 	// call is paid for, so only the heartbeat tries until it does.
 	away func() bool
-	// peer reads from the zone's reader, and reports whether it could.
-	peer    func(ctx context.Context, topic string, from uint64) ([]platform.StoreRecord, bool)
-	history history
+	// peer reads from the zone's reader, and reports whether it could. standsIn
+	// reports whether another instance is the reader, so that a read of the store
+	// serves this one alone.
+	peer     func(ctx context.Context, topic string, from uint64) ([]platform.StoreRecord, bool)
+	standsIn func() bool
+	history  history
 }
 
 // run follows the topic until the context ends.
@@ -86,7 +90,11 @@
 			w.regained(time.Now(), nil)
 		}
 		pause.Reset()
-		backoff.Sleep(ctx, w.pace-time.Since(start))
+		pace := w.pace
+		if w.direct && w.standsIn != nil && w.standsIn() {
+			pace = max(pace, standInPace)
+		}
+		backoff.Sleep(ctx, pace-time.Since(start))
 	}
 }
 
@@ -133,6 +141,7 @@
 	if w.peer != nil {
 		if records, ok := w.peer(ctx, w.topic, w.next); ok {
 			w.history.setDirect(false)
+			w.direct = false
 			w.take(records)
 			return nil
 		}
@@ -144,6 +153,7 @@
 	w.slack = min(max(w.slack, readSlackMin), readSlackMax)
 	records, _, err := w.client.Read(ctx, w.topic, w.next, readWait, w.slack)
 	w.history.setDirect(err == nil)
+	w.direct = true
 	if err != nil {
 		w.slack *= 2
 		return err
--- a/plugins/peerhttp/peerhttp.go
+++ b/plugins/peerhttp/peerhttp.go
@@ -131,7 +131,7 @@
 		return nil, errors.Wrap(err, "answer of an instance")
 	}
 	if x.Response.StatusCode != http.StatusOK {
-		return nil, errors.Errorf("answer of an instance: status %d: %.100s", x.Response.StatusCode, data)
+		return nil, errors.Wrapf(kernel.ErrPeerRefused, "status %d: %.100s", x.Response.StatusCode, data)
 	}
 	return data, x.Finish(0)
 }
--- a/test/passthrough/fleet_test.go
+++ b/test/passthrough/fleet_test.go
@@ -59,6 +59,10 @@
 			c.Store.PutConfig(config(20))
 			c.Eventually("all have the version", version(20))
 			So(time.Since(began), ShouldBeLessThan, 4*time.Second)
+			time.Sleep(2 * time.Second)
+			before := c.Store.Reads.Load()
+			time.Sleep(time.Second)
+			So(c.Store.Reads.Load()-before, ShouldBeLessThan, 6) // those of one, again
 		})
 	})
 }
