Log zones that go out of reach, and what bound a request to its zone

Change: one line when a zone goes out of reach and one when an instance there answers again, with a counter; the line "send" names the zone and size of the inputs and the shared tokens. Ruled out: a line for each stage that is sent elsewhere; "wanted" in the line "stage" tells that.

--- a/plugins/forward/send.go
+++ b/plugins/forward/send.go
@@ -73,6 +73,7 @@
 			return ranOutcome(ran, last)
 		}
 		r.log.Add("send", "server", c.server.ID, "zone", c.server.Zone, "reason", string(c.reason), "candidates", c.candidates,
+			"inputs_in", r.zone, "input_bytes", r.inputBytes, "shared_tokens", r.sharedTokens,
 			"entry_age", now.Sub(c.server.Seen), "left", r.deadline.Sub(now))
 		result, out := f.sendOnce(ctx, a, r, c)
 		f.host.CountSend(r.service.Name, result.String())
--- a/plugins/stages/link.go
+++ b/plugins/stages/link.go
@@ -46,13 +46,24 @@
 	return ok && now.Before(until.(time.Time))
 }
 
-// failed notes that an instance did not answer.
-func (p *peers) failed(m kernel.FleetMember) {
+// failed notes that an instance did not answer, and reports whether its zone now
+// counts as cut off and did not before.
+func (p *peers) failed(m kernel.FleetMember) bool {
 	now := time.Now()
 	p.avoid.Store(m.ID, now.Add(avoidTime))
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	before := p.reach.Cut(now, m.Zone)
 	p.reach.Failed(now, m.Zone, m.ID)
+	return !before && p.reach.Cut(now, m.Zone)
+}
+
+// lost notes that a dispatcher did not answer.
+func (s *Stages) lost(m kernel.FleetMember) {
+	if s.peers.failed(m) && m.Zone != s.host.Zone() {
+		s.host.Counter(`zones_out_of_reach{zone="` + m.Zone + `"}`).Inc(1)
+		s.host.Logger.Warn("availability zone out of reach, stage work goes elsewhere", "zone", m.Zone, "last", m.ID)
+	}
 }
 
 // cut returns the zones among those of the members that seem to be out of reach.
@@ -105,6 +116,9 @@
 	s.waits.Store(key, &forecast{waits: kernel.StageForecast{InTime: answer.InTime, Late: answer.Late}, at: now})
 	s.peers.mu.Lock()
 	defer s.peers.mu.Unlock()
+	if s.peers.reach.Cut(now, owner.Zone) && owner.Zone != s.host.Zone() {
+		s.host.Logger.Info("availability zone within reach again", "zone", owner.Zone, "instance", owner.ID)
+	}
 	s.peers.reach.Reached(owner.Zone)
 	if l := s.peers.links[key]; l != nil {
 		l.heard = now
@@ -146,6 +160,6 @@
 		return
 	}
 	s.host.Logger.Warn("dispatcher out of reach", "dispatcher", l.owner.ID, "service", key.service, "zone", key.zone, "stages", stages, "error", err)
-	s.peers.failed(l.owner)
+	s.lost(l.owner)
 	l.cancel()
 }
--- a/plugins/stages/peer.go
+++ b/plugins/stages/peer.go
@@ -106,7 +106,7 @@
 	case err != nil && ctx.Err() != nil:
 		return dispatchAnswer{}, s.ended(ctx)
 	case err != nil:
-		s.peers.failed(owner)
+		s.lost(owner)
 		return dispatchAnswer{}, &peerError{errors.Wrap(err, owner.ID)}
 	}
 	s.heard(key, owner, answer)
