Repeat work in the background by one function

Cause: nine modules wrote the same loop over a ticker; four of them came with the users' platform.

Loops that wait for more than a tick stay as they are. Ruled out: starting and stopping in it as well; what ends with a module differs from module to module.

--- a/plugins/discovery/discovery.go
+++ b/plugins/discovery/discovery.go
@@ -12,6 +12,7 @@
 
 	"github.com/savoryfold/savoryfold/catalog"
 	"github.com/savoryfold/savoryfold/config"
+	"github.com/savoryfold/savoryfold/internal/periodic"
 	"github.com/savoryfold/savoryfold/kernel"
 	"github.com/savoryfold/savoryfold/platform"
 )
@@ -343,14 +344,5 @@
 
 // expire drops servers whose entries lapsed and did not come back.
 func (d *Discovery) expire(ctx context.Context) {
-	ticker := time.NewTicker(serverPace)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-ticker.C:
-			d.update(func(s *state) bool { return s.expire(now) })
-		}
-	}
+	periodic.Run(ctx, serverPace, func(now time.Time) { d.update(func(s *state) bool { return s.expire(now) }) })
 }
--- a/plugins/forward/forward.go
+++ b/plugins/forward/forward.go
@@ -18,6 +18,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/savoryfold/savoryfold/config"
+	"github.com/savoryfold/savoryfold/internal/periodic"
 	"github.com/savoryfold/savoryfold/internal/upstream"
 	"github.com/savoryfold/savoryfold/kernel"
 	"github.com/savoryfold/savoryfold/policy"
@@ -142,16 +143,7 @@
 
 // upkeep closes connections that are idle for too long.
 func (f *Forward) upkeep(ctx context.Context) {
-	ticker := time.NewTicker(upkeepInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-ticker.C:
-			f.pool.Trim(now)
-		}
-	}
+	periodic.Run(ctx, upkeepInterval, func(now time.Time) { f.pool.Trim(now) })
 }
 
 // PrepareStop implements kernel.StopPreparer: from now on the instance is not
--- a/plugins/loadreport/loadreport.go
+++ b/plugins/loadreport/loadreport.go
@@ -16,6 +16,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/savoryfold/savoryfold/config"
+	"github.com/savoryfold/savoryfold/internal/periodic"
 	"github.com/savoryfold/savoryfold/kernel"
 	"github.com/savoryfold/savoryfold/policy"
 )
@@ -106,16 +107,7 @@
 }
 
 func (m *Module) run(ctx context.Context) {
-	ticker := time.NewTicker(m.interval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-ticker.C:
-			m.round(ctx, now)
-		}
-	}
+	periodic.Run(ctx, m.interval, func(now time.Time) { m.round(ctx, now) })
 }
 
 // round asks all servers that fall to this instance and renews the digests.
--- a/plugins/orders/orders.go
+++ b/plugins/orders/orders.go
@@ -20,6 +20,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/savoryfold/savoryfold/config"
+	"github.com/savoryfold/savoryfold/internal/periodic"
 	"github.com/savoryfold/savoryfold/kernel"
 )
 
@@ -120,16 +121,7 @@
 }
 
 func (o *Orders) run(ctx context.Context, poll time.Duration) {
-	ticker := time.NewTicker(poll)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			o.round(ctx)
-		}
-	}
+	periodic.Run(ctx, poll, func(_ time.Time) { o.round(ctx) })
 }
 
 // round compares the zone's engines with the tables and orders what differs.
--- a/plugins/peerhttp/peerhttp.go
+++ b/plugins/peerhttp/peerhttp.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/savoryfold/savoryfold/config"
+	"github.com/savoryfold/savoryfold/internal/periodic"
 	"github.com/savoryfold/savoryfold/internal/upstream"
 	"github.com/savoryfold/savoryfold/kernel"
 )
@@ -89,16 +90,7 @@
 
 // trim closes connections that are idle for too long.
 func (p *Peers) trim(ctx context.Context) {
-	ticker := time.NewTicker(trimInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-ticker.C:
-			p.pool.Trim(now)
-		}
-	}
+	periodic.Run(ctx, trimInterval, func(now time.Time) { p.pool.Trim(now) })
 }
 
 // Stop implements kernel.Stopper. What other instances wait for here they do by
--- a/plugins/peerquic/peerquic.go
+++ b/plugins/peerquic/peerquic.go
@@ -18,6 +18,7 @@
 	"github.com/quic-go/quic-go"
 
 	"github.com/savoryfold/savoryfold/config"
+	"github.com/savoryfold/savoryfold/internal/periodic"
 	"github.com/savoryfold/savoryfold/kernel"
 	"github.com/savoryfold/savoryfold/peer"
 )
@@ -215,17 +216,10 @@
 
 // upkeep rereads credentials and closes connections that are no longer wanted.
 func (p *Peers) upkeep() {
-	ticker := time.NewTicker(upkeepInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-p.life.Done():
-			return
-		case now := <-ticker.C:
-			p.reload(now)
-			p.closeUnwanted(now)
-		}
-	}
+	periodic.Run(p.life, upkeepInterval, func(now time.Time) {
+		p.reload(now)
+		p.closeUnwanted(now)
+	})
 }
 
 func (p *Peers) reload(now time.Time) {
--- a/plugins/rollout/rollout.go
+++ b/plugins/rollout/rollout.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/savoryfold/savoryfold/config"
+	"github.com/savoryfold/savoryfold/internal/periodic"
 	"github.com/savoryfold/savoryfold/kernel"
 	"github.com/savoryfold/savoryfold/policy"
 )
@@ -121,16 +122,7 @@
 
 // run works out the shares again and again.
 func (r *Rollout) run(ctx context.Context) {
-	ticker := time.NewTicker(tick)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-ticker.C:
-			r.refresh(now)
-		}
-	}
+	periodic.Run(ctx, tick, func(now time.Time) { r.refresh(now) })
 }
 
 func (r *Rollout) refresh(now time.Time) {
--- a/plugins/servicemoves/servicemoves.go
+++ b/plugins/servicemoves/servicemoves.go
@@ -17,6 +17,7 @@
 
 	"github.com/savoryfold/savoryfold/catalog"
 	"github.com/savoryfold/savoryfold/config"
+	"github.com/savoryfold/savoryfold/internal/periodic"
 	"github.com/savoryfold/savoryfold/kernel"
 	"github.com/savoryfold/savoryfold/policy"
 )
@@ -201,18 +202,11 @@
 
 // run records the steps of moves until the context ends.
 func (m *Moves) run(ctx context.Context) {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-ticker.C:
-			for service, mv := range *m.active.Load() {
-				m.record(ctx, now, service, mv)
-			}
+	periodic.Run(ctx, interval, func(now time.Time) {
+		for service, mv := range *m.active.Load() {
+			m.record(ctx, now, service, mv)
 		}
-	}
+	})
 }
 
 // record writes the state of a move if it is this instance's turn.
--- a/plugins/stages/stages.go
+++ b/plugins/stages/stages.go
@@ -18,6 +18,7 @@
 
 	"github.com/savoryfold/savoryfold/catalog"
 	"github.com/savoryfold/savoryfold/config"
+	"github.com/savoryfold/savoryfold/internal/periodic"
 	"github.com/savoryfold/savoryfold/internal/upstream"
 	"github.com/savoryfold/savoryfold/kernel"
 )
@@ -99,21 +100,14 @@
 
 // maintain looks after calls and results until the context ends.
 func (s *Stages) maintain(ctx context.Context) {
-	ticker := time.NewTicker(tick)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-ticker.C:
-			for _, g := range s.allGroups() {
-				g.tick(now)
-			}
-			s.sendReleases(ctx, now)
-			s.queryPeers(ctx, now)
-			s.pool.Trim(now)
+	periodic.Run(ctx, tick, func(now time.Time) {
+		for _, g := range s.allGroups() {
+			g.tick(now)
 		}
-	}
+		s.sendReleases(ctx, now)
+		s.queryPeers(ctx, now)
+		s.pool.Trim(now)
+	})
 }
 
 func (s *Stages) allGroups() []*group {
