One rendezvous owner and one rank for the known fleet

Cause: discovery and stages each looked for the member with the highest weighted rendezvous weight, servicemoves and forward each counted their rank, though Host.Rank tells it; it knew only members found by gossip.

Change: kernel.FleetOwner, with a test; Host.Rank takes the fleet that the platform's store lists where there is no gossip, with a test; both own counts are gone. Ruled out: a rank in policy beside that of the kernel.

Which instance is first for a key may be another one than before; all agree on it as before, the sums over the fleet hold (each place is taken once, tested).

--- /dev/null
+++ b/kernel/fleetowner_test.go
@@ -0,0 +1,60 @@
+package kernel
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+func TestFleetOwner(t *testing.T) {
+	members := []FleetMember{{ID: "a", Capacity: 1}, {ID: "b", Capacity: 1}, {ID: "c", Capacity: 8}}
+	everyone := func(FleetMember) bool { return true }
+	Convey("All agree on the owner, in whatever order they know the members", t, func() {
+		other := slices.Clone(members)
+		slices.Reverse(other)
+		for i := range 50 {
+			key := fmt.Sprint("key", i)
+			So(FleetOwner(key, members, everyone), ShouldResemble, FleetOwner(key, other, everyone))
+		}
+	})
+	Convey("A member that may not is passed over, and only its keys move", t, func() {
+		for i := range 50 {
+			key := fmt.Sprint("key", i)
+			before := FleetOwner(key, members, everyone)
+			after := FleetOwner(key, members, func(m FleetMember) bool { return m.ID != "a" })
+			So(after.ID, ShouldNotEqual, "a")
+			if before.ID != "a" {
+				So(after, ShouldResemble, before)
+			}
+		}
+	})
+	Convey("Capacity counts", t, func() {
+		owned := make(map[string]int)
+		for i := range 1000 {
+			owned[FleetOwner(fmt.Sprint("key", i), members, everyone).ID]++
+		}
+		So(owned["c"], ShouldBeBetween, 720, 880)
+	})
+	Convey("There may be none", t, func() {
+		So(FleetOwner("key", nil, everyone).ID, ShouldEqual, "")
+	})
+}
+
+type fixedFleet []FleetMember
+
+func (f fixedFleet) Members() []FleetMember { return f }
+
+func TestRankInFleet(t *testing.T) {
+	Convey("Without gossip, instances take their places among the known fleet", t, func() {
+		fleet := fixedFleet{{ID: "a", Zone: "z1"}, {ID: "b", Zone: "z1"}, {ID: "c", Zone: "z2"}}
+		places := make(map[int]string)
+		for _, m := range fleet {
+			settings, err := Schema().Load("test", []byte("[instance]\nid = "+m.ID+"\nzone = "+m.Zone+"\n"))
+			So(err, ShouldBeNil)
+			places[(&Host{Settings: settings, Fleet: fleet}).Rank("key")] = m.ID
+		}
+		So(places, ShouldHaveLength, 3)
+	})
+}
--- a/kernel/sharers.go
+++ b/kernel/sharers.go
@@ -90,12 +90,19 @@
 // liveSharers returns the instances that take requests now.
 func liveSharers(h *Host) []sharer {
 	live := []sharer{newSharer(h.ID(), h.Zone())}
-	if h.Membership == nil {
-		return live
+	add := func(id, zone string) {
+		if id != h.ID() {
+			live = append(live, newSharer(id, zone))
+		}
 	}
-	for _, m := range h.Membership.View().Live() {
-		if m.ID != h.ID() {
-			live = append(live, newSharer(m.ID, m.Zone))
+	switch {
+	case h.Membership != nil:
+		for _, m := range h.Membership.View().Live() {
+			add(m.ID, m.Zone)
+		}
+	case h.Fleet != nil:
+		for _, m := range h.Fleet.Members() {
+			add(m.ID, m.Zone)
 		}
 	}
 	return live
--- a/plugins/discovery/fanout.go
+++ b/plugins/discovery/fanout.go
@@ -11,7 +11,6 @@
 
 	"github.com/savoryfold/savoryfold/kernel"
 	"github.com/savoryfold/savoryfold/platform"
-	"github.com/savoryfold/savoryfold/policy"
 )
 
 // One instance of each availability zone, the zone's reader, reads the records
@@ -203,16 +202,11 @@
 // zoneReader returns the reader of this instance's zone; without an ID if no
 // instance is known.
 func (d *Discovery) zoneReader() kernel.FleetMember {
-	best, weight := kernel.FleetMember{}, 0.0
 	if d.host.PeerCalls == nil {
-		return best
-	}
-	for _, m := range d.Members() {
-		if w := policy.WeightedRendezvous(m.Zone+"/reader", m.ID, m.Capacity); m.Zone == d.host.Zone() && m.Address != "" && w > weight {
-			best, weight = m, w
-		}
+		return kernel.FleetMember{}
 	}
-	return best
+	zone := d.host.Zone()
+	return kernel.FleetOwner(zone+"/reader", d.Members(), func(m kernel.FleetMember) bool { return m.Zone == zone && m.Address != "" })
 }
 
 func (d *Discovery) avoided(now time.Time, id string) bool {
--- a/plugins/forward/servers.go
+++ b/plugins/forward/servers.go
@@ -208,8 +208,7 @@
 	if !server.Cold(now) && !now.Before(state.suspectUntil) {
 		return true
 	}
-	rank, fleet := f.rank(server.ID)
-	share := policy.ColdShare(service.ColdRate, rank, fleet)
+	share := policy.ColdShare(service.ColdRate, f.host.Rank(server.ID), max(1, len(f.members())))
 	if share <= 0 {
 		return false
 	}
@@ -219,19 +218,7 @@
 	return state.cold.AllowN(now, 1)
 }
 
-// rank returns this instance's place among the fleet for a server, and the
-// fleet's size.
-func (f *Forward) rank(server string) (rank, fleet int) {
-	members := f.members()
-	own := policy.Rendezvous(server, f.host.ID())
-	for _, m := range members {
-		if m.ID != f.host.ID() && policy.Rendezvous(server, m.ID) > own {
-			rank++
-		}
-	}
-	return rank, max(1, len(members))
-}
-
+// members returns the known instances of the fleet.
 func (f *Forward) members() []kernel.FleetMember {
 	if f.host.Fleet == nil {
 		return nil
--- a/plugins/servicemoves/servicemoves.go
+++ b/plugins/servicemoves/servicemoves.go
@@ -230,7 +230,7 @@
 	if mv.wrote != state || mv.since.IsZero() {
 		mv.since, mv.wrote, mv.written = now, state, time.Time{}
 	}
-	turn := state == catalog.MoveRolledBack || now.Sub(mv.since) >= time.Duration(m.rank(service))*standIn
+	turn := state == catalog.MoveRolledBack || now.Sub(mv.since) >= time.Duration(m.host.Rank(service))*standIn
 	due := turn && now.Sub(mv.written) >= recordRetry
 	if due {
 		mv.written = now
@@ -244,21 +244,6 @@
 	m.host.Logger.Info("state of a move recorded", "service", service, "target", status.Target, "state", state.String(), "order", status.Order, "error", err)
 }
 
-// rank is this instance's place in the order in which instances record the
-// moves of a service.
-func (m *Moves) rank(service string) int {
-	if m.host.Fleet == nil {
-		return 0
-	}
-	own, rank := policy.Rendezvous(service, m.host.ID()), 0
-	for _, member := range m.host.Fleet.Members() {
-		if policy.Rendezvous(service, member.ID) > own {
-			rank++
-		}
-	}
-	return rank
-}
-
 // Dump implements kernel.Dumper.
 func (m *Moves) Dump() any {
 	type dump struct {
--- a/plugins/stages/dispatcher.go
+++ b/plugins/stages/dispatcher.go
@@ -121,19 +121,15 @@
 // group, of the group's zone if any stands there. An instance that leaves is no
 // dispatcher, as it knows before the others do.
 func (s *Stages) owner(now time.Time, key groupKey, members []kernel.FleetMember) kernel.FleetMember {
-	var best kernel.FleetMember
-	var weight float64
-	local := false
 	leaving := s.host.Instance.State() == kernel.StateLeaving
-	for _, m := range members {
-		if m.Address == "" || s.peers.avoided(now, m.ID) || leaving && m.ID == s.host.ID() {
-			continue
-		}
-		here := key.zone != "" && m.Zone == key.zone
-		w := policy.WeightedRendezvous(key.String(), m.ID, m.Capacity)
-		if here && !local || here == local && w > weight {
-			best, weight, local = m, w, here
+	may := func(m kernel.FleetMember) bool {
+		return m.Address != "" && !s.peers.avoided(now, m.ID) && !(leaving && m.ID == s.host.ID())
+	}
+	if key.zone != "" {
+		local := kernel.FleetOwner(key.String(), members, func(m kernel.FleetMember) bool { return m.Zone == key.zone && may(m) })
+		if local.ID != "" {
+			return local
 		}
 	}
-	return best
+	return kernel.FleetOwner(key.String(), members, may)
 }
