--- a/plugins/discovery/discovery.go
+++ b/plugins/discovery/discovery.go
@@ -12,6 +12,7 @@
 
 	"github.com/savoryfold/savoryfold/catalog"
 	"github.com/savoryfold/savoryfold/config"
+	"github.com/savoryfold/savoryfold/internal/backoff"
 	"github.com/savoryfold/savoryfold/internal/periodic"
 	"github.com/savoryfold/savoryfold/kernel"
 	"github.com/savoryfold/savoryfold/platform"
@@ -53,8 +54,8 @@
 	// operators and servers follow what these write.
 	operators, servers *watch
 	catchingUp         atomic.Bool
-	away               atomic.Bool // the store does not answer the heartbeat
-	avoid              sync.Map    // readers that did not answer: ID -> time.Time
+	away               atomic.Bool     // the store does not answer the heartbeat
+	avoided            backoff.Avoided // readers that did not answer
 	cancel             context.CancelFunc
 	running            sync.WaitGroup
 	// leaving is closed when this instance is to leave the fleet.
--- a/plugins/discovery/fanout.go
+++ b/plugins/discovery/fanout.go
@@ -187,7 +187,7 @@
 // instance or cannot be asked.
 func (d *Discovery) reader(now time.Time) kernel.FleetMember {
 	best := d.zoneReader()
-	if best.ID == d.host.ID() || d.avoided(now, best.ID) {
+	if best.ID == d.host.ID() || d.avoided.Has(best.ID, now) {
 		return kernel.FleetMember{}
 	}
 	return best
@@ -209,11 +209,6 @@
 	return kernel.FleetOwner(zone+"/reader", d.Members(), func(m kernel.FleetMember) bool { return m.Zone == zone && m.Address != "" })
 }
 
-func (d *Discovery) avoided(now time.Time, id string) bool {
-	until, ok := d.avoid.Load(id)
-	return ok && now.Before(until.(time.Time))
-}
-
 // readFrom reads records from the zone's reader.
 func (d *Discovery) readFrom(ctx context.Context, reader kernel.FleetMember, topic string, from uint64) ([]platform.StoreRecord, error) {
 	body, err := cbor.Marshal(recordsRequest{topic, from})
@@ -266,7 +261,7 @@
 	if errors.Is(err, kernel.ErrPeerRefused) {
 		pause = avoidAway
 	}
-	d.avoid.Store(reader.ID, time.Now().Add(pause))
+	d.avoided.Add(reader.ID, time.Now().Add(pause))
 	d.host.Counter("reader_lost").Inc(1)
 	d.host.Logger.Info("the zone's reader does not answer, asking the store", "reader", reader.ID, "path", path, "for", pause, "error", err)
 }
--- a/plugins/stages/dispatcher.go
+++ b/plugins/stages/dispatcher.go
@@ -123,7 +123,7 @@
 func (s *Stages) owner(now time.Time, key groupKey, members []kernel.FleetMember) kernel.FleetMember {
 	leaving := s.host.Instance.State() == kernel.StateLeaving
 	may := func(m kernel.FleetMember) bool {
-		return m.Address != "" && !s.peers.avoided(now, m.ID) && !(leaving && m.ID == s.host.ID())
+		return m.Address != "" && !s.peers.avoided.Has(m.ID, now) && !(leaving && m.ID == s.host.ID())
 	}
 	if key.zone != "" {
 		local := kernel.FleetOwner(key.String(), members, func(m kernel.FleetMember) bool { return m.Zone == key.zone && may(m) })
--- a/plugins/stages/link.go
+++ b/plugins/stages/link.go
@@ -7,6 +7,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/savoryfold/savoryfold/internal/backoff"
 	"github.com/savoryfold/savoryfold/kernel"
 	"github.com/savoryfold/savoryfold/policy"
 )
@@ -24,10 +25,10 @@
 
 // peers knows the dispatchers that do work for this instance.
 type peers struct {
-	avoid sync.Map // instance ID -> time.Time
-	mu    sync.Mutex
-	links map[groupKey]*peerLink // guarded by mu
-	reach policy.ZoneReach       // guarded by mu
+	avoided backoff.Avoided // instances that did not answer
+	mu      sync.Mutex
+	links   map[groupKey]*peerLink // guarded by mu
+	reach   policy.ZoneReach       // guarded by mu
 }
 
 // peerLink is the work that a dispatcher does for this instance. Its context
@@ -41,16 +42,11 @@
 	querying    bool
 }
 
-func (p *peers) avoided(now time.Time, id string) bool {
-	until, ok := p.avoid.Load(id)
-	return ok && now.Before(until.(time.Time))
-}
-
 // failed notes that an instance did not answer, and reports whether its zone now
 // counts as cut off and did not before.
 func (p *peers) failed(m kernel.FleetMember) bool {
 	now := time.Now()
-	p.avoid.Store(m.ID, now.Add(avoidTime))
+	p.avoided.Add(m.ID, now.Add(avoidTime))
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	before := p.reach.Cut(now, m.Zone)
