One copy of the bounds and reads of connections within the fleet

Change: upstream.FleetOptions, UserTimeout and Exchange.ReadAll, the last with a test. Ruled out: one pool for both modules; their connections end with them.

--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -44,6 +44,21 @@
 	Idle time.Duration
 }
 
+// Bounds of connections between machines within the fleet's availability zones.
+const (
+	// fleetDial bounds the wait for a connection: round trips take milliseconds.
+	fleetDial = 300 * time.Millisecond
+	// fleetSilence ends a connection whose peer acknowledges nothing.
+	fleetSilence = 1500 * time.Millisecond
+	// FleetIdle is how long an unused connection is kept.
+	FleetIdle = 10 * time.Second
+)
+
+// FleetOptions are the options for connections within the fleet's zones.
+func FleetOptions() Options {
+	return Options{DialTimeout: fleetDial, Silence: fleetSilence, Idle: FleetIdle}
+}
+
 // keepAliveMargin is the part of the time for which a server keeps idle
 // connections that this side uses, so that none is used while it is closed.
 const keepAliveMargin = 0.6
@@ -79,19 +94,25 @@
 	p.dialer = net.Dialer{
 		Timeout:         o.DialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probe, Interval: probe, Count: 2},
-		Control: func(_, _ string, c syscall.RawConn) error {
-			var err error
-			if ctl := c.Control(func(fd uintptr) {
-				err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(o.Silence.Milliseconds()))
-			}); ctl != nil {
-				return ctl
-			}
-			return err
-		},
+		Control:         UserTimeout(o.Silence),
 	}
 	return p
 }
 
+// UserTimeout returns a dialer's control function that bounds the time for
+// which sent bytes may stay unacknowledged.
+func UserTimeout(d time.Duration) func(string, string, syscall.RawConn) error {
+	return func(_, _ string, c syscall.RawConn) error {
+		var err error
+		if ctl := c.Control(func(fd uintptr) {
+			err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
+		}); ctl != nil {
+			return ctl
+		}
+		return err
+	}
+}
+
 // Dials counts the connections that were opened.
 func (p *Pool) Dials() int64 { return p.dials.Load() }
 
@@ -427,6 +448,19 @@
 // Read reads the answer's body.
 func (x *Exchange) Read(p []byte) (int, error) { return x.body.Read(p) }
 
+// ReadAll reads the answer's body to its end. A body of more bytes than the most
+// is an error.
+func (x *Exchange) ReadAll(most int64) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(x, most+1))
+	if err != nil {
+		return nil, errors.Wrap(err, "answer")
+	}
+	if int64(len(data)) > most {
+		return nil, errors.Errorf("answer of more than %d bytes", most)
+	}
+	return data, nil
+}
+
 // Finish ends an exchange whose body was read to its end, and keeps the
 // connection if it can be used again. The life is how long the server keeps it,
 // 0 if unsaid. An error wraps ErrStray if more bytes follow than the answer has.
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -149,6 +149,27 @@
 	}
 }
 
+func TestReadAll(t *testing.T) {
+	Convey("An answer of more bytes than permitted is an error, one of as many is not", t, func() {
+		s := newRawServer(t, func(_, _ int, c net.Conn) { write(c, whole) })
+		defer s.listener.Close()
+		p := New(testOptions)
+		defer p.Close()
+		read := func(most int64) (string, error) {
+			x, err := p.Do(context.Background(), &Request{Address: s.listener.Addr().String(), Method: "GET", URI: "/", Host: "h.example", Header: http.Header{}})
+			So(err, ShouldBeNil)
+			defer x.Close()
+			data, err := x.ReadAll(most)
+			return string(data), err
+		}
+		got, err := read(2)
+		So(err, ShouldBeNil)
+		So(got, ShouldEqual, "ok")
+		_, err = read(1)
+		So(err, ShouldNotBeNil)
+	})
+}
+
 func TestKeptConnections(t *testing.T) {
 	Convey("A connection is used again after a whole answer", t, func() {
 		s := newRawServer(t, func(_, _ int, c net.Conn) { write(c, whole) })
--- a/plugins/peerhttp/peerhttp.go
+++ b/plugins/peerhttp/peerhttp.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -21,14 +20,6 @@
 const section = "peer"
 
 const (
-	// dialTimeout bounds the wait for a connection between zones, whose round
-	// trips take milliseconds.
-	dialTimeout = 300 * time.Millisecond
-	// silence ends a connection whose peer acknowledges nothing.
-	silence = 1500 * time.Millisecond
-	// idleTimeout is how long an unused connection is kept; the other side
-	// keeps it for twice as long.
-	idleTimeout = 10 * time.Second
 	// headerTimeout bounds the time to read the header of a call.
 	headerTimeout = 5 * time.Second
 	// maxAnswer bounds the answer to a call in bytes.
@@ -60,7 +51,7 @@
 // Provision implements kernel.Provisioner.
 func (p *Peers) Provision(h *kernel.Host) error {
 	p.host = h
-	p.pool = upstream.New(upstream.Options{DialTimeout: dialTimeout, Silence: silence, Idle: idleTimeout})
+	p.pool = upstream.New(upstream.FleetOptions())
 	return nil
 }
 
@@ -75,7 +66,9 @@
 		return errors.Wrap(err, "peers")
 	}
 	p.server = &http.Server{
-		Handler: p.mux, ReadHeaderTimeout: headerTimeout, IdleTimeout: 2 * idleTimeout,
+		// Longer than the callers keep connections, so that none is used while
+		// it is closed here.
+		Handler: p.mux, ReadHeaderTimeout: headerTimeout, IdleTimeout: 2 * upstream.FleetIdle,
 		ErrorLog: slog.NewLogLogger(p.host.Logger.Handler(), slog.LevelDebug),
 	}
 	go func() {
@@ -112,13 +105,13 @@
 func (p *Peers) CallPeer(ctx context.Context, address, path string, body []byte) ([]byte, error) {
 	x, err := p.pool.Do(ctx, &upstream.Request{
 		Address: address, Method: http.MethodPost, URI: path, Host: address,
-		Header: http.Header{"Content-Type": {"application/cbor"}}, Body: body, MaxIdle: idleTimeout,
+		Header: http.Header{"Content-Type": {"application/cbor"}}, Body: body, MaxIdle: upstream.FleetIdle,
 	})
 	if err != nil {
 		return nil, err
 	}
 	defer x.Close()
-	data, err := io.ReadAll(io.LimitReader(x, maxAnswer))
+	data, err := x.ReadAll(maxAnswer)
 	if err != nil {
 		return nil, errors.Wrap(err, "answer of an instance")
 	}
--- a/plugins/stages/call.go
+++ b/plugins/stages/call.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
@@ -87,13 +86,13 @@
 	defer cancel()
 	x, err := s.pool.Do(ctx, &upstream.Request{
 		Address: address, Method: http.MethodPost, URI: platform.StageRunPath, Host: address,
-		Header: platform.StageHeader(id), Body: body, MaxIdle: idleConnections,
+		Header: platform.StageHeader(id), Body: body, MaxIdle: upstream.FleetIdle,
 	})
 	if err != nil {
 		return nil, err
 	}
 	defer x.Close()
-	data, err := io.ReadAll(io.LimitReader(x, maxCallAnswer))
+	data, err := x.ReadAll(maxCallAnswer)
 	if err != nil {
 		return nil, errors.Wrap(err, "answer of a stage server")
 	}
--- a/plugins/stages/release.go
+++ b/plugins/stages/release.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -141,13 +140,13 @@
 	defer cancel()
 	x, err := s.pool.Do(ctx, &upstream.Request{
 		Address: address, Method: http.MethodPost, URI: platform.StageFreePath, Host: address,
-		Header: platform.StageHeader(""), Body: body, MaxIdle: idleConnections,
+		Header: platform.StageHeader(""), Body: body, MaxIdle: upstream.FleetIdle,
 	})
 	if err != nil {
 		return err
 	}
 	defer x.Close()
-	if _, err := io.Copy(io.Discard, io.LimitReader(x, maxCallAnswer)); err != nil {
+	if _, err := x.ReadAll(maxCallAnswer); err != nil {
 		return errors.Wrap(err, "release")
 	}
 	if x.Response.StatusCode != http.StatusOK {
--- a/plugins/stages/stages.go
+++ b/plugins/stages/stages.go
@@ -25,18 +25,9 @@
 
 const section = "stages"
 
-const (
-	// dialTimeout bounds the wait for a connection within the fleet's zones,
-	// whose round trips take milliseconds.
-	dialTimeout = 300 * time.Millisecond
-	// silence ends a connection whose peer acknowledges nothing.
-	silence = 1500 * time.Millisecond
-	// idleConnections is how long an unused connection is kept.
-	idleConnections = 10 * time.Second
-	// tick is the time between two looks at calls that take too long and at
-	// results to be released.
-	tick = 25 * time.Millisecond
-)
+// tick is the time between two looks at calls that take too long and at results
+// to be released.
+const tick = 25 * time.Millisecond
 
 func init() {
 	kernel.Register(kernel.ModuleInfo{
@@ -71,7 +62,7 @@
 	s.host = h
 	s.shared = h.Settings.Bool(section, "shared") && h.PeerCalls != nil
 	s.groups = make(map[groupKey]*group)
-	s.pool = upstream.New(upstream.Options{DialTimeout: dialTimeout, Silence: silence, Idle: idleConnections})
+	s.pool = upstream.New(upstream.FleetOptions())
 	s.frees.handles = make(map[string][]string)
 	s.peers.links = make(map[groupKey]*peerLink)
 	if h.Catalogs != nil {
