--- a/internal/httpapi/problem.go
+++ b/internal/httpapi/problem.go
@@ -87,9 +87,9 @@
 	return strconv.Itoa(max(1, int(math.Ceil(d.Seconds()))))
 }
 
-// Bearer returns the bearer token of a request, or "".
-func Bearer(r *http.Request) string {
-	scheme, token, _ := strings.Cut(r.Header.Get("Authorization"), " ")
+// Bearer returns the bearer token that a header holds, or "".
+func Bearer(h http.Header) string {
+	scheme, token, _ := strings.Cut(h.Get("Authorization"), " ")
 	if !strings.EqualFold(scheme, "Bearer") {
 		return ""
 	}
--- a/kernel/outcome.go
+++ b/kernel/outcome.go
@@ -1,6 +1,9 @@
 package kernel
 
-import "time"
+import (
+	"net/http"
+	"time"
+)
 
 // OutcomeKind is how a request ended.
 type OutcomeKind string
@@ -54,6 +57,24 @@
 	ReasonAnswerNotKept  OutcomeReason = "answer-not-kept"
 )
 
+// RejectedStatus is the HTTP status for a request that was rejected for the
+// reason.
+func (r OutcomeReason) RejectedStatus() int {
+	switch r {
+	case ReasonUnknownRoute:
+		return http.StatusNotFound
+	case ReasonForbidden:
+		return http.StatusForbidden
+	case ReasonUnauthorized:
+		return http.StatusUnauthorized
+	case ReasonTooLarge:
+		return http.StatusRequestEntityTooLarge
+	case ReasonKeyReused:
+		return http.StatusUnprocessableEntity
+	}
+	return http.StatusBadRequest
+}
+
 // Outcome is how a request ended and why.
 type Outcome struct {
 	Kind   OutcomeKind
--- a/plugins/admin/operators.go
+++ b/plugins/admin/operators.go
@@ -70,7 +70,7 @@
 // authenticated passes a request on if it bears an operator's token.
 func (a *Admin) authenticated(h operatorHandler) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		op, ok := a.find(httpapi.Bearer(r))
+		op, ok := a.find(httpapi.Bearer(r.Header))
 		if !ok {
 			a.host.Counter("admin_unauthorized").Inc(1)
 			httpapi.WriteProblem(w, httpapi.Problem{Status: http.StatusUnauthorized, Detail: "want an operator's token in the header Authorization: Bearer TOKEN"})
--- a/plugins/entryhttp/route.go
+++ b/plugins/entryhttp/route.go
@@ -87,7 +87,7 @@
 	if snap == nil {
 		return "", kernel.Outcome{Kind: kernel.NotRun, Reason: kernel.ReasonNotReady, Detail: "no tables in force yet", RetryAfter: time.Second}
 	}
-	hash := httpapi.HashToken(httpapi.Bearer(r))
+	hash := httpapi.HashToken(httpapi.Bearer(r.Header))
 	account := snap.Tables.ByKey[hash]
 	if account == nil || !httpapi.EqualHash(account.KeySHA256, hash) {
 		return "", reject(kernel.ReasonUnauthorized, "want an API key in the header Authorization: Bearer KEY")
@@ -126,19 +126,7 @@
 	case kernel.Unknown:
 		return http.StatusConflict
 	}
-	switch o.Reason {
-	case kernel.ReasonUnknownRoute:
-		return http.StatusNotFound
-	case kernel.ReasonForbidden:
-		return http.StatusForbidden
-	case kernel.ReasonUnauthorized:
-		return http.StatusUnauthorized
-	case kernel.ReasonTooLarge:
-		return http.StatusRequestEntityTooLarge
-	case kernel.ReasonKeyReused:
-		return http.StatusUnprocessableEntity
-	}
-	return http.StatusBadRequest
+	return o.Reason.RejectedStatus()
 }
 
 func setOutcome(h http.Header, o kernel.Outcome) {
--- a/plugins/forward/request.go
+++ b/plugins/forward/request.go
@@ -281,13 +281,5 @@
 		}
 		return http.StatusBadGateway
 	}
-	switch out.Reason {
-	case kernel.ReasonUnknownRoute:
-		return http.StatusNotFound
-	case kernel.ReasonUnauthorized:
-		return http.StatusUnauthorized
-	case kernel.ReasonTooLarge:
-		return http.StatusRequestEntityTooLarge
-	}
-	return http.StatusBadRequest
+	return out.Reason.RejectedStatus()
 }
