Choose the group of stage servers in policy, and work groups out once a view

Cause: which zone's group gets stage work was decided in plugins/stages with a threshold of its own, out of reach of table tests; and every stage request counted all servers of its service to find the groups, which change with a view.

Change: policy.ChooseStageGroup with a table and a spread test; a table of groups for each view. Ruled out: groups as a part of catalog.Catalog; they are a decision, and the catalog holds what was read.

The decision is the one before; where all groups are out of reach the own zone's is taken as before.

--- a/plugins/stages/dispatcher.go
+++ b/plugins/stages/dispatcher.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -25,10 +24,6 @@
 	return k.service + "/" + k.zone
 }
 
-// spillWait is how much longer the wait in the own zone's group must be before
-// work goes to another zone.
-const spillWait = 100 * time.Millisecond
-
 // dispatcher returns the group that is to do a stage of a service, best in a
 // zone if one is named, and the instance that makes its calls. The instance has
 // no ID if none is known.
@@ -43,7 +38,9 @@
 		zone = ""
 	}
 	if view := s.host.Catalogs.Catalog(); view != nil {
-		key.zone = s.chooseZone(now, view, service, cmp.Or(zone, s.host.Zone()), cut)
+		key.zone = policy.ChooseStageGroup(s.groupsOf(view, service), cmp.Or(zone, s.host.Zone()), cut, s.host.ID(), func(group string) time.Duration {
+			return s.told(now, groupKey{service, group}).InTime
+		})
 	}
 	return key, s.owner(now, key, reachable(members, cut))
 }
@@ -55,7 +52,7 @@
 		return key, kernel.FleetMember{}
 	}
 	if view := s.host.Catalogs.Catalog(); view != nil {
-		key.zone = groupsOf(view, server.Service)[server.Zone]
+		key.zone = s.groupsOf(view, server.Service)[server.Zone]
 	}
 	return key, s.owner(now, key, s.host.Fleet.Members())
 }
@@ -68,9 +65,27 @@
 	return slices.DeleteFunc(slices.Clone(members), func(m kernel.FleetMember) bool { return cut[m.Zone] })
 }
 
-// groupsOf returns the group of each zone that has servers of a service.
-func groupsOf(view *catalog.Catalog, service string) map[string]string {
-	return policy.StageGroups(usableByZone(view, service))
+// groupTable holds the groups of all stage services of a view, by service and
+// zone. It is immutable.
+type groupTable struct {
+	view   *catalog.Catalog
+	groups map[string]map[string]string
+}
+
+// groupsOf returns the group of each zone that has servers of a service. They
+// are worked out once for each view.
+func (s *Stages) groupsOf(view *catalog.Catalog, service string) map[string]string {
+	t := s.table.Load()
+	if t == nil || t.view != view {
+		t = &groupTable{view: view, groups: make(map[string]map[string]string)}
+		for name, c := range view.Config.Services {
+			if c.Batch != nil {
+				t.groups[name] = policy.StageGroups(usableByZone(view, name))
+			}
+		}
+		s.table.Store(t)
+	}
+	return t.groups[service]
 }
 
 // usableByZone counts the servers that may get work.
@@ -84,39 +99,6 @@
 	return counts
 }
 
-// chooseZone returns the name of the group that is to do work which is best done
-// in a zone. Groups of zones that are cut off get none while there are others.
-func (s *Stages) chooseZone(now time.Time, view *catalog.Catalog, service, zone string, cut map[string]bool) string {
-	groups := groupsOf(view, service)
-	if !allCut(groups, cut) {
-		maps.DeleteFunc(groups, func(_, group string) bool { return cut[group] })
-	}
-	best, least := "", time.Duration(0)
-	home, ok := groups[zone]
-	if ok {
-		best, least = home, s.told(now, groupKey{service, home}).InTime-spillWait
-	}
-	for _, group := range slices.Sorted(maps.Values(groups)) {
-		// Instances spread over the other zones if that one has no servers.
-		wait := s.told(now, groupKey{service, group}).InTime
-		nearer := !ok && wait == least && policy.Rendezvous(s.host.ID(), group) > policy.Rendezvous(s.host.ID(), best)
-		if best == "" || wait < least || nearer {
-			best, least = group, wait
-		}
-	}
-	return best
-}
-
-// allCut reports whether no group is within reach.
-func allCut(groups map[string]string, cut map[string]bool) bool {
-	for _, group := range groups {
-		if !cut[group] {
-			return false
-		}
-	}
-	return true
-}
-
 // owner returns the reachable member with the highest rendezvous weight for a
 // group, of the group's zone if any stands there. An instance that leaves is no
 // dispatcher, as it knows before the others do.
--- a/plugins/stages/group.go
+++ b/plugins/stages/group.go
@@ -102,7 +102,7 @@
 		g.service = c.Batch
 	}
 	known := make(map[string]bool)
-	groups := groupsOf(view, g.key.service)
+	groups := g.stages.groupsOf(view, g.key.service)
 	for _, server := range view.Servers(g.key.service) {
 		// Servers that get nothing more stay with the group that knows them.
 		if group, ok := groups[server.Zone]; ok && group != g.key.zone || !ok && g.servers[server.ID] == nil {
--- a/plugins/stages/stages.go
+++ b/plugins/stages/stages.go
@@ -51,6 +51,7 @@
 	mu     sync.Mutex
 	groups map[groupKey]*group // guarded by mu
 
+	table  atomic.Pointer[groupTable]
 	waits  sync.Map // groupKey -> *forecast, what dispatchers said last
 	nextID atomic.Uint64
 	cancel context.CancelFunc
--- a/policy/stagegroups.go
+++ b/policy/stagegroups.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 )
 
 // stageGroupServers is the number of servers from which on the stage servers of
@@ -39,3 +40,33 @@
 	}
 	return groups
 }
+
+// spillWait is how much longer the wait in the group of the best zone must be
+// before work goes to another one: about what a call's data loses between zones.
+const spillWait = 100 * time.Millisecond
+
+// ChooseStageGroup returns the group that is to do work which is best done in a
+// zone, given the group of each zone, the zones that are out of reach, and the
+// wait in each group. Groups out of reach get work only if there are no others.
+// If the zone has no group within reach, instances spread over those whose wait
+// is least, each by its own ID.
+func ChooseStageGroup(groups map[string]string, zone string, cut map[string]bool, instance string, wait func(group string) time.Duration) string {
+	names := slices.Compact(slices.Sorted(maps.Values(groups)))
+	if within := slices.DeleteFunc(slices.Clone(names), func(group string) bool { return cut[group] }); len(within) > 0 {
+		names = within
+	}
+	home, ok := groups[zone]
+	ok = ok && slices.Contains(names, home)
+	best, least := "", time.Duration(0)
+	if ok {
+		best, least = home, wait(home)-spillWait
+	}
+	for i, group := range names {
+		w := wait(group)
+		nearer := !ok && w == least && Rendezvous(instance, group) > Rendezvous(instance, best)
+		if !ok && i == 0 || w < least || nearer {
+			best, least = group, w
+		}
+	}
+	return best
+}
--- a/policy/stagegroups_test.go
+++ b/policy/stagegroups_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 )
@@ -28,6 +29,44 @@
 	}
 }
 
+func TestChooseStageGroup(t *testing.T) {
+	apart := map[string]string{"a": "a", "b": "b", "c": "c", "small": "c"}
+	one := map[string]string{"a": "", "b": ""}
+	for _, c := range []struct {
+		name   string
+		groups map[string]string
+		zone   string
+		cut    map[string]bool
+		waits  map[string]time.Duration
+		want   []string // any of these
+	}{
+		{"work stays in its zone", apart, "a", nil, nil, []string{"a"}},
+		{"also while another waits a little less", apart, "a", nil, map[string]time.Duration{"a": ms(90)}, []string{"a"}},
+		{"much longer waits send it away", apart, "a", nil, map[string]time.Duration{"a": ms(250), "b": ms(100), "c": ms(140)}, []string{"b"}},
+		{"a zone with few servers has the group that it joined", apart, "small", nil, nil, []string{"c"}},
+		{"a zone without servers has any", apart, "d", nil, nil, []string{"a", "b", "c"}},
+		{"a zone out of reach gets none", apart, "a", map[string]bool{"a": true}, nil, []string{"b", "c"}},
+		{"nor does it as the one that waits least", apart, "b", map[string]bool{"a": true}, map[string]time.Duration{"b": ms(300), "c": ms(400)}, []string{"b"}},
+		{"if all are out of reach, its own is as good as any", apart, "a", map[string]bool{"a": true, "b": true, "c": true}, nil, []string{"a"}},
+		{"one group for all zones", one, "a", map[string]bool{"b": true}, nil, []string{""}},
+		{"there may be none", nil, "a", nil, nil, []string{""}},
+	} {
+		Convey(c.name, t, func() {
+			for _, instance := range []string{"i1", "i2", "i3", "i4"} {
+				got := ChooseStageGroup(c.groups, c.zone, c.cut, instance, func(group string) time.Duration { return c.waits[group] })
+				So(c.want, ShouldContain, got)
+			}
+		})
+	}
+	Convey("Instances whose zone has no servers spread over the groups", t, func() {
+		used := make(map[string]bool)
+		for i := range 50 {
+			used[ChooseStageGroup(apart, "d", nil, fmt.Sprint("i", i), func(string) time.Duration { return 0 })] = true
+		}
+		So(used, ShouldHaveLength, 3)
+	})
+}
+
 // Pattern: a few large instances among many small ones. Duties go where there is
 // room for them.
 func TestWeightedRendezvous(t *testing.T) {
