--- a/plugins/servicemoves/servicemoves.go
+++ b/plugins/servicemoves/servicemoves.go
@@ -30,9 +30,9 @@
 	// recordRetry is the time after which a record that may not have been
 	// written is written again.
 	recordRetry = 500 * time.Millisecond
-	// standIn is how long after the first instance the next in order records a
+	// turnPause is how long after the first instance the next in order records a
 	// step that is still missing.
-	standIn = 400 * time.Millisecond
+	turnPause = 400 * time.Millisecond
 	// slowTimes is how many times longer than the old version's mean an answer
 	// takes that counts as bad.
 	slowTimes = 3
@@ -230,7 +230,7 @@
 	if mv.wrote != state || mv.since.IsZero() {
 		mv.since, mv.wrote, mv.written = now, state, time.Time{}
 	}
-	turn := state == catalog.MoveRolledBack || now.Sub(mv.since) >= time.Duration(m.host.Rank(service))*standIn
+	turn := state == catalog.MoveRolledBack || now.Sub(mv.since) >= time.Duration(m.host.Rank(service))*turnPause
 	due := turn && now.Sub(mv.written) >= recordRetry
 	if due {
 		mv.written = now
--- a/plugins/stages/group_test.go
+++ b/plugins/stages/group_test.go
@@ -31,7 +31,7 @@
 			host: &kernel.Host{Logger: slog.New(slog.DiscardHandler), Metrics: metrics.NewRegistry()},
 			pool: upstream.New(upstream.Options{DialTimeout: time.Second, Silence: time.Second, Idle: time.Second}),
 		}
-		s.frees.handles = make(map[string][]string)
+		s.toRelease.handles = make(map[string][]string)
 		g := newGroup(s, groupKey{service: "s"})
 		view := viewOf(1, servers...)
 		view.Service("s").Batch.CallTime, view.Service("s").Batch.ResultMemory = 10*time.Millisecond, 1<<30
--- a/plugins/stages/release.go
+++ b/plugins/stages/release.go
@@ -31,26 +31,26 @@
 // Release implements kernel.StageRunner. The dispatcher of the server's group
 // is told, which knows how much room the server has.
 func (s *Stages) Release(handles []string) {
-	s.frees.mu.Lock()
-	defer s.frees.mu.Unlock()
+	s.toRelease.mu.Lock()
+	defer s.toRelease.mu.Unlock()
 	for _, h := range handles {
 		address := platform.HandleServer(h)
-		if address != "" && len(s.frees.handles[address]) < maxReleases {
-			s.frees.handles[address] = append(s.frees.handles[address], h)
+		if address != "" && len(s.toRelease.handles[address]) < maxReleases {
+			s.toRelease.handles[address] = append(s.toRelease.handles[address], h)
 		}
 	}
 }
 
 // sendReleases tells the dispatchers of all results that wait for release.
 func (s *Stages) sendReleases(ctx context.Context, now time.Time) {
-	s.frees.mu.Lock()
-	if len(s.frees.handles) == 0 {
-		s.frees.mu.Unlock()
+	s.toRelease.mu.Lock()
+	if len(s.toRelease.handles) == 0 {
+		s.toRelease.mu.Unlock()
 		return
 	}
-	all := s.frees.handles
-	s.frees.handles = make(map[string][]string)
-	s.frees.mu.Unlock()
+	all := s.toRelease.handles
+	s.toRelease.handles = make(map[string][]string)
+	s.toRelease.mu.Unlock()
 	type target struct {
 		key     groupKey
 		id      string
--- a/plugins/stages/stages.go
+++ b/plugins/stages/stages.go
@@ -42,11 +42,11 @@
 
 // Stages implements kernel.StageRunner.
 type Stages struct {
-	host   *kernel.Host
-	pool   *upstream.Pool
-	shared bool
-	peers  peers
-	frees  releases
+	host      *kernel.Host
+	pool      *upstream.Pool
+	shared    bool
+	peers     peers
+	toRelease releases
 
 	mu     sync.Mutex
 	groups map[groupKey]*group // guarded by mu
@@ -64,7 +64,7 @@
 	s.shared = h.Settings.Bool(section, "shared") && h.PeerCalls != nil
 	s.groups = make(map[groupKey]*group)
 	s.pool = upstream.New(upstream.FleetOptions())
-	s.frees.handles = make(map[string][]string)
+	s.toRelease.handles = make(map[string][]string)
 	s.peers.links = make(map[groupKey]*peerLink)
 	if h.Catalogs != nil {
 		h.Catalogs.OnCatalog(s.refresh)
