One copy of test settings and set-ups

Cause: the settings of an instance before the stand-ins stood in test/passthrough and test/soak, two tests of time-outs and three of kept connections had the same set-up each.

Ruled out: the harness's buffer for the logs of test/passthrough: it drops old lines, and a test says that keys never stand in them.

--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -171,44 +171,34 @@
 }
 
 func TestKeptConnections(t *testing.T) {
-	Convey("A connection is used again after a whole answer", t, func() {
-		s := newRawServer(t, func(_, _ int, c net.Conn) { write(c, whole) })
-		defer s.listener.Close()
-		p := New(testOptions)
-		defer p.Close()
-		for range 3 {
-			_, err := fetch(p, s.listener.Addr().String(), []byte("body"))
-			So(err, ShouldBeNil)
-		}
-		So(p.Dials(), ShouldEqual, 1)
-	})
-	Convey("One that the server closed meanwhile is not", t, func() {
-		s := newRawServer(t, func(_, _ int, c net.Conn) { write(c, whole); _ = c.Close() })
-		defer s.listener.Close()
-		p := New(testOptions)
-		defer p.Close()
-		for range 3 {
-			_, err := fetch(p, s.listener.Addr().String(), nil)
-			So(err, ShouldBeNil)
-			time.Sleep(20 * time.Millisecond)
-		}
-		So(p.Dials(), ShouldEqual, 3)
-	})
-	Convey("One on which a second answer came is not", t, func() {
-		s := newRawServer(t, func(_, _ int, c net.Conn) {
+	for _, c := range []struct {
+		name   string
+		answer func(conn, n int, c net.Conn)
+		body   []byte
+		times  int
+		pause  time.Duration
+		dials  int64
+	}{
+		{"A connection is used again after a whole answer", func(_, _ int, c net.Conn) { write(c, whole) }, []byte("body"), 3, 0, 1},
+		{"One that the server closed meanwhile is not", func(_, _ int, c net.Conn) { write(c, whole); _ = c.Close() }, nil, 3, 20 * time.Millisecond, 3},
+		{"One on which a second answer came is not", func(_, _ int, c net.Conn) {
 			write(c, whole)
 			time.AfterFunc(10*time.Millisecond, func() { write(c, whole) })
+		}, nil, 2, 50 * time.Millisecond, 2},
+	} {
+		Convey(c.name, t, func() {
+			s := newRawServer(t, c.answer)
+			defer s.listener.Close()
+			p := New(testOptions)
+			defer p.Close()
+			for range c.times {
+				_, err := fetch(p, s.listener.Addr().String(), c.body)
+				So(err, ShouldBeNil)
+				time.Sleep(c.pause)
+			}
+			So(p.Dials(), ShouldEqual, c.dials)
 		})
-		defer s.listener.Close()
-		p := New(testOptions)
-		defer p.Close()
-		for range 2 {
-			_, err := fetch(p, s.listener.Addr().String(), nil)
-			So(err, ShouldBeNil)
-			time.Sleep(50 * time.Millisecond)
-		}
-		So(p.Dials(), ShouldEqual, 2)
-	})
+	}
 	Convey("An answer to an earlier request can be skipped", t, func() {
 		stray := "HTTP/1.1 200 OK\r\nX: stray\r\nContent-Length: 3\r\n\r\nold"
 		s := newRawServer(t, func(_, n int, c net.Conn) {
--- a/test/passthrough/cluster.go
+++ b/test/passthrough/cluster.go
@@ -5,7 +5,6 @@
 import (
 	"bytes"
 	"context"
-	"fmt"
 	"log/slog"
 	"net"
 	"sync"
@@ -69,27 +68,10 @@
 	c.t.Helper()
 	in := &Instance{ID: id, Zone: zone, Address: freeAddress(c.t), Readiness: freeAddress(c.t), Log: &LogBuffer{}, ended: make(chan struct{})}
 	peer := freeAddress(c.t)
-	text := fmt.Sprintf(`[instance]
-id = %s
-zone = %s
-disable = entryhttp, backendhttp, platformlog, peerquic, loadreport, orders, versions, slots, crashguard, membership.gossip, claims.log, configsource.log
-[log]
-format = json
-[store]
-address = %s
-peer_address = %s
-member_ttl = 1s
-member_topics = 2
-[peer]
-listen = %s
-[forward]
-listen = %s
-readiness = %s
-grace = 5s
-drain = 200ms
-repeat_ratio = 0.2
-repeat_extra = 100
-%s`, id, zone, c.Store.Address(), peer, peer, in.Address, in.Readiness, settings)
+	text := platformtest.Settings{
+		ID: id, Zone: zone, Store: c.Store.Address(), Peer: peer, Listen: in.Address, Readiness: in.Readiness,
+		MemberTTL: time.Second, Drain: 200 * time.Millisecond, RepeatExtra: 100, Further: settings,
+	}.Text()
 	s, err := kernel.Schema().Load("test", []byte(text))
 	if err != nil {
 		c.t.Fatal(err)
--- a/test/passthrough/passthrough_test.go
+++ b/test/passthrough/passthrough_test.go
@@ -203,34 +203,31 @@
 	})
 }
 
+// workUntilLeft starts an instance before a server that works on each request
+// until its caller is gone, which it tells.
+func workUntilLeft(t *testing.T) (in *Instance, gone <-chan struct{}) {
+	c := New(t)
+	c.Store.PutConfig(config(1))
+	left := make(chan struct{}, 1)
+	c.backend("i-0", "app").Do = func(_ http.ResponseWriter, r *http.Request, _ platformtest.Seen) {
+		<-r.Context().Done()
+		left <- struct{}{}
+	}
+	in = c.Start("e1", "z1", true, "")
+	c.knows(in, "app", 1)
+	return in, left
+}
+
 func TestTimeout(t *testing.T) {
 	Convey("A request is answered at its route's timeout, truly", t, func() {
-		c := New(t)
-		c.Store.PutConfig(config(1))
-		b := c.backend("i-0", "app")
-		gone := make(chan struct{}, 1)
-		b.Do = func(_ http.ResponseWriter, r *http.Request, _ platformtest.Seen) {
-			<-r.Context().Done()
-			gone <- struct{}{}
-		}
-		in := c.Start("e1", "z1", true, "")
-		c.knows(in, "app", 1)
+		in, gone := workUntilLeft(t)
 		began := time.Now()
 		So(ask(in, "POST", "/short/x", "r").status, ShouldEqual, 504)
 		So(time.Since(began), ShouldBeBetween, 250*time.Millisecond, 3*time.Second)
 		<-gone
 	})
 	Convey("A caller that leaves ends the work of its server", t, func() {
-		c := New(t)
-		c.Store.PutConfig(config(1))
-		b := c.backend("i-0", "app")
-		gone := make(chan struct{}, 1)
-		b.Do = func(_ http.ResponseWriter, r *http.Request, _ platformtest.Seen) {
-			<-r.Context().Done()
-			gone <- struct{}{}
-		}
-		in := c.Start("e1", "z1", true, "")
-		c.knows(in, "app", 1)
+		in, gone := workUntilLeft(t)
 		ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
 		defer cancel()
 		_, err := platformtest.Send(ctx, platformtest.Request{Address: in.Address, Method: "POST", Host: host, Path: "/once/x", ID: "r", Key: "key-1", Body: "b"})
--- a/test/soak/world.go
+++ b/test/soak/world.go
@@ -234,27 +234,10 @@
 		}
 	}
 	n.settings = filepath.Join(w.dir, n.id+".ini")
-	text := fmt.Sprintf(`[instance]
-id = %s
-zone = %s
-disable = entryhttp, backendhttp, platformlog, peerquic, loadreport, orders, versions, slots, crashguard, membership.gossip, claims.log, configsource.log
-[log]
-format = json
-[store]
-address = %s
-peer_address = %s
-member_ttl = 2s
-member_topics = 2
-[peer]
-listen = %s
-[forward]
-listen = %s
-readiness = %s
-grace = 5s
-drain = 500ms
-repeat_ratio = 0.2
-repeat_extra = 50
-`, n.id, n.zone, n.storeLink.Address(), n.peer, n.peer, n.front, n.readiness)
+	text := platformtest.Settings{
+		ID: n.id, Zone: n.zone, Store: n.storeLink.Address(), Peer: n.peer, Listen: n.front, Readiness: n.readiness,
+		MemberTTL: 2 * time.Second, Drain: 500 * time.Millisecond, RepeatExtra: 50,
+	}.Text()
 	return errors.Wrap(os.WriteFile(n.settings, []byte(text), 0o600), "settings")
 }
 
