Show whether a restarted store read was receiving its response

The logs of the incident cannot tell a restarted read that the store still holds from one whose response is arriving. The line of a restart now lists the topics whose response had begun, and store_reads_discarded counts them by topic. The client of calls between instances reports the first byte of a response through httptrace, as net/http does. Each watch has its own read in progress; the reads that a restart ends are the same as before.

go test -race of plugins/discovery, internal/upstream and test/passthrough: ok.

--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -12,6 +12,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"os"
 	"strconv"
 	"sync"
@@ -348,7 +349,8 @@
 // Do sends a request and reads the head of its response. The context bounds the
 // exchange up to the end of the response's body. An error wraps ErrNotSent or
 // ErrConnectionLimit if no byte of the request left this process. After any other
-// error the server may have received the request.
+// error the server may have received the request. Of an httptrace.ClientTrace in
+// the context only GotFirstResponseByte is called.
 func (p *Pool) Do(ctx context.Context, r *Request) (*Exchange, error) {
 	c, err := p.get(ctx, r)
 	if err != nil {
@@ -366,6 +368,11 @@
 		x.Close()
 		return nil, err
 	}
+	if trace := httptrace.ContextClientTrace(ctx); trace != nil && trace.GotFirstResponseByte != nil {
+		if _, err := c.br.Peek(1); err == nil {
+			trace.GotFirstResponseByte()
+		}
+	}
 	if err := x.readHead(r.Method); err != nil {
 		x.Close()
 		return nil, err
--- a/plugins/discovery/discovery.go
+++ b/plugins/discovery/discovery.go
@@ -51,9 +51,10 @@
 	current     atomic.Pointer[catalog.Catalog]
 	members     atomic.Pointer[[]kernel.FleetMember]
 	subscribers []func(*catalog.Catalog) // called with every new snapshot
-	reads       readInterrupter
-	// operators and servers follow the operator topic and the servers topic.
+	// operators and servers follow the operator topic and the servers topic. status
+	// follows the status topic once there is a rollout.
 	operators, servers *watch
+	status             atomic.Pointer[watch]
 	catchingUp         atomic.Bool
 	storeUnresponsive  atomic.Bool       // the last heartbeat to the store failed
 	avoidedReaders     backoff.CoolDowns // zone readers that failed a call recently
@@ -129,7 +130,7 @@
 }
 
 func (d *Discovery) newWatch(topic string, minInterval time.Duration, apply func(time.Time, []platform.StoreRecord, bool)) *watch {
-	w := &watch{client: d.client, logger: d.host.Logger, topic: topic, minInterval: minInterval, apply: apply, reads: &d.reads, storeUnresponsive: d.storeUnresponsive.Load}
+	w := &watch{client: d.client, logger: d.host.Logger, topic: topic, minInterval: minInterval, apply: apply, storeUnresponsive: d.storeUnresponsive.Load}
 	w.onUnavailable = func(now time.Time, err error) {
 		d.host.Logger.Warn("metadata store unavailable", "topic", topic, "error", err)
 		d.host.Counter("store_lost").Inc(1)
@@ -165,13 +166,25 @@
 		d.catchingUp.Store(false)
 		if own := d.Position(); own.Behind(p) {
 			d.host.Counter("store_reads_renewed").Inc(1)
+			receiving := d.interruptReads()
 			d.host.Logger.Warn("behind another instance, restarting store reads", "operators", own.Operators, "servers", own.Servers,
-				"other_operators", p.Operators, "other_servers", p.Servers)
-			d.reads.interrupt()
+				"other_operators", p.Operators, "other_servers", p.Servers, "receiving", receiving)
 		}
 	})
 }
 
+// interruptReads interrupts the reads in progress and returns the topics whose
+// response was arriving.
+func (d *Discovery) interruptReads() (receiving []string) {
+	for _, w := range []*watch{d.operators, d.servers, d.status.Load()} {
+		if w != nil && w.pending.interrupt() {
+			receiving = append(receiving, w.topic)
+			d.host.Counter(`store_reads_discarded{topic="` + w.topic + `"}`).Inc(1)
+		}
+	}
+	return receiving
+}
+
 // RecordMove implements kernel.Catalogs.
 func (d *Discovery) RecordMove(ctx context.Context, service string, s catalog.MoveStatus) error {
 	value, err := platform.EncodeStatus(s)
@@ -186,6 +199,7 @@
 func (d *Discovery) followStatus() {
 	d.statusOnce.Do(func() {
 		w := d.newWatch(platform.StatusTopic, serverReadInterval, d.applyStatus)
+		d.status.Store(w)
 		d.running.Go(func() { w.run(d.moduleCtx) })
 	})
 }
--- /dev/null
+++ b/plugins/discovery/pendingread.go
@@ -0,0 +1,55 @@
+package discovery
+
+import (
+	"context"
+	"net/http/httptrace"
+	"sync"
+)
+
+// pendingRead is the read of a watch that is in progress. It can be interrupted so
+// that it is sent again: after an outage, or if the store did not wake it, it is
+// unknown whether the store still answers a read that it holds.
+type pendingRead struct {
+	mu        sync.Mutex
+	ctx       context.Context    // guarded by mu
+	cancel    context.CancelFunc // guarded by mu
+	receiving bool               // the response to the last call has begun; guarded by mu
+}
+
+// begin returns a context for the calls of a read. It ends with the parent or when
+// the read is interrupted. interrupted reports whether the latter happened.
+func (p *pendingRead) begin(parent context.Context) (_ context.Context, interrupted func() bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.ctx == nil || p.ctx.Err() != nil {
+		p.ctx, p.cancel = context.WithCancel(parent)
+	}
+	ctx := p.ctx
+	return ctx, func() bool { return ctx.Err() != nil && parent.Err() == nil }
+}
+
+// call returns a context for one call, whose response has not begun.
+func (p *pendingRead) call(ctx context.Context) context.Context {
+	p.setReceiving(false)
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotFirstResponseByte: func() { p.setReceiving(true) }})
+}
+
+// end marks that no call is in progress.
+func (p *pendingRead) end() { p.setReceiving(false) }
+
+func (p *pendingRead) setReceiving(receiving bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.receiving = receiving
+}
+
+// interrupt ends the read in progress and reports whether its response was
+// arriving.
+func (p *pendingRead) interrupt() (receiving bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cancel != nil {
+		p.cancel()
+	}
+	return p.receiving
+}
--- a/plugins/discovery/watch.go
+++ b/plugins/discovery/watch.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -44,8 +43,8 @@
 	// onUnavailable is called at the first of a series of failures, onAvailable at
 	// the first success after it.
 	onUnavailable, onAvailable func(now time.Time, err error)
-	// reads interrupts the reads that are pending at the store.
-	reads *readInterrupter
+	// pending is the read in progress.
+	pending pendingRead
 
 	next     uint64        // offset of the next record to read
 	position atomic.Uint64 // next, for other goroutines
@@ -70,8 +69,9 @@
 	failing := false
 	for ctx.Err() == nil {
 		start := time.Now()
-		readCtx, interrupted := w.reads.context(ctx)
+		readCtx, interrupted := w.pending.begin(ctx)
 		err := w.step(readCtx)
+		w.pending.end()
 		switch {
 		case ctx.Err() != nil:
 			return
@@ -101,36 +101,6 @@
 	}
 }
 
-// readInterrupter ends the reads that are pending at the store so that they are
-// sent again: after an outage it is unknown whether the store still answers a
-// read that it held.
-type readInterrupter struct {
-	mu     sync.Mutex
-	ctx    context.Context    // guarded by mu
-	cancel context.CancelFunc // guarded by mu
-}
-
-// context returns a context for a read that ends with the parent or with the next
-// interrupt, and a function that reports whether it was interrupted.
-func (r *readInterrupter) context(parent context.Context) (context.Context, func() bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.ctx == nil || r.ctx.Err() != nil {
-		r.ctx, r.cancel = context.WithCancel(parent)
-	}
-	ctx := r.ctx
-	return ctx, func() bool { return ctx.Err() != nil && parent.Err() == nil }
-}
-
-// interrupt ends all reads in progress.
-func (r *readInterrupter) interrupt() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.cancel != nil {
-		r.cancel()
-	}
-}
-
 // errStoreUnresponsive means that the store was not called because it does not
 // answer the heartbeat.
 var errStoreUnresponsive = errors.Wrap(platform.ErrStoreUnavailable, "store not called: last heartbeat failed")
@@ -145,7 +115,7 @@
 		return w.list(ctx)
 	}
 	if w.readPeer != nil {
-		if records, ok := w.readPeer(ctx, w.topic, w.next); ok {
+		if records, ok := w.readPeer(w.pending.call(ctx), w.topic, w.next); ok {
 			w.history.setDirect(false)
 			w.direct = false
 			w.applyNext(records)
@@ -157,7 +127,7 @@
 		return errStoreUnresponsive
 	}
 	w.slack = min(max(w.slack, readSlackMin), readSlackMax)
-	records, _, err := w.client.Read(ctx, w.topic, w.next, readWait, w.slack)
+	records, _, err := w.client.Read(w.pending.call(ctx), w.topic, w.next, readWait, w.slack)
 	w.history.setDirect(err == nil)
 	w.direct = true
 	if err != nil {
@@ -173,7 +143,7 @@
 // before the current position: such a listing is stale, and the store returns it
 // while it recovers.
 func (w *watch) list(ctx context.Context) error {
-	records, end, err := w.client.Newest(ctx, w.topic)
+	records, end, err := w.client.Newest(w.pending.call(ctx), w.topic)
 	if err != nil {
 		return err
 	}
