--- a/test/passthrough/views_test.go
+++ b/test/passthrough/views_test.go
@@ -1,6 +1,7 @@
 package passthrough
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"sync"
@@ -9,6 +10,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/savoryfold/savoryfold/internal/periodic"
 	"github.com/savoryfold/savoryfold/platform"
 	"github.com/savoryfold/savoryfold/platform/platformtest"
 )
@@ -93,6 +95,73 @@
 	})
 }
 
+// bigConfig returns a configuration whose record is larger than a slow link
+// transfers within a second.
+func bigConfig(version int64) platformtest.Config {
+	c := config(version)
+	for i := range 2000 {
+		name := fmt.Sprintf("added-%d", i)
+		c.Routes = append(c.Routes, platformtest.Route{Name: name, Host: host, Prefix: "/" + name + "/", Kind: "idempotent", Service: "app", TimeoutMS: 3000, GoalMS: 500, Attempts: 2})
+	}
+	return c
+}
+
+// slowLink limits the store's responses so that the record of the newest
+// configuration takes the given time to transfer.
+func (c *Cluster) slowLink(transfer time.Duration) {
+	value, _ := c.Store.Newest(platform.OperatorTopic, "config")
+	c.Store.Bandwidth.Store(int64(float64(len(value)) / transfer.Seconds()))
+}
+
+// TestPositionReportsDuringTransfer guards against an instance that keeps an old
+// configuration because each report of a newer position starts the read over.
+func TestPositionReportsDuringTransfer(t *testing.T) {
+	Convey("A configuration that takes 1 s to transfer is active within 2 s, though other instances report newer positions all the time", t, func() {
+		c := New(t)
+		c.Store.PutConfig(config(1))
+		in := c.Start("e1", "z1", true, "")
+		catalogs := in.Kernel.Host.Catalogs
+		c.Store.PutConfig(bigConfig(2))
+		c.slowLink(time.Second)
+		ctx, stop := context.WithCancel(context.Background())
+		defer stop()
+		go periodic.Run(ctx, 20*time.Millisecond, func(time.Time) {
+			p := catalogs.Position()
+			p.Operators++
+			p.Servers++
+			catalogs.ObservePosition(p)
+		})
+		began := time.Now()
+		c.Eventually("the new configuration is active", func() bool { return catalogs.Catalog().Config.Version == 2 })
+		So(time.Since(began), ShouldBeLessThan, 2*time.Second)
+	})
+}
+
+// TestSlowTransferOfConfiguration guards against reads that reach their time limit
+// while the response is arriving, and start over.
+func TestSlowTransferOfConfiguration(t *testing.T) {
+	const transfer, limit = 3 * time.Second, 4 * time.Second
+	Convey("A configuration that takes 3 s to transfer is read at the first try", t, func() {
+		c := New(t)
+		c.Store.PutConfig(config(1))
+		in := c.Start("e1", "z1", true, "")
+		c.Store.PutConfig(bigConfig(2))
+		c.slowLink(transfer)
+		began := time.Now()
+		c.Eventually("the new configuration is active", func() bool { return in.Kernel.Host.Catalogs.Catalog().Config.Version == 2 })
+		So(time.Since(began), ShouldBeLessThan, limit)
+	})
+	Convey("So is its listing, by an instance that starts", t, func() {
+		c := New(t)
+		c.Store.PutConfig(bigConfig(2))
+		c.slowLink(transfer * 3 / 4) // listings are a third larger: their values are in base64
+		began := time.Now()
+		in := c.Start("e1", "z1", false, "")
+		c.Eventually("the configuration is active", func() bool { return in.Kernel.Host.Catalogs.Catalog() != nil })
+		So(time.Since(began), ShouldBeLessThan, limit)
+	})
+}
+
 func TestGracefulStopRespondsToAll(t *testing.T) {
 	Convey("A request that does not finish within the grace period of a stop gets status 502 and no broken connection", t, func() {
 		c := New(t)
