Let store reads whose response is arriving go on

Cause: an instance that hears of a newer position from another instance restarted its reads after 150 ms, to recover a notification that the store had missed. It did so for reads whose response was arriving as well. Every call between instances reports a position, so with a response that takes longer than 150 to 300 ms the read began again from its first byte each time and was never complete. The class: a retry that discards progress, repeated faster than the work takes.

TestPositionReportsDuringTransfer failed before (not active after 20 s, receiving=[keyed.op] at each restart).

A restart is for a read that the other side holds and may have forgotten. It now ends only such a read, and only of a topic that is behind. A response that has begun needs no restart: it is complete or fails.

--- a/plugins/discovery/discovery.go
+++ b/plugins/discovery/discovery.go
@@ -164,25 +164,39 @@
 	}
 	time.AfterFunc(catchUpDelay, func() {
 		d.catchingUp.Store(false)
-		if own := d.Position(); own.Behind(p) {
-			d.host.Counter("store_reads_renewed").Inc(1)
-			receiving := d.interruptReads()
-			d.host.Logger.Warn("behind another instance, restarting store reads", "operators", own.Operators, "servers", own.Servers,
-				"other_operators", p.Operators, "other_servers", p.Servers, "receiving", receiving)
+		own := d.Position()
+		var behind []*watch
+		if own.Operators < p.Operators {
+			behind = append(behind, d.operators)
 		}
+		if own.Servers < p.Servers {
+			behind = append(behind, d.servers)
+		}
+		if !interruptReads(behind) {
+			return
+		}
+		d.host.Counter("store_reads_renewed").Inc(1)
+		d.host.Logger.Warn("behind another instance, restarting store reads", "operators", own.Operators, "servers", own.Servers,
+			"other_operators", p.Operators, "other_servers", p.Servers)
 	})
 }
 
-// interruptReads interrupts the reads in progress and returns the topics whose
-// response was arriving.
-func (d *Discovery) interruptReads() (receiving []string) {
-	for _, w := range []*watch{d.operators, d.servers, d.status.Load()} {
-		if w != nil && w.pending.interrupt() {
-			receiving = append(receiving, w.topic)
-			d.host.Counter(`store_reads_discarded{topic="` + w.topic + `"}`).Inc(1)
-		}
+// interruptReads interrupts the reads of watches and reports whether it ended any.
+func interruptReads(watches []*watch) bool {
+	ended := false
+	for _, w := range watches {
+		ended = w.pending.interrupt() || ended
+	}
+	return ended
+}
+
+// watches returns the watches that were started.
+func (d *Discovery) watches() []*watch {
+	all := []*watch{d.operators, d.servers}
+	if status := d.status.Load(); status != nil {
+		all = append(all, status)
 	}
-	return receiving
+	return all
 }
 
 // RecordMove implements kernel.Catalogs.
--- a/plugins/discovery/fleet.go
+++ b/plugins/discovery/fleet.go
@@ -140,7 +140,7 @@
 	if d.storeUnresponsive.Swap(false) {
 		d.host.Logger.Info("metadata store answers the heartbeat again, restarting store reads")
 		d.noteStoreAvailable(time.Now())
-		d.interruptReads()
+		interruptReads(d.watches())
 	}
 	return true
 }
--- a/plugins/discovery/pendingread.go
+++ b/plugins/discovery/pendingread.go
@@ -43,13 +43,14 @@
 	p.receiving = receiving
 }
 
-// interrupt ends the read in progress and reports whether its response was
-// arriving.
-func (p *pendingRead) interrupt() (receiving bool) {
+// interrupt ends the read in progress, unless its response is arriving: a read that
+// starts over has to receive everything again. It reports whether it ended the read.
+func (p *pendingRead) interrupt() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.cancel != nil {
-		p.cancel()
+	if p.receiving || p.cancel == nil {
+		return false
 	}
-	return p.receiving
+	p.cancel()
+	return true
 }
