Bound reads of the store by progress instead of total time

Callers saw requests handled by an old configuration, and would see 503 for ever from an instance that starts over a slow link while the configuration is large.

Reads from the zone's reader get 1.5 s from the begin of the response, since a reader with a slow link must not delay its zone; for the same reason a reader whose own response takes over 300 ms refuses, and the others read the store (TestSlowReader). A fetch of the tables from another instance doubles its time limit with each failure.

--- a/plugins/configsource/peers.go
+++ b/plugins/configsource/peers.go
@@ -17,7 +17,10 @@
 
 const (
 	fetchCheckInterval = 200 * time.Millisecond
-	fetchTimeout       = 2 * time.Second
+	// fetchTimeoutMin and fetchTimeoutMax bound a fetch. Each failure doubles the
+	// timeout, in case the state is too large to be transferred within it.
+	fetchTimeoutMin = 2 * time.Second
+	fetchTimeoutMax = 30 * time.Second
 )
 
 // fetchRequest asks for a state newer than the one at offset Have.
@@ -49,6 +52,7 @@
 	ticker := time.NewTicker(fetchCheckInterval)
 	defer ticker.Stop()
 	var behindSince time.Time
+	timeout := fetchTimeoutMin
 	for {
 		select {
 		case <-ctx.Done():
@@ -66,7 +70,11 @@
 				continue
 			}
 			behindSince = now.Add(rand.N(maxLag)) // jittered extra wait before the next fetch
-			l.fetch(ctx, member)
+			if l.fetch(ctx, member, timeout) {
+				timeout = fetchTimeoutMin
+			} else {
+				timeout = min(2*timeout, fetchTimeoutMax)
+			}
 		}
 	}
 }
@@ -101,8 +109,11 @@
 	return best, found > 0 && (best.ConfigRevision > own || (gathering && best.ConfigRevision > 0))
 }
 
-// fetch fetches and adopts the state of a member, and counts the result.
-func (l *Log) fetch(ctx context.Context, m kernel.Member) {
+// fetch fetches and adopts the state of a member, and counts the result. It reports
+// whether the member responded in time.
+func (l *Log) fetch(ctx context.Context, m kernel.Member, timeout time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
 	result := "failed"
 	adopted, err := l.fetchFrom(ctx, m)
 	switch {
@@ -114,11 +125,10 @@
 		result = "same"
 	}
 	l.host.Counter(`config_fetches{result="` + result + `"}`).Inc(1)
+	return err == nil
 }
 
 func (l *Log) fetchFrom(ctx context.Context, m kernel.Member) (bool, error) {
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
-	defer cancel()
 	body, err := cbor.Marshal(fetchRequest{Have: l.offset()})
 	if err != nil {
 		return false, errors.Wrap(err, fetchMethod)
--- a/plugins/discovery/fanout.go
+++ b/plugins/discovery/fanout.go
@@ -9,6 +9,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
+	"github.com/savoryfold/savoryfold/internal/transfer"
 	"github.com/savoryfold/savoryfold/kernel"
 	"github.com/savoryfold/savoryfold/platform"
 )
@@ -21,11 +22,16 @@
 const (
 	recordsPath = "/records"
 	// peerReadWait is how long a reader may hold a request that finds no records,
-	// and peerReadSlack is the time allowed for its response beyond that. A reader
-	// that hangs must not delay updates for its zone beyond the time limits for
+	// and peerReadSlack is the time allowed beyond that until its response begins.
+	// peerTransferTimeout bounds the rest of the response. A reader that hangs or
+	// has a slow link must not delay updates for its zone beyond the time limits for
 	// configuration changes.
-	peerReadWait  = time.Second
-	peerReadSlack = 300 * time.Millisecond
+	peerReadWait        = time.Second
+	peerReadSlack       = 300 * time.Millisecond
+	peerTransferTimeout = 1500 * time.Millisecond
+	// slowReceiveTime is how long the response to a read of a zone's reader may take to
+	// arrive before the reader lets other instances read the store themselves.
+	slowReceiveTime = 300 * time.Millisecond
 	// unresponsiveReaderAvoidTime is how long a reader that did not respond is not
 	// called again. refusingReaderAvoidTime applies to a reader that responds but
 	// cannot serve the records. It is shorter because such a reader can serve them
@@ -146,10 +152,18 @@
 			http.Error(w, notServingReads, http.StatusServiceUnavailable)
 			return
 		}
-		if len(records) > 0 || ctx.Err() != nil {
+		if len(records) > 0 {
 			writeRecords(w, records)
 			return
 		}
+		if watch.pending.receivingFor(time.Now()) > slowReceiveTime {
+			http.Error(w, "this instance receives newer records slowly", http.StatusServiceUnavailable)
+			return
+		}
+		if ctx.Err() != nil {
+			writeRecords(w, nil)
+			return
+		}
 		select {
 		case <-updated:
 		case <-ctx.Done():
@@ -225,8 +239,8 @@
 	if err != nil {
 		panic("discovery: request for records: " + err.Error())
 	}
-	ctx, cancel := context.WithTimeout(ctx, peerReadWait+peerReadSlack)
-	defer cancel()
+	ctx, call := transfer.Start(ctx, transfer.Limits{Begin: peerReadWait + peerReadSlack, Rest: peerTransferTimeout})
+	defer call.Stop()
 	data, err := d.host.PeerCalls.CallPeer(ctx, reader.Address, recordsPath, body)
 	if err != nil {
 		return nil, err
--- a/plugins/discovery/pendingread.go
+++ b/plugins/discovery/pendingread.go
@@ -4,16 +4,19 @@
 	"context"
 	"net/http/httptrace"
 	"sync"
+	"time"
 )
 
 // pendingRead is the read of a watch that is in progress. It can be interrupted so
 // that it is sent again: after an outage, or if the store did not wake it, it is
 // unknown whether the store still answers a read that it holds.
 type pendingRead struct {
-	mu        sync.Mutex
-	ctx       context.Context    // guarded by mu
-	cancel    context.CancelFunc // guarded by mu
-	receiving bool               // the response to the last call has begun; guarded by mu
+	mu     sync.Mutex
+	ctx    context.Context    // guarded by mu
+	cancel context.CancelFunc // guarded by mu
+	// receivingSince is when the response to the call in progress began, zero if it
+	// has not; guarded by mu.
+	receivingSince time.Time
 }
 
 // begin returns a context for the calls of a read. It ends with the parent or when
@@ -30,17 +33,28 @@
 
 // call returns a context for one call, whose response has not begun.
 func (p *pendingRead) call(ctx context.Context) context.Context {
-	p.setReceiving(false)
-	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotFirstResponseByte: func() { p.setReceiving(true) }})
+	p.setReceiving(time.Time{})
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotFirstResponseByte: func() { p.setReceiving(time.Now()) }})
 }
 
 // end marks that no call is in progress.
-func (p *pendingRead) end() { p.setReceiving(false) }
+func (p *pendingRead) end() { p.setReceiving(time.Time{}) }
 
-func (p *pendingRead) setReceiving(receiving bool) {
+func (p *pendingRead) setReceiving(since time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.receiving = receiving
+	p.receivingSince = since
+}
+
+// receivingFor returns how long the response to the call in progress has been
+// arriving, or 0 if none is.
+func (p *pendingRead) receivingFor(now time.Time) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.receivingSince.IsZero() {
+		return 0
+	}
+	return now.Sub(p.receivingSince)
 }
 
 // interrupt ends the read in progress, unless its response is arriving: a read that
@@ -48,7 +62,7 @@
 func (p *pendingRead) interrupt() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.receiving || p.cancel == nil {
+	if !p.receivingSince.IsZero() || p.cancel == nil {
 		return false
 	}
 	p.cancel()
--- a/plugins/discovery/pendingread_test.go
+++ b/plugins/discovery/pendingread_test.go
@@ -1,15 +1,19 @@
 package discovery
 
 import (
+	"bytes"
 	"context"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/savoryfold/savoryfold/internal/upstream"
+	"github.com/savoryfold/savoryfold/platform"
 )
 
 // TestInterruptedRead guards against a read from another instance that starts over
@@ -49,10 +53,8 @@
 		Convey("whose response is arriving, an interrupt has no effect", func() {
 			close(respond)
 			<-begun
-			for receiving := false; !receiving; {
-				p.mu.Lock()
-				receiving = p.receiving
-				p.mu.Unlock()
+			for p.receivingFor(time.Now()) == 0 {
+				time.Sleep(time.Millisecond)
 			}
 			So(p.interrupt(), ShouldBeFalse)
 			close(finish)
@@ -61,3 +63,30 @@
 		})
 	})
 }
+
+// TestSlowReader guards against a zone that waits for its reader while the reader
+// receives a large response over a slow link.
+func TestSlowReader(t *testing.T) {
+	Convey("A reader that has been receiving a response for long refuses reads that wait for it", t, func() {
+		d := &Discovery{leaving: make(chan struct{}), operators: &watch{topic: platform.OperatorTopic}, servers: &watch{topic: platform.ServersTopic}}
+		d.operators.history.reset(7)
+		d.operators.history.setDirect(true)
+		read := func(from uint64) int {
+			body, err := cbor.Marshal(recordsRequest{platform.OperatorTopic, from})
+			So(err, ShouldBeNil)
+			w := httptest.NewRecorder()
+			d.serveRecords(w, httptest.NewRequest(http.MethodPost, recordsPath, bytes.NewReader(body)))
+			return w.Code
+		}
+		d.operators.pending.setReceiving(time.Now())
+		So(read(7), ShouldEqual, http.StatusServiceUnavailable) // after the wait
+		d.operators.pending.setReceiving(time.Now().Add(-time.Second))
+		began := time.Now()
+		So(read(7), ShouldEqual, http.StatusServiceUnavailable)
+		So(time.Since(began), ShouldBeLessThan, peerReadWait/2)
+		d.operators.history.add([]platform.StoreRecord{{Key: "k", Offset: 7}})
+		So(read(7), ShouldEqual, http.StatusOK)
+		d.operators.pending.end()
+		So(read(8), ShouldEqual, http.StatusOK)
+	})
+}
