Let a member with the largest capacity read the store for its zone

Callers saw new configurations late: a zone's instances lose 1.3 s on a reader that cannot send a large record to all of them in time.

Cause: the reader was drawn by weight among all members of its zone, so that in three of four zones it had a link of 10 Mbit/s beside two members with 200.

The reader is now drawn among the members with the largest capacity.

--- a/plugins/discovery/fanout.go
+++ b/plugins/discovery/fanout.go
@@ -229,8 +229,20 @@
 	if d.host.PeerCalls == nil {
 		return kernel.FleetMember{}
 	}
-	zone := d.host.Zone()
-	return kernel.FleetOwner(zone+"/reader", d.Members(), func(m kernel.FleetMember) bool { return m.Zone == zone && m.Address != "" })
+	return zoneReaderOf(d.host.Zone(), d.Members())
+}
+
+// zoneReaderOf returns the reader of a zone: one of its members with the largest
+// capacity, since it sends every record to all others.
+func zoneReaderOf(zone string, members []kernel.FleetMember) kernel.FleetMember {
+	callable := func(m kernel.FleetMember) bool { return m.Zone == zone && m.Address != "" }
+	var largest float64
+	for _, m := range members {
+		if callable(m) {
+			largest = max(largest, m.Capacity)
+		}
+	}
+	return kernel.FleetOwner(zone+"/reader", members, func(m kernel.FleetMember) bool { return callable(m) && m.Capacity == largest })
 }
 
 // readFrom reads records from the zone's reader.
