Keep serving a zone while the reader's own read is restarted

Callers saw no failure of it; instances of a zone read the store each for itself.

Cause: a restarted read counted as a failed one, so that the zone's reader refused the reads of all other instances and doubled its time limit, exactly when a record had arrived that all wanted. TestInterruptedReader failed before.

A read that was interrupted says nothing about the store, and no longer changes whether the reader serves, nor its time limit.

--- a/plugins/discovery/fanout_test.go
+++ b/plugins/discovery/fanout_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -13,6 +14,7 @@
 
 	"github.com/savoryfold/savoryfold/kernel"
 	"github.com/savoryfold/savoryfold/platform"
+	"github.com/savoryfold/savoryfold/platform/platformtest"
 )
 
 // TestSlowReader guards against a zone that waits for its reader while the reader
@@ -62,3 +64,24 @@
 		So(zoneReaderOf("z10", members).ID, ShouldBeEmpty)
 	})
 }
+
+// TestInterruptedReader guards against a zone whose instances all read the store
+// because their reader restarts its read.
+func TestInterruptedReader(t *testing.T) {
+	Convey("A reader whose read is interrupted goes on serving other instances", t, func() {
+		store := platformtest.NewStore()
+		defer store.Close()
+		store.Put(platform.ServersTopic, "i", []byte("{}"))
+		client := platform.NewStoreClient(store.Address(), time.Second)
+		defer client.Close()
+		w := &watch{client: client, topic: platform.ServersTopic, apply: func(time.Time, []platform.StoreRecord, bool) {}, storeUnresponsive: func() bool { return false }}
+		So(w.step(context.Background()), ShouldBeNil)
+		ctx, interrupted := w.pending.begin(context.Background())
+		w.history.setDirect(true)
+		time.AfterFunc(50*time.Millisecond, func() { w.pending.interrupt() })
+		So(w.step(ctx), ShouldNotBeNil)
+		So(interrupted(), ShouldBeTrue)
+		_, _, ok := w.history.from(1)
+		So(ok, ShouldBeTrue)
+	})
+}
--- a/plugins/discovery/watch.go
+++ b/plugins/discovery/watch.go
@@ -128,8 +128,11 @@
 	}
 	w.slack = min(max(w.slack, readSlackMin), readSlackMax)
 	records, _, err := w.client.Read(w.pending.call(ctx), w.topic, w.next, readWait, w.slack)
-	w.history.setDirect(err == nil)
 	w.direct = true
+	if err != nil && ctx.Err() != nil {
+		return err // interrupted: nothing is known of the store
+	}
+	w.history.setDirect(err == nil)
 	if err != nil {
 		w.slack *= 2
 		return err
