Take test addresses on loopback addresses of their own

Cause: a port of 127.0.0.1 was found free and closed before the instance listened on it; in between any outgoing connection or listener of the machine may get it. The same in test/harness and test/soak.

Addresses are now found on a random loopback address that no other socket uses, by one function for the three.

--- a/test/harness/cluster.go
+++ b/test/harness/cluster.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -278,21 +277,3 @@
 
 // Backend returns the URL of a backend server, bypassing its relay.
 func (c *Cluster) Backend(name string) string { return "http://" + c.BackendAddresses[name] }
-
-// freeAddress returns a loopback address with a port that is free now.
-func freeAddress(network string) (string, error) {
-	if network == "udp" {
-		conn, err := net.ListenPacket("udp", "127.0.0.1:0")
-		if err != nil {
-			return "", err
-		}
-		defer conn.Close()
-		return conn.LocalAddr().String(), nil
-	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer l.Close()
-	return l.Addr().String(), nil
-}
--- a/test/harness/instance.go
+++ b/test/harness/instance.go
@@ -20,6 +20,7 @@
 	"github.com/savoryfold/savoryfold/kernel"
 	_ "github.com/savoryfold/savoryfold/plugins/standard" // registers the settings of instances
 	"github.com/savoryfold/savoryfold/standin"
+	"github.com/savoryfold/savoryfold/test/loopback"
 	"github.com/savoryfold/savoryfold/test/relay"
 )
 
@@ -87,10 +88,10 @@
 func (c *Cluster) newInstance(id, zone string) (*Instance, error) {
 	in := &Instance{ID: id, Zone: zone, path: filepath.Join(c.Spec.Dir, id+".ini")}
 	var err error
-	if in.Entry, err = freeAddress("tcp"); err != nil {
+	if in.Entry, err = loopback.FreeAddress("tcp"); err != nil {
 		return nil, err
 	}
-	if in.Admin, err = freeAddress("tcp"); err != nil {
+	if in.Admin, err = loopback.FreeAddress("tcp"); err != nil {
 		return nil, err
 	}
 	settings := Settings{
@@ -129,11 +130,11 @@
 // addRelays starts relays in front of the instance's gossip and peer addresses,
 // adds the membership settings and registers the instance in the platform's list.
 func (c *Cluster) addRelays(in *Instance, settings Settings) error {
-	gossip, err := freeAddress("udp")
+	gossip, err := loopback.FreeAddress("udp")
 	if err != nil {
 		return err
 	}
-	peer, err := freeAddress("udp")
+	peer, err := loopback.FreeAddress("udp")
 	if err != nil {
 		return err
 	}
--- a/test/passthrough/cluster.go
+++ b/test/passthrough/cluster.go
@@ -6,7 +6,6 @@
 	"bytes"
 	"context"
 	"log/slog"
-	"net"
 	"sync"
 	"testing"
 	"time"
@@ -14,6 +13,7 @@
 	"github.com/savoryfold/savoryfold/kernel"
 	"github.com/savoryfold/savoryfold/platform/platformtest"
 	_ "github.com/savoryfold/savoryfold/plugins/standard" // registers all plug-ins
+	"github.com/savoryfold/savoryfold/test/loopback"
 )
 
 // testTimeout is the timeout of Eventually.
@@ -135,13 +135,11 @@
 	c.Store.Close()
 }
 
-// freeAddress returns a loopback address with a port that is free now.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := loopback.FreeAddress("tcp")
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
-	return l.Addr().String()
+	return address
 }
--- a/test/soak/testbed.go
+++ b/test/soak/testbed.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -19,6 +18,7 @@
 
 	"github.com/savoryfold/savoryfold/platform/platformtest"
 	"github.com/savoryfold/savoryfold/test/harness"
+	"github.com/savoryfold/savoryfold/test/loopback"
 	"github.com/savoryfold/savoryfold/test/relay"
 )
 
@@ -229,7 +229,7 @@
 func (tb *testbed) writeSettings(n *instance) error {
 	var err error
 	for _, address := range []*string{&n.listen, &n.readiness, &n.peer} {
-		if *address, err = freeAddress(); err != nil {
+		if *address, err = loopback.FreeAddress("tcp"); err != nil {
 			return err
 		}
 	}
@@ -295,12 +295,3 @@
 	tb.store.Close()
 	_ = os.RemoveAll(tb.dir) // created by newTestbed
 }
-
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", errors.Wrap(err, "find free address")
-	}
-	defer l.Close()
-	return l.Addr().String(), nil
-}
