Judge a new version by the responses of all instances and by whole streams

Callers saw a new version of the model servers, several times slower, rolled out and kept: requests of most routes ended at their deadline.

Cause: two gaps in the evidence. Each instance judged by its own responses only: with 5% of the traffic on trial each gets two to five in a rollout of 15 s, and no verdict takes fewer than three bad ones. And of a stream only the time to its first event counted, compared with one mean over all routes; a stream that is slow afterwards, or that ends at its deadline, counted as good.

TestSlowStreamingVersion failed before (the slow version was completed).

Instances publish their counts by route as shared state, and each judges the sum, in total and by route. Every response counts once, by its whole time or as soon as it has taken three times the mean of its route; servers that are still cold do not count. Since sums grow one by one, a verdict also needs that a version like the old one would do as badly with a probability of 0.001 at most: TestBadVersionByChance checks 2,000 good versions after each of 200 responses.

--- a/kernel/catalogs.go
+++ b/kernel/catalogs.go
@@ -123,6 +123,10 @@
 	// in the range [0, 1).
 	PickVersion(now time.Time, service string, random float64) (allow func(version string) bool)
 	// ObserveVersion records the result of a request as evidence for or against
-	// a version. Failures and responses slower than the baseline count against it.
-	ObserveVersion(now time.Time, service, version string, failed bool, took time.Duration)
+	// a version. Failures and responses slower than the baseline of their route
+	// count against it.
+	ObserveVersion(now time.Time, service, route, version string, failed bool, took time.Duration)
+	// SlowResponse reports whether a response that has taken a time so far counts
+	// against its version.
+	SlowResponse(service, route string, took time.Duration) bool
 }
--- a/plugins/forward/answer.go
+++ b/plugins/forward/answer.go
@@ -148,6 +148,7 @@
 				first = false
 				f.recordFirstEvent(r, c, time.Since(began))
 			}
+			f.observeSlow(r, c, time.Since(began))
 			part := (*buf)[:n]
 			if r.route.Resumable {
 				part, rest = a.splitEvents(append(rest, part...))
@@ -160,6 +161,7 @@
 			a.writeHeader(x.Response, -1)
 			f.finishExchange(r, x, answer)
 			f.observe(time.Now(), c.server, c.state, policy.CallSample{OK: x.Response.StatusCode < 500})
+			f.observeVersion(r, c, x.Response.StatusCode >= 500, time.Since(began))
 			return sendDone, kernel.Outcome{Kind: kernel.Served}
 		}
 		if err != nil || len(rest) > maxEventBytes {
@@ -177,7 +179,6 @@
 	f.recordBegin(now, r)
 	c.state.recordFirstByte(now, took)
 	f.latencies.add(r.service.Name, took)
-	f.observeVersion(r, c, false, took)
 	r.log.Add("first event", "server", c.server.ID, "took", took, "since_begin", now.Sub(r.began))
 }
 
@@ -187,7 +188,9 @@
 		err = errors.Errorf("event of more than %d bytes", maxEventBytes)
 	}
 	result, out := f.classifyError(ctx, r, c, began, errors.Wrap(err, "stream ended early"))
-	f.observeVersion(r, c, ctx.Err() == nil, time.Since(began))
+	if ctx.Err() == nil {
+		f.observeVersion(r, c, true, time.Since(began))
+	}
 	out.Truncated = a.started
 	return result, out
 }
--- a/plugins/forward/request.go
+++ b/plugins/forward/request.go
@@ -65,6 +65,8 @@
 	// begun is true once the server to which the request was last sent has begun to
 	// respond.
 	begun bool
+	// versionObserved is true once the last send has counted in a version rollout.
+	versionObserved bool
 	// attempts counts the servers that may have run the request.
 	attempts int
 }
--- a/plugins/forward/send.go
+++ b/plugins/forward/send.go
@@ -128,7 +128,7 @@
 // caller.
 func (f *Forward) sendOnce(ctx context.Context, a *responseWriter, r *request, c choice) (sendResult, kernel.Outcome) {
 	began := time.Now()
-	r.begun = false
+	r.begun, r.versionObserved = false, false
 	c.state.begin()
 	defer c.state.end()
 	x, err := f.pool.Do(ctx, f.upstreamRequest(began, r, a, c.server))
@@ -190,6 +190,7 @@
 		return sendNotSent, kernel.Outcome{Kind: kernel.NotRun, Reason: kernel.ReasonOverload, Detail: "the connections to the server are used up", RetryAfter: retryAfterBusy}
 	}
 	if ctx.Err() != nil {
+		f.observeSlow(r, c, now.Sub(began))
 		out := f.contextOutcome(ctx)
 		if upstream.MaybeSent(err) {
 			out.Kind = kernel.Unknown
@@ -241,10 +242,20 @@
 	return r.deadline.Sub(now) > f.latencies.get(r.service.Name)
 }
 
-// observeVersion records the result of a request as evidence for a version
-// rollout.
+// observeVersion records the result of a request as evidence for a version rollout,
+// once for each send. A server that is still cold says nothing about its version.
 func (f *Forward) observeVersion(r *request, c choice, failed bool, took time.Duration) {
-	if f.host.VersionPicker != nil {
-		f.host.VersionPicker.ObserveVersion(time.Now(), r.service.Name, c.server.Version, failed, took)
+	now := time.Now()
+	if r.versionObserved || f.host.VersionPicker == nil || c.server.Cold(now) {
+		return
+	}
+	r.versionObserved = true
+	f.host.VersionPicker.ObserveVersion(now, r.service.Name, r.route.Name, c.server.Version, failed, took)
+}
+
+// observeSlow records a response that is taking too long, before its end.
+func (f *Forward) observeSlow(r *request, c choice, took time.Duration) {
+	if f.host.VersionPicker != nil && f.host.VersionPicker.SlowResponse(r.service.Name, r.route.Name, took) {
+		f.observeVersion(r, c, false, took)
 	}
 }
--- /dev/null
+++ b/plugins/servicemoves/reports.go
@@ -0,0 +1,122 @@
+package servicemoves
+
+import (
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"github.com/savoryfold/savoryfold/policy"
+)
+
+// stateKind is the kind of the shared state that holds the counts of an instance.
+const stateKind = "rollout-counts"
+
+// reportInterval is the minimum time between two reports of an instance.
+const reportInterval = 400 * time.Millisecond
+
+// report holds the counts of one instance in its ongoing rollouts, by service.
+type report map[string]serviceReport
+
+type serviceReport struct {
+	// Order identifies the rollout.
+	Order  uint64                        `cbor:"1,keyasint"`
+	Routes map[string]policy.RouteCounts `cbor:"2,keyasint"`
+}
+
+// reports holds the reports of the other instances.
+type reports struct {
+	mu         sync.Mutex
+	byInstance map[string]report // guarded by mu
+	// published is the number of responses of new versions in the last published
+	// report, publishedAt its time; guarded by mu.
+	published   int
+	publishedAt time.Time
+}
+
+// sum returns the counts of the other instances for a rollout, by route.
+func (r *reports) sum(service string, order uint64) map[string]policy.RouteCounts {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	sum := make(map[string]policy.RouteCounts)
+	for _, instance := range r.byInstance {
+		if s, ok := instance[service]; ok && s.Order == order {
+			for route, c := range s.Routes {
+				sum[route] = sum[route].Add(c)
+			}
+		}
+	}
+	return sum
+}
+
+// publishReport publishes the counts of this instance if it has received more
+// responses of new versions.
+func (m *Moves) publishReport(now time.Time) {
+	if m.host.SharedState == nil {
+		return
+	}
+	out := make(report)
+	responses := 0
+	for service, mv := range *m.active.Load() {
+		if mv.rolledBack.Load() || mv.completed.Load() {
+			continue
+		}
+		s := serviceReport{Order: mv.command.Order, Routes: make(map[string]policy.RouteCounts)}
+		mv.mu.Lock()
+		for route, c := range mv.counts {
+			s.Routes[route] = c
+			responses += c.New.Responses
+		}
+		mv.mu.Unlock()
+		out[service] = s
+	}
+	m.reports.mu.Lock()
+	defer m.reports.mu.Unlock()
+	if responses == m.reports.published || now.Sub(m.reports.publishedAt) < reportInterval {
+		return
+	}
+	m.reports.published, m.reports.publishedAt = responses, now
+	body, err := cbor.Marshal(out)
+	if err != nil {
+		panic("servicemoves: report: " + err.Error())
+	}
+	m.host.SharedState.PublishState(stateKind, body)
+}
+
+func decodeReport(state []byte) (report, error) {
+	var r report
+	if err := cbor.Unmarshal(state, &r); err != nil {
+		return nil, errors.Wrap(err, "decode report")
+	}
+	for service, s := range r {
+		for route, c := range s.Routes {
+			if !c.Valid() {
+				return nil, errors.Errorf("impossible counts of service %s on route %s: %+v", service, route, c)
+			}
+		}
+	}
+	return r, nil
+}
+
+// mergeReport replaces the report of another instance. What an earlier process of
+// this instance has counted is counted like that of another one.
+func (m *Moves) mergeReport(instance string, state []byte) {
+	r, err := decodeReport(state)
+	if err != nil {
+		m.host.Counter(`shared_state_errors{kind="` + stateKind + `"}`).Inc(1)
+		m.host.Logger.Warn("invalid report of rollout counts", "from", instance, "error", err)
+		return
+	}
+	m.reports.mu.Lock()
+	if m.reports.byInstance == nil {
+		m.reports.byInstance = make(map[string]report)
+	}
+	m.reports.byInstance[instance] = r
+	m.reports.mu.Unlock()
+	for service, mv := range *m.active.Load() {
+		if _, ok := r[service]; ok {
+			m.judge(service, mv)
+		}
+	}
+}
--- a/plugins/servicemoves/servicemoves.go
+++ b/plugins/servicemoves/servicemoves.go
@@ -4,14 +4,16 @@
 // such a rollout a move.
 //
 // Every instance follows the same schedule independently and judges the new
-// version by the responses that it has received. The first instance that detects
-// a fault records the rollback, and all others follow it. One instance, chosen by
+// version by the responses that all instances have received, which they share. The
+// first instance that detects a fault records the rollback, and all others follow
+// it. One instance, chosen by
 // rendezvous hashing, records that a rollout is in progress or completed. If it
 // hangs or has left, the next instance in rendezvous order takes over.
 package servicemoves
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -34,15 +36,6 @@
 	// takeoverDelay is how much longer each instance in rendezvous order waits than
 	// the one before it until it records a state that is still missing.
 	takeoverDelay = 400 * time.Millisecond
-	// slowFactor is the multiple of the old version's mean response time above which
-	// a response counts as bad.
-	slowFactor = 3
-	// slowMargin is added to that limit: a smaller excess may be due to a busy
-	// machine.
-	slowMargin = 50 * time.Millisecond
-	// baselineWeight is the weight of a new sample in the moving average of the old
-	// version's response time.
-	baselineWeight = 0.05
 )
 
 func init() {
@@ -63,6 +56,8 @@
 	exposure float64
 	active   atomic.Pointer[map[string]*move]
 	mu       sync.Mutex // serializes changes of active
+	times    responseTimes
+	reports  reports
 	cancel   context.CancelFunc
 	done     sync.WaitGroup
 }
@@ -74,12 +69,11 @@
 	rolledBack atomic.Bool
 	completed  atomic.Bool
 
-	mu                 sync.Mutex
-	oldCount, newCount policy.VersionCount // guarded by mu
-	baseline           time.Duration       // mean response time of the old version; guarded by mu
-	lastWrite          time.Time           // when pendingState was last written; guarded by mu
-	pendingState       catalog.MoveState   // state to be recorded; guarded by mu
-	pendingSince       time.Time           // when pendingState became due; guarded by mu
+	mu           sync.Mutex
+	counts       map[string]policy.RouteCounts // of this instance, by route; guarded by mu
+	lastWrite    time.Time                     // when pendingState was last written; guarded by mu
+	pendingState catalog.MoveState             // state to be recorded; guarded by mu
+	pendingSince time.Time                     // when pendingState became due; guarded by mu
 }
 
 // Provision implements kernel.Provisioner.
@@ -90,6 +84,9 @@
 	if h.Catalogs != nil {
 		h.Catalogs.OnCatalog(m.refresh)
 	}
+	if h.SharedState != nil {
+		h.SharedState.OnState(stateKind, m.mergeReport)
+	}
 	return nil
 }
 
@@ -119,7 +116,7 @@
 	for service, command := range snapshot.Moves {
 		mv := old[service]
 		if mv == nil || mv.command.Order != command.Order {
-			mv = &move{command: command}
+			mv = &move{command: command, counts: make(map[string]policy.RouteCounts)}
 		}
 		if s, ok := snapshot.Statuses[service]; ok && s.Order == command.Order {
 			mv.rolledBack.Store(mv.rolledBack.Load() || s.State == catalog.MoveRolledBack)
@@ -180,30 +177,52 @@
 }
 
 // ObserveVersion implements kernel.VersionPicker. It rolls the new version back
-// once its responses show a fault that the old version does not have.
-func (m *Moves) ObserveVersion(now time.Time, service, version string, failed bool, took time.Duration) {
+// once the responses show a fault that the old version does not have.
+func (m *Moves) ObserveVersion(now time.Time, service, route, version string, failed bool, took time.Duration) {
+	slow := m.SlowResponse(service, route, took)
 	mv := (*m.active.Load())[service]
-	if mv == nil || mv.rolledBack.Load() || mv.completed.Load() {
+	ongoing := mv != nil && !mv.rolledBack.Load() && !mv.completed.Load()
+	isNew := ongoing && version == mv.command.TargetVersion
+	if !failed && !isNew {
+		m.times.add(service, route, took)
+	}
+	if !ongoing {
 		return
 	}
 	mv.mu.Lock()
-	defer mv.mu.Unlock()
-	count := &mv.oldCount
-	if version == mv.command.TargetVersion {
-		count = &mv.newCount
-	} else if !failed {
-		mv.baseline += time.Duration(baselineWeight * float64(took-mv.baseline))
-		if count.Responses == 0 {
-			mv.baseline = took
-		}
+	counts := mv.counts[route]
+	count := &counts.Old
+	if isNew {
+		count = &counts.New
 	}
 	count.Responses++
-	if failed || mv.baseline > 0 && took > slowFactor*mv.baseline+slowMargin {
+	if failed || slow {
 		count.Bad++
 	}
-	if policy.BadVersion(mv.oldCount, mv.newCount) && mv.rolledBack.CompareAndSwap(false, true) {
-		m.host.Logger.Warn("version rolled back", "service", service, "version", mv.command.TargetVersion, "order", mv.command.Order,
-			"answers", mv.newCount.Responses, "bad", mv.newCount.Bad, "old_answers", mv.oldCount.Responses, "old_bad", mv.oldCount.Bad)
+	mv.counts[route] = counts
+	mv.mu.Unlock()
+	if isNew {
+		m.judge(service, mv)
+	}
+}
+
+// SlowResponse implements kernel.VersionPicker.
+func (m *Moves) SlowResponse(service, route string, took time.Duration) bool {
+	return m.times.slow(service, route, took)
+}
+
+// judge rolls the new version of a rollout back if the responses that all instances
+// have received show a fault.
+func (m *Moves) judge(service string, mv *move) {
+	counts := m.reports.sum(service, mv.command.Order)
+	mv.mu.Lock()
+	for route, c := range mv.counts {
+		counts[route] = counts[route].Add(c)
+	}
+	mv.mu.Unlock()
+	route, bad := policy.BadVersionOn(counts)
+	if bad && !mv.completed.Load() && mv.rolledBack.CompareAndSwap(false, true) {
+		m.host.Logger.Warn("version rolled back", "service", service, "version", mv.command.TargetVersion, "order", mv.command.Order, "route", route, "counts", counts)
 	}
 }
 
@@ -213,6 +232,7 @@
 		for service, mv := range *m.active.Load() {
 			m.record(ctx, now, service, mv)
 		}
+		m.publishReport(now)
 	})
 }
 
@@ -255,17 +275,16 @@
 // Dump implements kernel.Dumper.
 func (m *Moves) Dump() any {
 	type dump struct {
-		Target             string `json:"target"`
-		Order              uint64 `json:"order"`
-		RolledBack         bool   `json:"rolled_back"`
-		Completed          bool   `json:"completed"`
-		Answers, Bad       int
-		OldAnswers, OldBad int
+		Target     string                        `json:"target"`
+		Order      uint64                        `json:"order"`
+		RolledBack bool                          `json:"rolled_back"`
+		Completed  bool                          `json:"completed"`
+		Counts     map[string]policy.RouteCounts `json:"counts"`
 	}
 	out := make(map[string]dump)
 	for service, mv := range *m.active.Load() {
 		mv.mu.Lock()
-		out[service] = dump{mv.command.TargetVersion, mv.command.Order, mv.rolledBack.Load(), mv.completed.Load(), mv.newCount.Responses, mv.newCount.Bad, mv.oldCount.Responses, mv.oldCount.Bad}
+		out[service] = dump{mv.command.TargetVersion, mv.command.Order, mv.rolledBack.Load(), mv.completed.Load(), maps.Clone(mv.counts)}
 		mv.mu.Unlock()
 	}
 	return out
--- a/policy/servicemove.go
+++ b/policy/servicemove.go
@@ -1,6 +1,9 @@
 package policy
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // MoveStep is the state of a service's rollout of a version at one point in time.
 type MoveStep struct {
@@ -58,6 +61,12 @@
 	// minBadRateRatio the minimum ratio of that fraction to the old version's.
 	minBadRate      = 0.15
 	minBadRateRatio = 2.5
+	// maxChance is the largest probability with which a version like the old one may
+	// have as many bad responses.
+	maxChance = 1e-3
+	// assumedResponses is the number of responses, one of them bad, that are added to
+	// those of the old version to estimate its failure rate.
+	assumedResponses = 10
 )
 
 // BadVersion reports whether the new version's responses show a fault that the old
@@ -71,5 +80,73 @@
 	if old.Responses > 0 {
 		baseline = float64(old.Bad) / float64(old.Responses)
 	}
-	return rate >= minBadRate && rate >= minBadRateRatio*baseline
+	if rate < minBadRate || rate < minBadRateRatio*baseline {
+		return false
+	}
+	expected := float64(old.Bad+1) / float64(old.Responses+assumedResponses)
+	return binomialTail(newer.Responses, newer.Bad, expected) <= maxChance
+}
+
+// binomialTail returns the probability of k or more successes in n trials that
+// succeed with probability p each.
+func binomialTail(n, k int, p float64) float64 {
+	if p >= 1 {
+		return 1
+	}
+	const negligible = 1e-9 // relative to the sum
+	sum := 0.0
+	for i := k; i <= n; i++ {
+		term := math.Exp(logChoose(n, i) + float64(i)*math.Log(p) + float64(n-i)*math.Log1p(-p))
+		sum += term
+		if float64(i) > float64(n)*p && term < negligible*sum {
+			break
+		}
+	}
+	return min(1, sum)
+}
+
+// logChoose returns the logarithm of the binomial coefficient.
+func logChoose(n, k int) float64 {
+	a, _ := math.Lgamma(float64(n + 1))
+	b, _ := math.Lgamma(float64(k + 1))
+	c, _ := math.Lgamma(float64(n - k + 1))
+	return a - b - c
+}
+
+// RouteCounts counts the responses of the old and the new version on one route.
+type RouteCounts struct {
+	Old, New VersionCount
+}
+
+// Add returns the sum of two counts.
+func (c RouteCounts) Add(o RouteCounts) RouteCounts {
+	return RouteCounts{
+		Old: VersionCount{c.Old.Responses + o.Old.Responses, c.Old.Bad + o.Old.Bad},
+		New: VersionCount{c.New.Responses + o.New.Responses, c.New.Bad + o.New.Bad},
+	}
+}
+
+// Valid reports whether the counts are possible: no negative ones, and not more bad
+// responses than responses.
+func (c RouteCounts) Valid() bool {
+	return c.Old.Bad >= 0 && c.Old.Bad <= c.Old.Responses && c.New.Bad >= 0 && c.New.Bad <= c.New.Responses
+}
+
+// BadVersionOn returns the route on which the new version shows a fault, from the
+// counts by route. It returns an empty route for a fault that shows on all routes
+// together, and ok is false if there is no fault.
+func BadVersionOn(routes map[string]RouteCounts) (route string, ok bool) {
+	var all RouteCounts
+	for _, c := range routes {
+		all = all.Add(c)
+	}
+	if BadVersion(all.Old, all.New) {
+		return "", true
+	}
+	for route, c := range routes {
+		if BadVersion(c.Old, c.New) {
+			return route, true
+		}
+	}
+	return "", false
 }
--- a/policy/servicemove_test.go
+++ b/policy/servicemove_test.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -51,7 +52,45 @@
 		{"fails where the old one does not", VersionCount{100, 1}, VersionCount{10, 3}, true},
 		{"fails as often as the old one", VersionCount{100, 30}, VersionCount{20, 6}, false},
 		{"fails rarely", VersionCount{1000, 1}, VersionCount{100, 5}, false},
+		{"three failures of twenty are chance if the old one fails too", VersionCount{400, 20}, VersionCount{20, 3}, false},
+		{"half of ten responses fail", VersionCount{400, 20}, VersionCount{10, 5}, true},
 	} {
 		Convey(c.name, t, func() { So(BadVersion(c.old, c.newer), ShouldEqual, c.want) })
 	}
 }
+
+// TestBadVersionByChance guards against a good version that is rolled back because
+// some of its first responses happen to be bad, however often the counts are checked.
+func TestBadVersionByChance(t *testing.T) {
+	const seeds, responses, rate, allowed = 2000, 200, 0.04, 20
+	rolledBack := 0
+	for seed := range uint64(seeds) {
+		random := rand.New(rand.NewPCG(seed, 0))
+		old, newer := VersionCount{400, 16}, VersionCount{}
+		for range responses {
+			newer.Responses++
+			if random.Float64() < rate {
+				newer.Bad++
+			}
+			if BadVersion(old, newer) {
+				rolledBack++
+				break
+			}
+		}
+	}
+	if rolledBack > allowed {
+		t.Errorf("%d of %d good versions are rolled back, want at most %d", rolledBack, seeds, allowed)
+	}
+}
+
+func TestBadVersionOnOneRoute(t *testing.T) {
+	Convey("A fault on one route shows in the counts of that route", t, func() {
+		good := RouteCounts{Old: VersionCount{400, 10}, New: VersionCount{60, 1}}
+		bad := RouteCounts{Old: VersionCount{100, 2}, New: VersionCount{10, 5}}
+		route, ok := BadVersionOn(map[string]RouteCounts{"a": good, "b": bad, "c": good})
+		So(ok, ShouldBeTrue)
+		So(route, ShouldEqual, "b")
+		_, ok = BadVersionOn(map[string]RouteCounts{"a": good, "c": good})
+		So(ok, ShouldBeFalse)
+	})
+}
--- a/test/passthrough/moves_test.go
+++ b/test/passthrough/moves_test.go
@@ -3,7 +3,10 @@
 import (
 	"fmt"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
@@ -63,3 +66,60 @@
 		So(len(old.Requests()), ShouldBeGreaterThan, 0)
 	})
 }
+
+// TestSlowStreamingVersion guards against a new version that is kept though its
+// streams are slow after their first event, and each instance sees only some.
+func TestSlowStreamingVersion(t *testing.T) {
+	// rollOut rolls out a version of the streaming service, of which every second
+	// response has the given pauses between its events, and returns the state at the
+	// end.
+	rollOut := func(pause time.Duration) string {
+		c := New(t)
+		c.Store.PutConfig(config(1))
+		serve := func(pauses func() time.Duration) func(http.ResponseWriter, *http.Request, platformtest.ReceivedRequest) {
+			return func(w http.ResponseWriter, _ *http.Request, _ platformtest.ReceivedRequest) {
+				platformtest.StreamSlowly(w, 1, 4, pauses())
+			}
+		}
+		const normal = 20 * time.Millisecond
+		for i := range 4 {
+			c.startBackend(fmt.Sprint("old-", i), "llm").Do = serve(func() time.Duration { return normal })
+		}
+		var served atomic.Int64
+		newServer := platformtest.NewBackend("new")
+		t.Cleanup(newServer.Close)
+		newServer.Do = serve(func() time.Duration {
+			if served.Add(1)%2 == 0 {
+				return pause
+			}
+			return normal
+		})
+		c.Store.PutServer(platformtest.Entry{ID: "new", Service: "llm", Address: newServer.Address(), Zone: "z1", Version: "v2", Slots: 8, Born: 2, Sequence: 1})
+		for i := range 6 {
+			c.waitServers(c.Start(fmt.Sprint("e", i), "z1", true, ""), "llm", 5)
+		}
+		c.WaitMembers(6)
+		sent := 0
+		var requests sync.WaitGroup
+		sendSome := func(ongoing func() bool) {
+			for ; ongoing(); time.Sleep(8 * time.Millisecond) {
+				sent++
+				in, id := c.Instances[sent%6], fmt.Sprint("r", sent)
+				requests.Go(func() { send(in, "POST", "/stream/x", id) })
+			}
+		}
+		before := time.Now().Add(time.Second)
+		sendSome(func() bool { return time.Now().Before(before) })
+		c.Store.PutMove("llm", "v2", 8)
+		c.Eventually("the rollout is recorded", func() bool { return c.Store.MoveState("llm") != "" })
+		sendSome(func() bool { return c.Store.MoveState("llm") == "in-progress" })
+		requests.Wait()
+		return c.Store.MoveState("llm")
+	}
+	Convey("A version with slow streams is rolled back", t, func() {
+		So(rollOut(300*time.Millisecond), ShouldEqual, "rolled-back")
+	})
+	Convey("A version like the old one is completed", t, func() {
+		So(rollOut(20*time.Millisecond), ShouldEqual, "completed")
+	})
+}
