Bound what servers in trouble may send without end

Callers would lose an instance to its memory limit, or wait until their deadline, when a server sends bytes that are no response and do not end.

Cause: the client of backend servers read the head of a response without a limit, skipped interim responses and the rest of an earlier response without end, and bounded a body by 16 MiB each, but not all bodies together. Clients built on net/http accepted heads of 10 MiB.

A head, with the interim responses before it, has 64 KiB, an earlier response 1 MiB, and bodies of responses count among the bodies in memory. Beyond that the connection is closed and the request fails at once; it counts as maybe run.

--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -10,6 +10,7 @@
 	"bytes"
 	"context"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -33,6 +34,18 @@
 	ErrConnectionLimit = errors.New("connection limit of the server reached")
 	// ErrUnsolicited means that the server sent bytes that belong to no request.
 	ErrUnsolicited = errors.New("unsolicited bytes after a complete response")
+	// ErrHeadTooLarge means that what the server sent is no head of a response within
+	// MaxHeadBytes.
+	ErrHeadTooLarge = errors.New("the head of the response is too large")
+)
+
+// Limits of what a server may send.
+const (
+	// MaxHeadBytes bounds the head of a response, with the interim responses before
+	// it.
+	MaxHeadBytes = 64 << 10
+	// maxSkippedBytes bounds the body of a response to an earlier request.
+	maxSkippedBytes = 1 << 20
 )
 
 // Options are the timeouts of a pool's connections.
@@ -187,7 +200,9 @@
 // the time from which it must not be reused.
 type conn struct {
 	net.Conn
-	host    *host
+	host *host
+	// limited bounds what br reads from the connection.
+	limited *io.LimitedReader
 	br      *bufio.Reader
 	used    time.Time
 	expires time.Time
@@ -235,7 +250,8 @@
 		h.mu.Unlock()
 		return nil, errors.Wrap(ErrNotSent, err.Error())
 	}
-	return &conn{Conn: raw, host: h, br: bufio.NewReaderSize(raw, readBufferBytes)}, nil
+	limited := &io.LimitedReader{R: raw, N: math.MaxInt64}
+	return &conn{Conn: raw, host: h, limited: limited, br: bufio.NewReaderSize(limited, readBufferBytes)}, nil
 }
 
 // takeIdle removes and returns the most recently used idle connection, or nil if
@@ -430,8 +446,14 @@
 // readHead reads the head of the final response and skips informational (1xx)
 // ones.
 func (x *Exchange) readHead(method string) error {
+	limited := x.conn.limited
+	limited.N = MaxHeadBytes
+	defer func() { limited.N = math.MaxInt64 }()
 	for {
 		resp, err := http.ReadResponse(x.conn.br, &http.Request{Method: method})
+		if err != nil && limited.N <= 0 {
+			return errors.Wrap(ErrHeadTooLarge, "answer")
+		}
 		if err != nil {
 			return errors.Wrap(err, "answer")
 		}
@@ -456,10 +478,14 @@
 	if x.CloseDelimited || x.Response.Close {
 		return errors.Wrap(io.ErrUnexpectedEOF, "answer")
 	}
-	if _, err := io.Copy(io.Discard, x.body); err != nil {
+	switch _, err := io.CopyN(io.Discard, x.body, maxSkippedBytes); err {
+	case io.EOF:
+		return x.readHead(method)
+	case nil:
+		return errors.Errorf("response to an earlier request exceeds %d bytes", maxSkippedBytes)
+	default:
 		return errors.Wrap(err, "discard response to an earlier request")
 	}
-	return x.readHead(method)
 }
 
 // Read reads the response's body.
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -347,3 +348,57 @@
 		}
 	})
 }
+
+// TestEndlessResponse guards against a server that sends bytes without end, which
+// must neither fill the memory nor hold the request until its deadline.
+func TestEndlessResponse(t *testing.T) {
+	// endless writes data again and again until the connection is closed, and counts
+	// the bytes.
+	endless := func(c net.Conn, sent *atomic.Int64, data string) {
+		block := []byte(strings.Repeat(data, 1+(32<<10)/len(data)))
+		for {
+			n, err := c.Write(block)
+			sent.Add(int64(n))
+			if err != nil {
+				return
+			}
+		}
+	}
+	for name, response := range map[string]struct{ begin, endless string }{
+		"that are no response":                    {"", "garbage "},
+		"in a line without end":                   {"HTTP/1.1 200 OK\r\nX: ", "x"},
+		"in headers without end":                  {"HTTP/1.1 200 OK\r\n", "X-Header: value\r\n"},
+		"in interim responses":                    {"", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+		"in the body of an earlier response":      {"HTTP/1.1 200 OK\r\nId: other\r\n\r\n", "x"},
+		"in a chunk size":                         {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "0"},
+		"in the chunks of an earlier response":    {"HTTP/1.1 200 OK\r\nId: other\r\nTransfer-Encoding: chunked\r\n\r\n", "5\r\nabcde\r\n"},
+		"in the trailers of a response in chunks": {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X-Trailer: value\r\n"},
+	} {
+		Convey("Bytes without end "+name+" end the request early", t, func() {
+			var sent atomic.Int64
+			s := newRawServer(t, func(_, _ int, c net.Conn) {
+				if _, err := io.WriteString(c, response.begin); err == nil {
+					endless(c, &sent, response.endless)
+				}
+			})
+			defer s.listener.Close()
+			pool := New(testOptions)
+			defer pool.Close()
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			defer cancel()
+			began := time.Now()
+			x, err := pool.Do(ctx, &Request{Address: s.listener.Addr().String(), Method: http.MethodGet, URI: "/", Host: "h"})
+			if err == nil {
+				if x.Response.Header.Get("Id") == "other" {
+					err = x.Next(http.MethodGet)
+				} else {
+					_, err = x.ReadAll(1 << 20)
+				}
+				x.Close()
+			}
+			So(err, ShouldNotBeNil)
+			So(time.Since(began), ShouldBeLessThan, 3*time.Second)
+			So(sent.Load(), ShouldBeLessThan, 24<<20) // the buffers of the connection included
+		})
+	}
+}
--- a/plugins/backendhttp/backendhttp.go
+++ b/plugins/backendhttp/backendhttp.go
@@ -24,6 +24,7 @@
 
 	"github.com/savoryfold/savoryfold/config"
 	"github.com/savoryfold/savoryfold/internal/httpapi"
+	"github.com/savoryfold/savoryfold/internal/upstream"
 	"github.com/savoryfold/savoryfold/kernel"
 	"github.com/savoryfold/savoryfold/policy"
 )
@@ -104,6 +105,8 @@
 		MaxIdleConnsPerHost: maxIdlePerServer,
 		IdleConnTimeout:     t.idleTimeout,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: upstream.MaxHeadBytes,
 	}
 	c, _ := t.clients.LoadOrStore(address, created)
 	return c.(*http.Transport)
--- a/plugins/forward/answer.go
+++ b/plugins/forward/answer.go
@@ -80,10 +80,9 @@
 	if strings.HasPrefix(x.Response.Header.Get("Content-Type"), "text/event-stream") {
 		return f.forwardStream(ctx, a, r, c, x, answer, began)
 	}
-	body, err := io.ReadAll(io.LimitReader(x, maxResponseBytes+1))
-	if err == nil && len(body) > maxResponseBytes {
-		err = errors.Errorf("response of more than %d bytes", maxResponseBytes)
-	}
+	reader := &bodyReader{forward: f, source: x}
+	defer reader.release()
+	body, err := io.ReadAll(reader)
 	if err != nil {
 		return f.classifyError(ctx, r, c, began, errors.Wrap(err, "answer"))
 	}
@@ -104,6 +103,29 @@
 	return sendDone, kernel.Outcome{Kind: kernel.Served}
 }
 
+// errResponseTooLarge means that a server sent a body that cannot be kept in memory.
+var errResponseTooLarge = errors.New("the body of the response is too large")
+
+// bodyReader reads the body of a response that is kept in memory, and counts it
+// among the bodies in memory until release is called.
+type bodyReader struct {
+	forward *Forward
+	source  io.Reader
+	bytes   int64
+}
+
+// Read implements io.Reader.
+func (b *bodyReader) Read(p []byte) (int, error) {
+	n, err := b.source.Read(p)
+	b.bytes += int64(n)
+	if b.forward.bodyBytes.Add(int64(n)) > b.forward.maxBodyBytes || b.bytes > maxResponseBytes {
+		return n, errResponseTooLarge
+	}
+	return n, err
+}
+
+func (b *bodyReader) release() { b.forward.bodyBytes.Add(-b.bytes) }
+
 // observeResponse records a complete response in the statistics of its server and
 // service.
 func (f *Forward) observeResponse(now time.Time, r *request, c choice, status int, took time.Duration) {
--- a/plugins/forward/forward.go
+++ b/plugins/forward/forward.go
@@ -68,7 +68,7 @@
 	readiness *http.Server
 	metrics   *http.Server
 	leaving   atomic.Bool
-	// bodyBytes is the size of the request bodies in memory.
+	// bodyBytes is the size of the bodies of requests and responses in memory.
 	bodyBytes    atomic.Int64
 	maxBodyBytes int64
 
--- a/plugins/forward/request.go
+++ b/plugins/forward/request.go
@@ -17,7 +17,7 @@
 )
 
 const (
-	// defaultMaxBodyBytes bounds the request bodies in memory if the memory
+	// defaultMaxBodyBytes bounds the bodies in memory if the memory
 	// setting is 0. Otherwise the bound is that setting divided by
 	// bodyMemoryDivisor.
 	defaultMaxBodyBytes = 256 << 20
--- a/plugins/loadreport/loadreport.go
+++ b/plugins/loadreport/loadreport.go
@@ -17,6 +17,7 @@
 
 	"github.com/savoryfold/savoryfold/config"
 	"github.com/savoryfold/savoryfold/internal/periodic"
+	"github.com/savoryfold/savoryfold/internal/upstream"
 	"github.com/savoryfold/savoryfold/kernel"
 	"github.com/savoryfold/savoryfold/policy"
 )
@@ -81,7 +82,7 @@
 	m.polling = make(map[string]bool)
 	m.client = &http.Client{
 		Timeout:   h.Settings.Duration(section, "timeout"),
-		Transport: &http.Transport{MaxIdleConnsPerHost: maxIdlePerServer, IdleConnTimeout: idleTimeout},
+		Transport: &http.Transport{MaxIdleConnsPerHost: maxIdlePerServer, IdleConnTimeout: idleTimeout, MaxResponseHeaderBytes: upstream.MaxHeadBytes},
 	}
 	m.registerDigests()
 	return nil
--- a/plugins/orders/orders.go
+++ b/plugins/orders/orders.go
@@ -22,6 +22,7 @@
 
 	"github.com/savoryfold/savoryfold/config"
 	"github.com/savoryfold/savoryfold/internal/periodic"
+	"github.com/savoryfold/savoryfold/internal/upstream"
 	"github.com/savoryfold/savoryfold/kernel"
 )
 
@@ -82,7 +83,7 @@
 func (o *Orders) Provision(h *kernel.Host) error {
 	o.host = h
 	o.logger = h.Logger.With("module", "orders")
-	o.engine.client = &http.Client{Timeout: callTimeout, Transport: &http.Transport{IdleConnTimeout: time.Minute}}
+	o.engine.client = &http.Client{Timeout: callTimeout, Transport: &http.Transport{IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: upstream.MaxHeadBytes}}
 	o.ledger.log = h.Log
 	o.backoffs = make(map[string]orderBackoff)
 	return nil
--- a/test/passthrough/crashes_test.go
+++ b/test/passthrough/crashes_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -103,3 +105,40 @@
 		})
 	})
 }
+
+// TestEndlessBody guards against a server that sends the body of a response without
+// end, which must neither fill the memory nor hold the request until its deadline.
+func TestEndlessBody(t *testing.T) {
+	Convey("Requests to a server whose bodies do not end fail early, and the others are served", t, func() {
+		c := New(t)
+		c.Store.PutConfig(config(1))
+		in := c.Start("e1", "z1", true, "memory = 64MiB\n")
+		server := c.startBackend("i-1", "app")
+		var sent atomic.Int64
+		server.Do = func(w http.ResponseWriter, r *http.Request, s platformtest.ReceivedRequest) {
+			if !strings.HasPrefix(s.ID, "endless") {
+				platformtest.Respond(w, http.StatusOK, "ok")
+				return
+			}
+			block := strings.Repeat("x", 64<<10)
+			platformtest.Respond(w, http.StatusOK, block)
+			for r.Context().Err() == nil {
+				n, err := io.WriteString(w, block)
+				sent.Add(int64(n))
+				if err != nil {
+					return
+				}
+			}
+		}
+		c.waitServers(in, "app", 1)
+		began := time.Now()
+		var requests sync.WaitGroup
+		for i := range 8 {
+			requests.Go(func() { send(in, "POST", "/long/x", fmt.Sprint("endless-", i)) })
+		}
+		requests.Wait()
+		So(time.Since(began), ShouldBeLessThan, 3*time.Second)
+		So(sent.Load(), ShouldBeLessThan, 64<<20)
+		So(send(in, "POST", "/once/x", "sound").status, ShouldEqual, http.StatusOK)
+	})
+}
