Do not complete a stream that ends inside an event

Callers saw a stream that was broken off end as if it were complete, if the server sends neither a length nor chunks: the end of the connection then ends the body.

Cause: on routes that cannot be resumed, a stream is passed on without a look at its events, and any regular end counted.

--- a/plugins/forward/answer.go
+++ b/plugins/forward/answer.go
@@ -162,6 +162,7 @@
 	buf := streamBuffers.Get().(*[]byte)
 	defer streamBuffers.Put(buf)
 	var rest []byte // the start of an incomplete event
+	var tail streamTail
 	first := true
 	for {
 		n, err := x.Read(*buf)
@@ -172,6 +173,7 @@
 			}
 			f.observeSlow(r, c, time.Since(began))
 			part := (*buf)[:n]
+			tail.add(part)
 			if r.route.Resumable {
 				part, rest = a.splitEvents(append(rest, part...))
 			}
@@ -179,6 +181,9 @@
 				return sendDone, out
 			}
 		}
+		if err == io.EOF && x.Response.StatusCode < 300 && tail.insideEvent() {
+			err = io.ErrUnexpectedEOF
+		}
 		if err == io.EOF && len(rest) == 0 {
 			a.writeHeader(x.Response, -1)
 			f.finishExchange(r, x, answer)
@@ -192,6 +197,23 @@
 	}
 }
 
+// streamTail holds the last bytes of an event stream.
+type streamTail []byte
+
+// maxEventEndBytes is the length of the longest end of an event: two line ends of
+// two bytes each.
+const maxEventEndBytes = 4
+
+func (t *streamTail) add(data []byte) {
+	*t = append(*t, data[max(0, len(data)-maxEventEndBytes):]...)
+	*t = append((*t)[:0], (*t)[max(0, len(*t)-maxEventEndBytes):]...)
+}
+
+// insideEvent reports whether the stream has not ended with an empty line.
+func (t streamTail) insideEvent() bool {
+	return len(t) > 0 && !bytes.HasSuffix(t, []byte("\n\n")) && !bytes.HasSuffix(t, []byte("\n\r\n"))
+}
+
 // recordFirstEvent records the start of a stream. The server has read its
 // inputs by then, so they are released.
 func (f *Forward) recordFirstEvent(r *request, c choice, took time.Duration) {
--- a/test/passthrough/crashes_test.go
+++ b/test/passthrough/crashes_test.go
@@ -142,3 +142,35 @@
 		So(send(in, "POST", "/once/x", "sound").status, ShouldEqual, http.StatusOK)
 	})
 }
+
+// TestStreamEndsInsideEvent guards against a stream that was broken off and looks
+// complete to the caller.
+func TestStreamEndsInsideEvent(t *testing.T) {
+	Convey("With a server whose streams end with their connection", t, func() {
+		c := New(t)
+		c.Store.PutConfig(config(1))
+		server := c.startBackend("llm-1", "llm")
+		events := ""
+		server.Do = func(w http.ResponseWriter, _ *http.Request, s platformtest.ReceivedRequest) {
+			platformtest.StreamUntilClose(w, s.ID, events)
+		}
+		in := c.Start("e1", "z1", true, "")
+		c.waitServers(in, "llm", 1)
+		const whole = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+		for _, path := range []string{"/stream/x", "/resume/x"} {
+			Convey("a stream that ends after an event is complete: "+path, func() {
+				events = whole
+				a := send(in, "POST", path, "r1")
+				So(a.err, ShouldBeNil)
+				So(a.body, ShouldEqual, whole)
+			})
+			Convey("one that ends inside an event is not: "+path, func() {
+				for i, cut := range []string{whole[:len(whole)-1], whole[:len(whole)-2], whole[:20], whole[:3]} {
+					events = cut
+					a := send(in, "POST", path, fmt.Sprint("r", i))
+					So(a.err != nil || a.status >= 500, ShouldBeTrue)
+				}
+			})
+		}
+	})
+}
