Keep a suspect version on trial and judge on more evidence

Callers saw a slow version rolled out and kept where a rollout is short or its service has few requests.

Cause: what the trial gives may not suffice for a verdict, and a rollout without a verdict was completed.

A version whose responses would be that bad by chance with a probability of 0.02 at most now stays on trial until more responses decide. The trial gets 0.075 instead of 0.05 of the traffic (with the time at full share 0.098, within the permitted 0.1: TestServiceMoveExposure), the share is full from 0.975 of the time instead of 0.96, a response is slow from 2.5 times the mean and 25 ms instead of 3 times and 50 ms, and one bad response in ten suffices instead of 0.15: chance is now judged as such. The table of TestServiceMove follows the new figures; what it checks is unchanged, but for shares, which are compared within 1e-9.

--- a/plugins/servicemoves/responsetimes.go
+++ b/plugins/servicemoves/responsetimes.go
@@ -8,10 +8,10 @@
 const (
 	// slowFactor is the multiple of the mean response time of a route above which a
 	// response counts as bad.
-	slowFactor = 3
+	slowFactor = 2.5
 	// slowMargin is added to that limit: a smaller excess may be due to a busy
 	// machine.
-	slowMargin = 50 * time.Millisecond
+	slowMargin = 25 * time.Millisecond
 	// minTimeSamples is the number of responses from which on the mean is used.
 	minTimeSamples = 5
 	// timeWeight is the weight of a new sample in the moving average, after the first
@@ -56,5 +56,5 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.means[serviceRoute{service, route}]
-	return r.samples >= minTimeSamples && took > slowFactor*r.mean+slowMargin
+	return r.samples >= minTimeSamples && took > time.Duration(slowFactor*float64(r.mean))+slowMargin
 }
--- a/plugins/servicemoves/servicemoves.go
+++ b/plugins/servicemoves/servicemoves.go
@@ -68,6 +68,8 @@
 	// rolledBack is true once any instance has detected a fault of the new version.
 	rolledBack atomic.Bool
 	completed  atomic.Bool
+	// suspect is true while the new version may have a fault. It stays on trial.
+	suspect atomic.Bool
 
 	mu           sync.Mutex
 	counts       map[string]policy.RouteCounts // of this instance, by route; guarded by mu
@@ -155,6 +157,8 @@
 		return 0
 	case mv.completed.Load():
 		return 1
+	case mv.suspect.Load():
+		return policy.TrialShare(m.exposure)
 	}
 	return policy.ServiceMove(mv.command.Age(now), mv.command.Duration, m.exposure).Share
 }
@@ -211,17 +215,25 @@
 	return m.times.slow(service, route, took)
 }
 
-// judge rolls the new version of a rollout back if the responses that all instances
-// have received show a fault.
-func (m *Moves) judge(service string, mv *move) {
+// counts returns the responses that all instances have received in a rollout, by
+// route.
+func (m *Moves) counts(service string, mv *move) map[string]policy.RouteCounts {
 	counts := m.reports.sum(service, mv.command.Order)
 	mv.mu.Lock()
+	defer mv.mu.Unlock()
 	for route, c := range mv.counts {
 		counts[route] = counts[route].Add(c)
 	}
-	mv.mu.Unlock()
-	route, bad := policy.BadVersionOn(counts)
-	if bad && !mv.completed.Load() && mv.rolledBack.CompareAndSwap(false, true) {
+	return counts
+}
+
+// judge rolls the new version of a rollout back if the responses that all instances
+// have received show a fault, and keeps it on trial while they may.
+func (m *Moves) judge(service string, mv *move) {
+	counts := m.counts(service, mv)
+	verdict, route := policy.JudgeRoutes(counts)
+	mv.suspect.Store(verdict != policy.VersionGood)
+	if verdict == policy.VersionBad && !mv.completed.Load() && mv.rolledBack.CompareAndSwap(false, true) {
 		m.host.Logger.Warn("version rolled back", "service", service, "version", mv.command.TargetVersion, "order", mv.command.Order, "route", route, "counts", counts)
 	}
 }
@@ -245,6 +257,7 @@
 		state = catalog.MoveRolledBack
 	case mv.completed.Load():
 		return
+	case mv.suspect.Load():
 	case policy.ServiceMove(mv.command.Age(now), mv.command.Duration, m.exposure).Complete:
 		if _, hasNew := m.versionsPresent(service, mv.command.TargetVersion); !hasNew {
 			return // no usable server has the new version
@@ -269,7 +282,7 @@
 	}
 	status := catalog.MoveStatus{TargetVersion: mv.command.TargetVersion, Order: mv.command.Order, State: state}
 	err := m.host.Catalogs.RecordMove(ctx, service, status)
-	m.host.Logger.Info("rollout state write finished", "service", service, "target", status.TargetVersion, "state", state.String(), "order", status.Order, "error", err)
+	m.host.Logger.Info("rollout state write finished", "service", service, "target", status.TargetVersion, "state", state.String(), "order", status.Order, "counts", m.counts(service, mv), "error", err)
 }
 
 // Dump implements kernel.Dumper.
--- a/plugins/servicemoves/servicemoves_test.go
+++ b/plugins/servicemoves/servicemoves_test.go
@@ -42,8 +42,8 @@
 			times.add("s", "short", 100*time.Millisecond)
 			times.add("s", "long", 2*time.Second)
 		}
-		So(times.slow("s", "short", 300*time.Millisecond), ShouldBeFalse)
-		So(times.slow("s", "short", 400*time.Millisecond), ShouldBeTrue)
+		So(times.slow("s", "short", 250*time.Millisecond), ShouldBeFalse)
+		So(times.slow("s", "short", 300*time.Millisecond), ShouldBeTrue)
 		So(times.slow("s", "long", 5*time.Second), ShouldBeFalse)
 	})
 	Convey("The routes are bounded", t, func() {
--- a/policy/servicemove.go
+++ b/policy/servicemove.go
@@ -18,13 +18,13 @@
 const (
 	// trialExposureFraction is the fraction of the permitted exposure that the new
 	// version gets during its trial.
-	trialExposureFraction = 0.5
+	trialExposureFraction = 0.75
 	// fullShareProgress is the fraction of the duration after which the new version
 	// gets all requests. completeProgress is the fraction after which the rollout
 	// may be reported as completed. The requests in between show faults under full
-	// load. If the permitted exposure is at least 0.08, it also covers all requests
+	// load. If the permitted exposure is at least 0.1, it also covers all requests
 	// from fullShareProgress to the end of the duration.
-	fullShareProgress = 0.96
+	fullShareProgress = 0.975
 	completeProgress  = 0.985
 )
 
@@ -41,11 +41,15 @@
 	case progress < 0:
 		return MoveStep{}
 	case progress < fullShareProgress:
-		return MoveStep{Share: trialExposureFraction * exposure}
+		return MoveStep{Share: TrialShare(exposure)}
 	}
 	return MoveStep{Share: 1, Complete: progress >= completeProgress}
 }
 
+// TrialShare returns the fraction of the requests that the new version gets during
+// its trial.
+func TrialShare(exposure float64) float64 { return trialExposureFraction * exposure }
+
 // VersionCount counts the responses of one version.
 type VersionCount struct {
 	Responses, Bad int
@@ -59,21 +63,36 @@
 	minBadResponses = 3
 	// minBadRate is the minimum fraction of bad responses that shows a fault, and
 	// minBadRateRatio the minimum ratio of that fraction to the old version's.
-	minBadRate      = 0.15
+	minBadRate      = 0.1
 	minBadRateRatio = 2.5
 	// maxChance is the largest probability with which a version like the old one may
-	// have as many bad responses.
-	maxChance = 1e-3
+	// have as many bad responses as one that is rolled back, and maxSuspectChance as
+	// one that is not completed yet.
+	maxChance        = 1e-3
+	maxSuspectChance = 2e-2
 	// assumedResponses is the number of responses, one of them bad, that are added to
 	// those of the old version to estimate its failure rate.
 	assumedResponses = 10
 )
 
+// Verdict is what the responses of a new version say of it.
+type Verdict int
+
+// The verdicts, from best to worst. A suspect version stays on trial.
+const (
+	VersionGood Verdict = iota
+	VersionSuspect
+	VersionBad
+)
+
 // BadVersion reports whether the new version's responses show a fault that the old
 // version does not have.
-func BadVersion(old, newer VersionCount) bool {
-	if newer.Bad < minBadResponses {
-		return false
+func BadVersion(old, newer VersionCount) bool { return JudgeVersion(old, newer) == VersionBad }
+
+// JudgeVersion compares the new version's responses with those of the old one.
+func JudgeVersion(old, newer VersionCount) Verdict {
+	if newer.Bad == 0 {
+		return VersionGood
 	}
 	rate := float64(newer.Bad) / float64(newer.Responses)
 	baseline := 0.0
@@ -81,10 +100,17 @@
 		baseline = float64(old.Bad) / float64(old.Responses)
 	}
 	if rate < minBadRate || rate < minBadRateRatio*baseline {
-		return false
+		return VersionGood
 	}
 	expected := float64(old.Bad+1) / float64(old.Responses+assumedResponses)
-	return binomialTail(newer.Responses, newer.Bad, expected) <= maxChance
+	chance := binomialTail(newer.Responses, newer.Bad, expected)
+	switch {
+	case newer.Bad >= minBadResponses && chance <= maxChance:
+		return VersionBad
+	case chance <= maxSuspectChance:
+		return VersionSuspect
+	}
+	return VersionGood
 }
 
 // binomialTail returns the probability of k or more successes in n trials that
@@ -132,21 +158,18 @@
 	return c.Old.Bad >= 0 && c.Old.Bad <= c.Old.Responses && c.New.Bad >= 0 && c.New.Bad <= c.New.Responses
 }
 
-// BadVersionOn returns the route on which the new version shows a fault, from the
-// counts by route. It returns an empty route for a fault that shows on all routes
-// together, and ok is false if there is no fault.
-func BadVersionOn(routes map[string]RouteCounts) (route string, ok bool) {
+// JudgeRoutes returns the worst verdict on the counts of all routes together and of
+// each route, and the route that it is about: empty for all together.
+func JudgeRoutes(routes map[string]RouteCounts) (worst Verdict, on string) {
 	var all RouteCounts
 	for _, c := range routes {
 		all = all.Add(c)
 	}
-	if BadVersion(all.Old, all.New) {
-		return "", true
-	}
+	worst = JudgeVersion(all.Old, all.New)
 	for route, c := range routes {
-		if BadVersion(c.Old, c.New) {
-			return route, true
+		if v := JudgeVersion(c.Old, c.New); v > worst {
+			worst, on = v, route
 		}
 	}
-	return "", false
+	return worst, on
 }
--- a/policy/servicemove_test.go
+++ b/policy/servicemove_test.go
@@ -14,11 +14,13 @@
 		at   float64
 		want MoveStep
 	}{
-		{0, MoveStep{Share: 0.05}}, {0.5, MoveStep{Share: 0.05}}, {0.95, MoveStep{Share: 0.05}},
-		{0.97, MoveStep{Share: 1}}, {0.99, MoveStep{Share: 1, Complete: true}}, {3, MoveStep{Share: 1, Complete: true}},
+		{0, MoveStep{Share: 0.075}}, {0.5, MoveStep{Share: 0.075}}, {0.97, MoveStep{Share: 0.075}},
+		{0.98, MoveStep{Share: 1}}, {0.99, MoveStep{Share: 1, Complete: true}}, {3, MoveStep{Share: 1, Complete: true}},
 	} {
 		Convey("The state of a rollout over time", t, func() {
-			So(ServiceMove(time.Duration(c.at*float64(12*time.Second)), 12*time.Second, 0.1), ShouldResemble, c.want)
+			step := ServiceMove(time.Duration(c.at*float64(12*time.Second)), 12*time.Second, 0.1)
+			So(step.Share, ShouldAlmostEqual, c.want.Share, 1e-9)
+			So(step.Complete, ShouldEqual, c.want.Complete)
 		})
 	}
 }
@@ -87,10 +89,15 @@
 	Convey("A fault on one route shows in the counts of that route", t, func() {
 		good := RouteCounts{Old: VersionCount{400, 10}, New: VersionCount{60, 1}}
 		bad := RouteCounts{Old: VersionCount{100, 2}, New: VersionCount{10, 5}}
-		route, ok := BadVersionOn(map[string]RouteCounts{"a": good, "b": bad, "c": good})
-		So(ok, ShouldBeTrue)
+		verdict, route := JudgeRoutes(map[string]RouteCounts{"a": good, "b": bad, "c": good})
+		So(verdict, ShouldEqual, VersionBad)
 		So(route, ShouldEqual, "b")
-		_, ok = BadVersionOn(map[string]RouteCounts{"a": good, "c": good})
-		So(ok, ShouldBeFalse)
+		verdict, _ = JudgeRoutes(map[string]RouteCounts{"a": good, "c": good})
+		So(verdict, ShouldEqual, VersionGood)
+	})
+	Convey("Too few bad responses for a rollback make a version suspect", t, func() {
+		So(JudgeVersion(VersionCount{389, 12}, VersionCount{34, 5}), ShouldEqual, VersionSuspect)
+		So(JudgeVersion(VersionCount{389, 12}, VersionCount{34, 1}), ShouldEqual, VersionGood)
+		So(JudgeVersion(VersionCount{389, 12}, VersionCount{34, 9}), ShouldEqual, VersionBad)
 	})
 }
