Deliver an instance's own earlier state though it has published meanwhile

Callers saw no failure of it; found by reading. An instance that is restarted could forget the crashes that it had reported, if it publishes before the store lists the shared states: its own record was then taken for its own newer state, and replaced. The guard of prompt parts published its empty report a second after each start.

The first listing now delivers it, since nothing is written before, and an empty report is not published. TestSharedStates failed before on the added case. go test -race of discovery, partguard and TestCrashingPromptPart: ok.

--- a/plugins/discovery/sharedstate.go
+++ b/plugins/discovery/sharedstate.go
@@ -141,7 +141,8 @@
 }
 
 // note records that a record was read, and reports whether it is a state that this
-// process has published itself.
+// process has published itself. In the first listing it is none: nothing is written
+// before.
 func (s *sharedStates) note(now time.Time, r platform.StoreRecord, kind, instance string) (own bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -153,6 +154,11 @@
 	if instance != s.host.ID() {
 		return false
 	}
+	select {
+	case <-s.listed:
+	default:
+		return false
+	}
 	state, published := s.published[kind]
 	if !published {
 		return false
--- a/plugins/discovery/sharedstate_test.go
+++ b/plugins/discovery/sharedstate_test.go
@@ -30,7 +30,14 @@
 			s.apply(now, []platform.StoreRecord{record("a", "old"), record("b", "other"), {Key: "no separator"}}, true)
 			So(received, ShouldResemble, map[string]string{"a": "old", "b": "other"})
 		})
+		Convey("one of its own from before its start is delivered though it has published meanwhile", func() {
+			s.published["k"] = "new"
+			s.apply(now, []platform.StoreRecord{record("a", "old")}, true)
+			So(received, ShouldResemble, map[string]string{"a": "old"})
+			So(s.due(map[string]string{}), ShouldResemble, map[string]string{"k": "new"})
+		})
 		Convey("its own are not delivered once it has published", func() {
+			s.apply(now, nil, true)
 			s.published["k"] = "new"
 			s.apply(now, []platform.StoreRecord{record("a", "new")}, false)
 			So(received, ShouldBeEmpty)
--- a/plugins/partguard/partguard.go
+++ b/plugins/partguard/partguard.go
@@ -54,7 +54,7 @@
 }
 
 func newGuard() *Guard {
-	g := &Guard{ledger: policy.NewPartLedger()}
+	g := &Guard{ledger: policy.NewPartLedger(), published: encodeReport(policy.PartReport{})}
 	g.refusals.Store(&policy.PartRefusals{})
 	return g
 }
