--- a/plugins/servicemoves/servicemoves.go
+++ b/plugins/servicemoves/servicemoves.go
@@ -3,12 +3,12 @@
 // metadata store, and rolls bad versions back. The settings and the store call
 // such a rollout a move.
 //
-// Every instance follows the same schedule independently and judges the new
-// version by the responses that all instances have received, which they share. The
-// first instance that detects a fault records the rollback, and all others follow
-// it. One instance, chosen by
-// rendezvous hashing, records that a rollout is in progress or completed. If it
-// hangs or has left, the next instance in rendezvous order takes over.
+// Every instance follows the same schedule independently and judges the new version
+// by the responses that all instances have received, which they share. The first
+// instance that detects a fault records the rollback, and all others follow it. One
+// instance, chosen by rendezvous hashing, records that a rollout is in progress or
+// completed. If it hangs or has left, the next instance in rendezvous order takes
+// over.
 package servicemoves
 
 import (
--- a/policy/crashparts.go
+++ b/policy/crashparts.go
@@ -61,8 +61,8 @@
 type partRecord struct {
 	charges []partCharge
 	success time.Time // last known success
-	// reported is the last success that all instances know. defended is the one that
-	// this instance reports, zero if it reports none.
+	// reported is the newest success that any instance has reported, defended the one
+	// that this instance reports, zero if it reports none.
 	reported, defended time.Time
 }
 
--- a/policy/servicemove.go
+++ b/policy/servicemove.go
@@ -85,11 +85,8 @@
 	VersionBad
 )
 
-// BadVersion reports whether the new version's responses show a fault that the old
-// version does not have.
-func BadVersion(old, newer VersionCount) bool { return JudgeVersion(old, newer) == VersionBad }
-
-// JudgeVersion compares the new version's responses with those of the old one.
+// JudgeVersion compares the new version's responses with those of the old one, and
+// looks for a fault that the old version does not have.
 func JudgeVersion(old, newer VersionCount) Verdict {
 	if newer.Bad == 0 {
 		return VersionGood
--- a/policy/servicemove_test.go
+++ b/policy/servicemove_test.go
@@ -57,7 +57,7 @@
 		{"three failures of twenty are chance if the old one fails too", VersionCount{400, 20}, VersionCount{20, 3}, false},
 		{"half of ten responses fail", VersionCount{400, 20}, VersionCount{10, 5}, true},
 	} {
-		Convey(c.name, t, func() { So(BadVersion(c.old, c.newer), ShouldEqual, c.want) })
+		Convey(c.name, t, func() { So(JudgeVersion(c.old, c.newer) == VersionBad, ShouldEqual, c.want) })
 	}
 }
 
@@ -74,7 +74,7 @@
 			if random.Float64() < rate {
 				newer.Bad++
 			}
-			if BadVersion(old, newer) {
+			if JudgeVersion(old, newer) == VersionBad {
 				rolledBack++
 				break
 			}
