Decode, log and count the rate limits that servers state

Nothing showed which limit an instance knows, since when and from which response, so the hypotheses of the incident could not be told apart. Responses are now decoded into policy.RateLimit, which orders statements of responses that overtake one another. The new module serverrates logs a line when a limit begins, changes or ends, counts changes and values that cannot be used, and has a gauge and a dump of the limits in force. No request is routed differently.

--- a/kernel/host.go
+++ b/kernel/host.go
@@ -66,6 +66,7 @@
 	PeerCalls     PeerCalls
 	Stages        StageRunner
 	VersionPicker VersionPicker
+	ServerRates   ServerRates
 	// ClaimsOperator and Moves are for operators.
 	ClaimsOperator ClaimsOperator
 	Moves          Moves
@@ -129,6 +130,7 @@
 	setIfImplements(&h.PeerCalls, m)
 	setIfImplements(&h.Stages, m)
 	setIfImplements(&h.VersionPicker, m)
+	setIfImplements(&h.ServerRates, m)
 	setIfImplements(&h.ClaimsOperator, m)
 	setIfImplements(&h.Moves, m)
 }
--- a/plugins/forward/send.go
+++ b/plugins/forward/send.go
@@ -146,6 +146,9 @@
 		answer = platform.DecodeResponse(x.Response, r.call.ID)
 	}
 	now := time.Now()
+	if answer.IDMatches && !answer.Misdirected {
+		f.host.ObserveRate(c.server, answer.RateObservation(began, now))
+	}
 	c.state.recordLoad(now, answer)
 	return f.handleResponse(ctx, a, r, c, x, answer, began)
 }
--- a/plugins/stages/call.go
+++ b/plugins/stages/call.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/savoryfold/savoryfold/catalog"
 	"github.com/savoryfold/savoryfold/internal/upstream"
 	"github.com/savoryfold/savoryfold/kernel"
 	"github.com/savoryfold/savoryfold/platform"
@@ -69,8 +70,9 @@
 	s.lastCall = now
 	g.calls[c] = true
 	timeout := min(latest.Sub(now), callTimeoutFactor*c.baseline)
+	server := s.server
 	g.stages.done.Go(func() {
-		results, err := g.stages.callServer(s.server.ID, s.server.Address, c.pieces, timeout)
+		results, err := g.stages.callServer(server, c.pieces, timeout)
 		g.finishCall(c, results, err)
 	})
 }
@@ -79,26 +81,30 @@
 var errRefused = errors.New("stage server refused the call")
 
 // callServer makes one call and returns a result for each piece.
-func (s *Stages) callServer(id, address string, pieces []platform.Piece, timeout time.Duration) ([]platform.PieceResult, error) {
+func (s *Stages) callServer(server *catalog.Server, pieces []platform.Piece, timeout time.Duration) ([]platform.PieceResult, error) {
 	body, err := platform.EncodePieces(pieces)
 	if err != nil {
 		return nil, err
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
+	began := time.Now()
 	x, err := s.pool.Do(ctx, &upstream.Request{
-		Address: address, Method: http.MethodPost, URI: platform.StageRunPath, Host: address,
-		Header: platform.StageHeader(id), Body: body, MaxIdleTime: upstream.FleetIdleTimeout,
+		Address: server.Address, Method: http.MethodPost, URI: platform.StageRunPath, Host: server.Address,
+		Header: platform.StageHeader(server.ID), Body: body, MaxIdleTime: upstream.FleetIdleTimeout,
 	})
 	if err != nil {
 		return nil, err
 	}
 	defer x.Close()
+	answer := platform.DecodeResponse(x.Response, "")
+	if !answer.Misdirected {
+		s.host.ObserveRate(server, answer.RateObservation(began, time.Now()))
+	}
 	data, err := x.ReadAll(maxCallResponseBytes)
 	if err != nil {
 		return nil, errors.Wrap(err, "read stage server response")
 	}
-	answer := platform.DecodeResponse(x.Response, "")
 	if answer.NotRun {
 		_ = x.Finish(answer.KeepAlive) // the refusal is valid whatever follows it on the connection
 		return nil, errors.Wrapf(errRefused, "status %d", x.Response.StatusCode)
--- a/plugins/standard/standard.go
+++ b/plugins/standard/standard.go
@@ -20,6 +20,7 @@
 	_ "github.com/savoryfold/savoryfold/plugins/platformlog"  // log service
 	_ "github.com/savoryfold/savoryfold/plugins/policies"     // policy implementations
 	_ "github.com/savoryfold/savoryfold/plugins/rollout"      // version moves of routes
+	_ "github.com/savoryfold/savoryfold/plugins/serverrates"  // request rates of backend servers
 	_ "github.com/savoryfold/savoryfold/plugins/servicemoves" // version moves of services
 	_ "github.com/savoryfold/savoryfold/plugins/slots"        // call slots leased from other instances
 	_ "github.com/savoryfold/savoryfold/plugins/stages"       // stages that batch pieces
