--- a/test/passthrough/passthrough_test.go
+++ b/test/passthrough/passthrough_test.go
@@ -73,6 +73,8 @@
 	// closed is true if the response asks the caller to close the connection.
 	closed bool
 	err    error
+	// took is the time from the request to the end of the response, where measured.
+	took time.Duration
 }
 
 // send sends a request and reads the response.
@@ -92,7 +94,7 @@
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(resp.Body)
-	return response{resp.StatusCode, resp.Header, string(body), resp.Close, err}
+	return response{status: resp.StatusCode, header: resp.Header, body: string(body), closed: resp.Close, err: err}
 }
 
 func TestPassThrough(t *testing.T) {
