Divide a server's request rate by turns that one instance grants

What callers saw: engines that had stated 1 request a second got up to 21 in 4 s from instances that knew it; 11 were allowed. Engines in need were pushed further down.

Cause: a bound stated once for all instances, enforced by each alone or not at all. The header was not read. What divides a cold server's rate, policy.ColdShare, could not have kept such a limit: each instance computed a fixed share from its own view, took the whole rate while it knew no members, had a fresh allowance after a restart, and wasted the shares of instances without requests.

A request passes over servers without a turn, and is refused at once, before its stages, if no server has one; more urgent requests go first. Calls of stage servers take turns as well.

Why it works: the sum is kept at one place, so it does not depend on how many instances there are or where the load is.

--- a/kernel/catalogs.go
+++ b/kernel/catalogs.go
@@ -51,8 +51,12 @@
 
 // Fleet lists the instances that currently accept requests.
 type Fleet interface {
-	// Members returns the known instances, including this one, sorted by ID.
+	// Members returns the known instances, including this one, sorted by ID. It is
+	// empty until they are known.
 	Members() []FleetMember
+	// Confirmed reports whether this instance has lately confirmed its own membership.
+	// If not, the others may no longer count it as a member.
+	Confirmed() bool
 }
 
 // StageRequest asks to run one stage of a request. A stage consists of pieces.
--- a/kernel/fleetowner_test.go
+++ b/kernel/fleetowner_test.go
@@ -45,6 +45,7 @@
 type fixedFleet []FleetMember
 
 func (f fixedFleet) Members() []FleetMember { return f }
+func (fixedFleet) Confirmed() bool          { return true }
 
 func TestRankInFleet(t *testing.T) {
 	Convey("Without gossip, instances are ranked among the members of the fleet", t, func() {
--- a/kernel/outcome.go
+++ b/kernel/outcome.go
@@ -43,6 +43,7 @@
 	ReasonNotReady            OutcomeReason = "not-ready"
 	ReasonLeaving             OutcomeReason = "leaving"
 	ReasonOverload            OutcomeReason = "overload"
+	ReasonRateLimit           OutcomeReason = "rate-limit" // the rates that the servers accept are used up
 	ReasonDeadline            OutcomeReason = "deadline"
 	ReasonNoServer            OutcomeReason = "no-server"
 	ReasonStageInputLost      OutcomeReason = "input-gone"
--- a/plugins/discovery/fleet.go
+++ b/plugins/discovery/fleet.go
@@ -243,6 +243,9 @@
 	return nil
 }
 
+// Confirmed implements kernel.Fleet.
+func (d *Discovery) Confirmed() bool { return !d.storeUnresponsive.Load() }
+
 func encodeMember(m kernel.FleetMember) string {
 	return strings.Join([]string{m.ID, m.Zone, m.Address, strconv.FormatFloat(m.Capacity, 'g', -1, 64)}, memberSeparator)
 }
--- a/plugins/forward/choose.go
+++ b/plugins/forward/choose.go
@@ -1,12 +1,14 @@
 package forward
 
 import (
+	"context"
 	"math/rand/v2"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/savoryfold/savoryfold/catalog"
+	"github.com/savoryfold/savoryfold/kernel"
 	"github.com/savoryfold/savoryfold/platform"
 	"github.com/savoryfold/savoryfold/policy"
 )
@@ -72,26 +74,86 @@
 	return ids
 }
 
-// choose returns a server for a request, and whether there is one. Servers that
-// were tried before are excluded.
-func (f *Forward) choose(now time.Time, r *request) (choice, bool) {
+// maxTurnRequests bounds the servers that one request asks for a turn before it is
+// sent. Each may take a call to another instance.
+const maxTurnRequests = 8
+
+// choose returns a server for a request, and whether there is one. Servers that were
+// tried before are excluded, and those without a turn for the request.
+func (f *Forward) choose(ctx context.Context, now time.Time, r *request) (choice, bool) {
 	usable, snapshots := f.candidates(now, r)
-	for n := len(usable); len(usable) > 0; {
+	n := len(usable)
+	usable, snapshots, r.turnIn = f.withTurn(now, r, usable, snapshots)
+	for asked := 0; len(usable) > 0 && asked < maxTurnRequests; asked++ {
 		i, reason := f.pick(r, usable, snapshots, policy.PreferInputZone(r.inputBytes, r.sharedTokens))
 		if i == policy.NoServer {
 			return choice{}, false
 		}
 		c := usable[i]
-		if f.allowCold(now, r.service, c.server, c.state) {
+		turn := f.host.AcquireTurn(ctx, turnRequest(r, c, snapshots[i]))
+		if turn.Granted {
 			c.reason, c.candidates = reason, n
+			if r.turnIn > 0 {
+				r.log.Add("servers passed over, their request rates are used up", "servers", n-len(usable), "retry_in", r.turnIn)
+			}
 			return c, true
 		}
+		r.log.Add("server has no turn", "server", c.server.ID, "rate", turn.Rate, "retry_in", turn.RetryIn)
+		r.turnIn = shorterWait(r.turnIn, turn.RetryIn)
 		usable = append(usable[:i], usable[i+1:]...)
 		snapshots = append(snapshots[:i], snapshots[i+1:]...)
 	}
 	return choice{}, false
 }
 
+func turnRequest(r *request, c choice, l serverSnapshot) kernel.TurnRequest {
+	return kernel.TurnRequest{Server: c.server, Cold: l.cold, Priority: r.priority()}
+}
+
+// shorterWait returns the shorter of two waits, of which 0 means none.
+func shorterWait(a, b time.Duration) time.Duration {
+	if a == 0 {
+		return b
+	}
+	return min(a, b)
+}
+
+// withTurn returns those of the usable servers that may have a turn for a request, and
+// the shortest time until another one may; 0 if there is none.
+func (f *Forward) withTurn(now time.Time, r *request, usable []choice, snapshots []serverSnapshot) ([]choice, []serverSnapshot, time.Duration) {
+	var shortest time.Duration
+	n := 0
+	for i, c := range usable {
+		if wait := f.host.TurnWait(now, turnRequest(r, c, snapshots[i])); wait > 0 {
+			shortest = shorterWait(shortest, wait)
+			continue
+		}
+		usable[n], snapshots[n] = c, snapshots[i]
+		n++
+	}
+	return usable[:n], snapshots[:n], shortest
+}
+
+// noTurnFor returns the time for which no server is known to have a turn for a request,
+// 0 if one may have.
+func (f *Forward) noTurnFor(now time.Time, r *request) time.Duration {
+	usable, snapshots := f.candidates(now, r)
+	usable, _, wait := f.withTurn(now, r, usable, snapshots)
+	if len(usable) > 0 {
+		return 0
+	}
+	return wait
+}
+
+// minTurnRetryAfter is the least retry delay given to a caller that waits for a turn: a
+// few round trips.
+const minTurnRetryAfter = 50 * time.Millisecond
+
+// noTurn returns the outcome of a request for which no server has a turn for a time.
+func noTurn(retryIn time.Duration) kernel.Outcome {
+	return kernel.Outcome{Kind: kernel.NotRun, Reason: kernel.ReasonRateLimit, Detail: "the request rates of the servers are used up", RetryAfter: max(retryIn, minTurnRetryAfter)}
+}
+
 // bestServerZone returns the zone of the server that would be chosen now if the
 // location of the inputs did not matter. It is empty if there is none.
 func (f *Forward) bestServerZone(now time.Time, r *request) string {
--- a/plugins/forward/request.go
+++ b/plugins/forward/request.go
@@ -62,6 +62,9 @@
 	inputBytes int
 	inputs     []string
 	tried      map[string]bool
+	// turnIn is the time until one of the servers that were last passed over may have a
+	// turn for the request; 0 if none was.
+	turnIn time.Duration
 	// begun is true once the server to which the request was last sent has begun to
 	// respond.
 	begun bool
--- a/plugins/forward/send.go
+++ b/plugins/forward/send.go
@@ -63,10 +63,14 @@
 		if f.refusesParts(r) {
 			return unknownIfRan(ran, partsRefused)
 		}
-		c, ok := f.choose(now, r)
-		if !ok && len(r.tried) > 0 && !ran {
+		c, ok := f.choose(ctx, now, r)
+		if !ok && r.turnIn == 0 && len(r.tried) > 0 && !ran {
 			r.tried = make(map[string]bool)
-			c, ok = f.choose(now, r)
+			c, ok = f.choose(ctx, now, r)
+		}
+		if !ok && r.turnIn > 0 {
+			r.log.Add("no server has a turn", "service", r.service.Name, "retry_in", r.turnIn)
+			return unknownIfRan(ran, noTurn(r.turnIn))
 		}
 		if !ok {
 			r.log.Add("no server available", "service", r.service.Name, "tried", len(r.tried))
--- a/plugins/forward/servers.go
+++ b/plugins/forward/servers.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"golang.org/x/time/rate"
 
 	"github.com/savoryfold/savoryfold/catalog"
 	"github.com/savoryfold/savoryfold/kernel"
@@ -59,9 +58,7 @@
 	lastResponse  time.Time
 	// coldUntil is the time until which a server counts as cold after an
 	// ejection.
-	coldUntil   time.Time
-	coldLimiter *rate.Limiter
-	coldRate    float64
+	coldUntil time.Time
 }
 
 // get returns the state of a server since its latest start, and creates it if
@@ -110,13 +107,15 @@
 	firstByteTime         time.Duration
 	samples               int
 	usable                bool
+	// cold is true if the server counts as cold after an ejection.
+	cold bool
 }
 
 // snapshot returns the state at a time.
 func (s *serverState) snapshot(now time.Time) serverSnapshot {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	l := serverSnapshot{inFlight: s.inFlight, load: -1, slots: s.slots, firstByteTime: s.firstByteTime, samples: s.samples, usable: !now.Before(s.ejectedUntil)}
+	l := serverSnapshot{inFlight: s.inFlight, load: -1, slots: s.slots, firstByteTime: s.firstByteTime, samples: s.samples, usable: !now.Before(s.ejectedUntil), cold: now.Before(s.coldUntil)}
 	if now.Sub(s.reportedAt) < maxReportAge {
 		l.load = max(0, s.running+s.waiting+s.sent-s.done)
 	}
@@ -202,27 +201,6 @@
 	return f.servers.ejections.Allowed(ejected, group)
 }
 
-// allowCold reports whether a server may get one more request now under the
-// rate limit for cold servers, and counts the request if so.
-func (f *Forward) allowCold(now time.Time, service *catalog.Service, server *catalog.Server, state *serverState) bool {
-	if service.ColdRate <= 0 {
-		return true
-	}
-	state.mu.Lock()
-	defer state.mu.Unlock()
-	if !server.Cold(now) && !now.Before(state.coldUntil) {
-		return true
-	}
-	share := policy.ColdShare(service.ColdRate, f.host.Rank(server.ID), max(1, len(f.members())))
-	if share <= 0 {
-		return false
-	}
-	if state.coldLimiter == nil || state.coldRate != share {
-		state.coldLimiter, state.coldRate = rate.NewLimiter(rate.Limit(share), 1), share
-	}
-	return state.coldLimiter.AllowN(now, 1)
-}
-
 // members returns the known instances of the fleet.
 func (f *Forward) members() []kernel.FleetMember {
 	if f.host.Fleet == nil {
--- a/plugins/forward/stages.go
+++ b/plugins/forward/stages.go
@@ -76,6 +76,9 @@
 			RetryAfter: retryAfter(forecast.Late, r.deadline.Sub(now)),
 		}
 	}
+	if wait := f.noTurnFor(now, r); wait > forecast.InTime {
+		return noTurn(wait)
+	}
 	p := newStagePlan(f, r)
 	return p.run(ctx)
 }
--- a/plugins/stages/call.go
+++ b/plugins/stages/call.go
@@ -67,7 +67,7 @@
 	c.overdueAt = now.Add(overdueFactor*c.baseline + overdueSlack)
 	s.memory.used += c.reserved
 	s.inFlight++
-	s.lastCall = now
+	s.lastCall, s.turnAt = now, time.Time{}
 	g.calls[c] = true
 	timeout := min(latest.Sub(now), callTimeoutFactor*c.baseline)
 	server := s.server
--- a/plugins/stages/dispatcher_test.go
+++ b/plugins/stages/dispatcher_test.go
@@ -28,6 +28,7 @@
 type fixedFleet []kernel.FleetMember
 
 func (f fixedFleet) Members() []kernel.FleetMember { return f }
+func (fixedFleet) Confirmed() bool                 { return true }
 
 // newStagesInZoneA returns the Stages of instance a0 in a fleet of two
 // instances in each of the zones a and b, with the given number of stage
--- a/plugins/stages/group.go
+++ b/plugins/stages/group.go
@@ -76,10 +76,14 @@
 	slowness float64
 	// cooldownUntil is the time until which a server that failed gets no calls.
 	cooldownUntil time.Time
-	failures      int
-	lastCall      time.Time // start of the last call
-	measuredAt    time.Time // time of the last slowness sample
-	memory        memory
+	// turnAt is when the server's turn for the next call was granted, if its rate is
+	// limited; zero if there is none. It is known to have none until noTurnUntil.
+	turnAt, noTurnUntil time.Time
+	askingForTurn       bool
+	failures            int
+	lastCall            time.Time // start of the last call
+	measuredAt          time.Time // time of the last slowness sample
+	memory              memory
 }
 
 func newGroup(s *Stages, key groupKey) *group {
@@ -176,6 +180,9 @@
 	if now.Add(wait + call).After(r.Deadline) {
 		return nil, &kernel.StageFailure{Reason: kernel.ReasonOverload, Detail: "the queue of stage service " + g.key.service + " is too long", RetryAfter: max(wait/2, minRetryAfter)}
 	}
+	if noTurn := g.noTurnFor(now); noTurn > 0 && now.Add(noTurn+call).After(r.Deadline) {
+		return nil, &kernel.StageFailure{Reason: kernel.ReasonRateLimit, Detail: "the request rates of stage service " + g.key.service + " are used up", RetryAfter: noTurn}
+	}
 	var jobs []*job
 	for first := 0; first < r.Pieces; first += baseline.MaxPieces {
 		jobs = append(jobs, g.newJob(now, r, first, min(r.Pieces, first+baseline.MaxPieces)))
@@ -225,7 +232,7 @@
 func (g *group) load(now time.Time) policy.PieceLoad {
 	l := policy.PieceLoad{Waiting: g.queue.Pieces()}
 	for _, s := range g.servers {
-		if !s.usable || now.Before(s.cooldownUntil) {
+		if !s.usable || now.Before(s.cooldownUntil) || now.Before(s.noTurnUntil) {
 			continue
 		}
 		l.Servers++
@@ -297,7 +304,7 @@
 		}
 		ps := g.policyServer(now, s)
 		ps.FreeIn = g.freeIn(now)
-		if policy.SkipSlow(g.load(now), ps) {
+		if policy.SkipSlow(g.load(now), ps) || !g.hasTurn(now, s) {
 			continue
 		}
 		if jobs := g.take(now, ps); len(jobs) > 0 {
@@ -325,7 +332,7 @@
 	}
 	in := make(map[string]time.Duration)
 	for _, s := range g.servers {
-		if !s.usable || now.Before(s.cooldownUntil) || g.policyServer(now, s).Slow() {
+		if !s.usable || now.Before(s.cooldownUntil) || now.Before(s.noTurnUntil) || g.policyServer(now, s).Slow() {
 			continue
 		}
 		wait := time.Duration(0)
@@ -344,7 +351,7 @@
 func (g *group) free(now time.Time) []*stageServer {
 	var free []*stageServer
 	for _, s := range g.servers {
-		if s.usable && s.inFlight < g.service.Slots && !now.Before(s.cooldownUntil) {
+		if s.usable && s.inFlight < g.service.Slots && !now.Before(s.cooldownUntil) && !now.Before(s.noTurnUntil) {
 			free = append(free, s)
 		}
 	}
--- a/policy/ratelimit.go
+++ b/policy/ratelimit.go
@@ -22,7 +22,7 @@
 // limits nothing.
 const (
 	minRateLimit = 0.1
-	maxRateLimit = 1e6
+	MaxRateLimit = 1e6
 )
 
 // RateObservation is a response of a server, as evidence of its rate limit.
@@ -46,7 +46,7 @@
 func (o RateObservation) Statement() (RateStatement, bool) {
 	s := RateStatement{Sent: o.Sent, Received: o.Received}
 	if o.Stated {
-		s.Rate = min(max(o.Rate, minRateLimit), maxRateLimit)
+		s.Rate = min(max(o.Rate, minRateLimit), MaxRateLimit)
 	}
 	return s, o.Stated || o.Ran && o.Err == nil
 }
