Recognize stage responses that repeat an earlier one

Here a request could get the stage results of another one.

Cause: a stage server's response does not name its call. A second copy of an earlier response that arrived on a reused connection, after the next call was sent, was taken for the response to that call.

Evidence: TestRepeatedStageResponse failed before: request r2 went to its engine with the result r1-0-0. The forwarding path is not affected, as it checks the ID of each response.

Why this fix works: handles are unique, so a handle that the server has returned before shows a repeated response.

--- a/plugins/stages/call.go
+++ b/plugins/stages/call.go
@@ -72,7 +72,7 @@
 	timeout := min(latest.Sub(now), callTimeoutFactor*c.baseline)
 	server := s.server
 	g.stages.done.Go(func() {
-		results, err := g.stages.callServer(server, c.pieces, timeout)
+		results, err := g.stages.callServer(server, c.pieces, timeout, &s.returned)
 		g.finishCall(c, results, err)
 	})
 }
@@ -80,8 +80,15 @@
 // errRefused means that a stage server did not run a call.
 var errRefused = errors.New("stage server refused the call")
 
-// callServer makes one call and returns a result for each piece.
-func (s *Stages) callServer(server *catalog.Server, pieces []platform.Piece, timeout time.Duration) ([]platform.PieceResult, error) {
+// errRepeatedResponse means that a stage server sent the response to an earlier call
+// again.
+var errRepeatedResponse = errors.New("stage server repeated an earlier response")
+
+// callServer makes one call and returns a result for each piece. returned holds the
+// results of earlier calls. Responses do not name their call, so a result that was
+// returned before shows that the response belongs to an earlier one; its connection is
+// closed, since the response to this call may follow on it.
+func (s *Stages) callServer(server *catalog.Server, pieces []platform.Piece, timeout time.Duration, returned *returnedResults) ([]platform.PieceResult, error) {
 	body, err := platform.EncodePieces(pieces)
 	if err != nil {
 		return nil, err
@@ -116,6 +123,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if !returned.add(results) {
+		s.host.Counter("answers_stray").Inc(1)
+		return nil, errRepeatedResponse
+	}
 	return results, x.Finish(answer.KeepAlive)
 }
 
--- a/plugins/stages/group.go
+++ b/plugins/stages/group.go
@@ -84,6 +84,7 @@
 	lastCall            time.Time // start of the last call
 	measuredAt          time.Time // time of the last slowness sample
 	memory              memory
+	returned            returnedResults
 }
 
 func newGroup(s *Stages, key groupKey) *group {
--- a/plugins/stages/memory.go
+++ b/plugins/stages/memory.go
@@ -1,6 +1,11 @@
 package stages
 
-import "time"
+import (
+	"sync"
+	"time"
+
+	"github.com/savoryfold/savoryfold/platform"
+)
 
 // usableMemoryFraction is the fraction of a stage server's memory for results
 // that is used: the configured sizes of results are approximate.
@@ -59,3 +64,41 @@
 		}
 	}
 }
+
+// maxReturnedResults bounds the results that are remembered of one server: those of
+// many calls.
+const maxReturnedResults = 4096
+
+// returnedResults remembers the handles of the latest results of a server, released
+// ones included. The zero value is ready to use. It is safe for concurrent use.
+type returnedResults struct {
+	mu      sync.Mutex
+	handles map[string]bool // guarded by mu
+	order   []string        // oldest first; guarded by mu
+}
+
+// add records the results of a call. It reports false, and records nothing, if one of
+// them was returned before.
+func (r *returnedResults) add(results []platform.PieceResult) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, result := range results {
+		if result.Handle != "" && r.handles[result.Handle] {
+			return false
+		}
+	}
+	if r.handles == nil {
+		r.handles = make(map[string]bool)
+	}
+	for _, result := range results {
+		if result.Handle != "" && !r.handles[result.Handle] {
+			r.handles[result.Handle] = true
+			r.order = append(r.order, result.Handle)
+		}
+	}
+	for extra := len(r.order) - maxReturnedResults; extra > 0; extra-- {
+		delete(r.handles, r.order[0])
+		r.order = r.order[1:]
+	}
+	return true
+}
