Answer requests on connections that are accepted while an instance stops

What callers saw: nothing reported here; operators of similar systems saw requests that had just been accepted cut off in planned stops under load.

Cause: a stop closed the listener, which resets the connections in its backlog, and closed the connection that the accept loop had in hand. http.Server.Shutdown could also end before it knew a connection that had just been handed to it.

Why this fix works: the stop accepts what has reached the listener, waits until every accepted connection is known to its server, and only then shuts the servers down.

--- a/plugins/forward/listener.go
+++ b/plugins/forward/listener.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/savoryfold/savoryfold/catalog"
+	"github.com/savoryfold/savoryfold/internal/backoff"
 	"github.com/savoryfold/savoryfold/kernel"
 	"github.com/savoryfold/savoryfold/platform"
 )
@@ -27,6 +29,12 @@
 	// acceptRetryDelay is the delay after a connection that could not be
 	// accepted.
 	acceptRetryDelay = 20 * time.Millisecond
+	// backlogTime is how long a server that stops goes on accepting: connections that
+	// are established but not accepted would be reset when its listener closes.
+	backlogTime = 50 * time.Millisecond
+	// handOffInterval is the time between checks that all accepted connections have
+	// reached their server.
+	handOffInterval = time.Millisecond
 )
 
 // entryServer serves callers. The limits of an http.Server cannot change while
@@ -35,13 +43,17 @@
 	logger     *slog.Logger
 	handler    http.Handler
 	inProgress atomic.Int64
+	// accepting ends with the loop that accepts connections. handedOff counts the
+	// accepted connections that their http.Server does not know yet.
+	accepting sync.WaitGroup
+	handedOff atomic.Int64
 
 	mu       sync.Mutex
-	listener net.Listener   // guarded by mu
-	limits   catalog.Limits // guarded by mu
-	current  *chanListener  // guarded by mu
-	servers  []*http.Server // the current one is the last; guarded by mu
-	stopped  bool           // guarded by mu
+	listener *net.TCPListener // guarded by mu
+	limits   catalog.Limits   // guarded by mu
+	current  *chanListener    // guarded by mu
+	servers  []*http.Server   // the current one is the last; guarded by mu
+	stopped  bool             // guarded by mu
 }
 
 func newEntryServer(logger *slog.Logger, h http.Handler) *entryServer {
@@ -61,10 +73,10 @@
 		return errors.Wrap(err, "listen")
 	}
 	e.mu.Lock()
-	e.listener = l
+	e.listener = l.(*net.TCPListener) // as the network is "tcp"
 	e.startServer()
 	e.mu.Unlock()
-	go e.accept(l)
+	e.accepting.Go(func() { e.accept(l) })
 	return nil
 }
 
@@ -72,7 +84,7 @@
 func (e *entryServer) accept(l net.Listener) {
 	for {
 		c, err := l.Accept()
-		if errors.Is(err, net.ErrClosed) {
+		if errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) {
 			return
 		}
 		if err != nil {
@@ -89,11 +101,13 @@
 // handOff passes a connection to the current server. If the listener of that
 // server has closed in the meantime, another server has replaced it.
 func (e *entryServer) handOff(c net.Conn) {
+	e.handedOff.Add(1)
 	for {
 		e.mu.Lock()
 		current, stopped := e.current, e.stopped
 		e.mu.Unlock()
 		if stopped {
+			e.handedOff.Add(-1)
 			_ = c.Close() // nothing was read from it
 			return
 		}
@@ -132,6 +146,11 @@
 	server := &http.Server{
 		Handler: e.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
 		ErrorLog: slog.NewLogLogger(e.logger.Handler(), slog.LevelDebug),
+		ConnState: func(_ net.Conn, state http.ConnState) {
+			if state == http.StateNew {
+				e.handedOff.Add(-1)
+			}
+		},
 	}
 	old := e.current
 	e.current = &chanListener{address: e.listener.Addr(), conns: make(chan net.Conn), closed: make(chan struct{})}
@@ -146,14 +165,12 @@
 	}
 }
 
-// stop closes the listener and idle connections and waits for requests in
-// progress. When the context ends, it aborts those that remain.
+// stop accepts what has reached the listener, closes it and idle connections, and waits
+// for requests in progress. When the context ends, it aborts those that remain.
 func (e *entryServer) stop(ctx context.Context) error {
+	e.stopAccepting(ctx)
 	e.mu.Lock()
 	e.stopped = true
-	if e.listener != nil {
-		_ = e.listener.Close()
-	}
 	servers := e.servers
 	e.mu.Unlock()
 	var wg sync.WaitGroup
@@ -173,6 +190,26 @@
 	return shutdownErr
 }
 
+// stopAccepting closes the listener once all connections that have reached it are known
+// to their server.
+func (e *entryServer) stopAccepting(ctx context.Context) {
+	e.mu.Lock()
+	l := e.listener
+	e.mu.Unlock()
+	if l == nil {
+		return
+	}
+	if err := l.SetDeadline(time.Now().Add(backlogTime)); err != nil {
+		e.logger.Warn("could not accept the rest of the connections", "error", err)
+		_ = l.Close()
+	}
+	e.accepting.Wait()
+	_ = l.Close()
+	for e.handedOff.Load() > 0 && ctx.Err() == nil {
+		backoff.Sleep(ctx, handOffInterval)
+	}
+}
+
 // chanListener is a listener for connections that another listener has
 // accepted.
 type chanListener struct {
