Use less than all of a shared bound while the fleet is unknown

An instance that did not know the others yet, such as just after a restart, took itself for the only one: it could open all of a server's connections and use all of the retries beyond the ratio.

Change: while the number is unknown, the retries beyond the ratio are not used, and the connections are divided as in a large fleet. The division of connections moves to policy.

Evidence: TestUnknownFleet. Before, Allow(now, 0) permitted retries without a request, and the share of 500 connections was 450.

--- a/plugins/forward/choose.go
+++ b/plugins/forward/choose.go
@@ -194,7 +194,7 @@
 // of this instance if there are none, count as near. If zoneBound is false, all
 // engines count as near.
 func (f *Forward) pick(r *request, usable []choice, snapshots []serverSnapshot, zoneBound bool) (int, policy.Reason) {
-	fleet := len(f.members())
+	fleet := f.fleetSize()
 	zone := r.inputZone
 	if zone == "" {
 		zone = f.host.Zone()
--- a/plugins/forward/send.go
+++ b/plugins/forward/send.go
@@ -76,7 +76,7 @@
 			r.log.Add("no server available", "service", r.service.Name, "tried", len(r.tried))
 			return unknownIfRan(ran, last)
 		}
-		if n > 0 && !f.retryBudgets.allowRetry(now, r.service.Name, len(f.members())) {
+		if n > 0 && !f.retryBudgets.allowRetry(now, r.service.Name, f.fleetSize()) {
 			r.log.Add("request not retried", "reason", "retry budget of the service exhausted")
 			f.host.Counter(`repeats_refused{service="` + r.service.Name + `"}`).Inc(1)
 			return unknownIfRan(ran, last)
@@ -173,19 +173,13 @@
 	}
 }
 
-// sharedConnectionFraction is the fraction of a server's connections that the
-// instances divide among themselves. The rest is a reserve for instances that
-// disagree on their number.
-const sharedConnectionFraction = 0.9
-
 // connectionShare returns the number of connections to one server of a service
 // that this instance may open; 0 means no limit.
 func (f *Forward) connectionShare(service *catalog.Service) int {
 	if service.MaxConnections <= 0 {
 		return 0
 	}
-	fleet := max(1, len(f.members()))
-	return max(1, int(sharedConnectionFraction*float64(service.MaxConnections))/fleet)
+	return policy.ConnectionShare(service.MaxConnections, f.fleetSize())
 }
 
 // classifyError returns the result and outcome of a failed send, and records
--- a/plugins/forward/servers.go
+++ b/plugins/forward/servers.go
@@ -8,7 +8,6 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/savoryfold/savoryfold/catalog"
-	"github.com/savoryfold/savoryfold/kernel"
 	"github.com/savoryfold/savoryfold/platform"
 	"github.com/savoryfold/savoryfold/policy"
 )
@@ -201,10 +200,11 @@
 	return f.servers.ejections.Allowed(ejected, group)
 }
 
-// members returns the known instances of the fleet.
-func (f *Forward) members() []kernel.FleetMember {
+// fleetSize returns the number of instances, 0 while it is unknown. Without a fleet
+// this instance is the only one.
+func (f *Forward) fleetSize() int {
 	if f.host.Fleet == nil {
-		return nil
+		return 1
 	}
-	return f.host.Fleet.Members()
+	return len(f.host.Fleet.Members())
 }
--- a/policy/enginechoice.go
+++ b/policy/enginechoice.go
@@ -174,6 +174,25 @@
 	return found
 }
 
+// sharedConnectionFraction is the fraction of a server's connections that the
+// instances divide among themselves. The rest is a reserve for instances that
+// disagree on their number.
+const sharedConnectionFraction = 0.9
+
+// assumedInstances is the number of instances that is assumed while it is unknown: that
+// of a large fleet.
+const assumedInstances = 100
+
+// ConnectionShare returns the number of connections to a server that one instance may
+// open, at least 1. limit is the number that the server accepts from all instances
+// together, and instances their number, 0 if it is unknown.
+func ConnectionShare(limit, instances int) int {
+	if instances <= 0 {
+		instances = assumedInstances
+	}
+	return max(1, int(sharedConnectionFraction*float64(limit))/instances)
+}
+
 // Median returns the median of values (the upper one if their number is even), or
 // 0 if there are none. It sorts values.
 func Median(values []float64) float64 {
--- a/policy/forward_test.go
+++ b/policy/forward_test.go
@@ -141,3 +141,29 @@
 		}
 	})
 }
+
+// TestUnknownFleet guards against an instance that uses the bounds of all instances
+// alone because it does not know the others yet, such as after a restart.
+func TestUnknownFleet(t *testing.T) {
+	Convey("While the number of instances is unknown", t, func() {
+		Convey("retries beyond the requests' own share are not permitted", func() {
+			b := RetryBudget{Ratio: 0.2, Extra: 50, Window: 10 * time.Second}
+			So(b.Allow(epoch, 0), ShouldBeFalse)
+			for range 10 {
+				b.Request(epoch)
+			}
+			So(b.Allow(epoch, 0), ShouldBeTrue)
+			So(b.Allow(epoch, 0), ShouldBeFalse)
+		})
+		Convey("a large fleet is assumed for the connections to a server", func() {
+			So(ConnectionShare(500, 0), ShouldEqual, ConnectionShare(500, assumedInstances))
+			So(ConnectionShare(50, 0), ShouldEqual, 1)
+		})
+	})
+	Convey("The connections of all instances stay below the server's limit", t, func() {
+		for _, instances := range []int{1, 9, 90, 300} {
+			So(ConnectionShare(500, instances)*instances, ShouldBeLessThanOrEqualTo, 500)
+			So(ConnectionShare(500, instances), ShouldBeGreaterThanOrEqualTo, 1)
+		}
+	})
+}
--- a/policy/repeats.go
+++ b/policy/repeats.go
@@ -32,7 +32,7 @@
 func (b *RetryBudget) Request(now time.Time) { b.bucket(now).requests++ }
 
 // Allow reports whether a retry is permitted, and counts it if so. instances is
-// the number of running instances.
+// the number of running instances. While it is unknown (0), Extra is not used.
 func (b *RetryBudget) Allow(now time.Time, instances int) bool {
 	newest := b.bucket(now)
 	requests, retries := 0, 0
@@ -40,7 +40,10 @@
 		requests += k.requests
 		retries += k.retries
 	}
-	allowed := budgetMargin*b.Ratio*float64(requests) + budgetExtraFraction*b.Extra/float64(max(1, instances))
+	allowed := budgetMargin * b.Ratio * float64(requests)
+	if instances > 0 {
+		allowed += budgetExtraFraction * b.Extra / float64(instances)
+	}
 	if float64(retries+1) > allowed {
 		return false
 	}
