Do not count the time of a slow caller as silence of the server

What callers saw: nothing reported here; operators of similar systems saw slow but sound streams cut.

Cause: in the project's own interface the progress timer of a stream ran while an event was being written to the caller. A caller that took longer than the read gap timeout for one event made the call count as silent, and the server was probed.

Evidence: TestSlowCallerOfStream: a sound stream was 'silent' before and is complete now. A server that stalls is still found.

Why this fix works: the timer runs only while the call waits for bytes of the server.

--- a/kernel/collector.go
+++ b/kernel/collector.go
@@ -17,6 +17,10 @@
 	text strings.Builder
 }
 
+// NewEventCollector returns a collector that passes each event on to a sink. The sink is
+// nil if the caller wants one complete answer.
+func NewEventCollector(sink EventSink) *EventCollector { return &EventCollector{sink: sink} }
+
 // ErrEventLost is returned if a backend server skipped an event.
 var ErrEventLost = errors.New("an event of the stream is missing")
 
--- a/kernel/stage.go
+++ b/kernel/stage.go
@@ -110,7 +110,7 @@
 		call.Key = s.req.Account + "/" + s.req.Route + "/" + s.stage.Name + "/" + s.req.Key
 	}
 	if s.stage.Stream {
-		call.Events = &EventCollector{sink: s.req.Events}
+		call.Events = NewEventCollector(s.req.Events)
 	}
 	return call
 }
--- a/plugins/backendhttp/backendhttp.go
+++ b/plugins/backendhttp/backendhttp.go
@@ -116,7 +116,7 @@
 type exchange struct {
 	call   *kernel.StageCall
 	cancel context.CancelCauseFunc
-	// progressTimer is reset whenever bytes arrive. It cancels the call when it
+	// progressTimer is reset before each wait for bytes. It cancels the call when it
 	// fires.
 	progressTimer *time.Timer
 	// sent is true once a byte of the call may have been sent.
@@ -272,8 +272,7 @@
 	return a
 }
 
-// readBody reads the complete body, which may have at most maxResponseBytes. Every
-// read that returns bytes resets the progress timer.
+// readBody reads the complete body, which may have at most maxResponseBytes.
 func (x *exchange) readBody(body io.Reader) ([]byte, error) {
 	var buf bytes.Buffer
 	_, err := io.Copy(&buf, io.LimitReader(&progressReader{body, x}, maxResponseBytes+1))
@@ -283,7 +282,8 @@
 	return buf.Bytes(), err
 }
 
-// progressReader resets the progress timer with every read that returns bytes.
+// progressReader runs the progress timer while it waits for bytes of the server. The
+// time that the caller takes for the bytes does not count against the server.
 type progressReader struct {
 	r io.Reader
 	x *exchange
@@ -291,9 +291,7 @@
 
 // Read implements io.Reader.
 func (p *progressReader) Read(b []byte) (int, error) {
-	n, err := p.r.Read(b)
-	if n > 0 {
-		p.x.progressTimer.Reset(p.x.call.Pool.ReadGapTimeout)
-	}
-	return n, err
+	p.x.progressTimer.Reset(p.x.call.Pool.ReadGapTimeout)
+	defer p.x.progressTimer.Stop()
+	return p.r.Read(b)
 }
--- a/plugins/backendhttp/backendhttp_test.go
+++ b/plugins/backendhttp/backendhttp_test.go
@@ -205,6 +205,45 @@
 	})
 }
 
+// slowCaller takes a time for each event.
+type slowCaller time.Duration
+
+func (s slowCaller) Send(kernel.Event) error {
+	time.Sleep(time.Duration(s))
+	return nil
+}
+
+// TestSlowCallerOfStream guards against a sound stream that is broken off because its
+// caller is slow, and against one that is not broken off although its server stalls.
+func TestSlowCallerOfStream(t *testing.T) {
+	stalled := make(chan struct{})
+	defer close(stalled)
+	for _, c := range []struct {
+		name   string
+		stalls bool
+		want   string
+	}{{"a sound stream is complete", false, "ok"}, {"a stream whose server stalls is broken off", true, "silent"}} {
+		Convey("With a caller that is slower than the progress timeout, "+c.name, t, func() {
+			call := stageCall(startServer(t, func(w http.ResponseWriter, r *http.Request) {
+				echoCallID(w, r)
+				w.Header().Set("Content-Type", "text/event-stream")
+				for i := 1; i <= 5; i++ {
+					fmt.Fprintf(w, "id: %d\ndata: a\n\n", i)
+					w.(http.Flusher).Flush()
+					time.Sleep(20 * time.Millisecond)
+				}
+				if c.stalls {
+					<-stalled
+				}
+				fmt.Fprint(w, "event: done\ndata: {}\n\n")
+			}))
+			call.Pool = &config.Pool{Name: "p", FirstByteTimeout: 5 * time.Second, ReadGapTimeout: 150 * time.Millisecond}
+			call.Events = kernel.NewEventCollector(slowCaller(200 * time.Millisecond))
+			So(newTransport(t).Call(context.Background(), call).Result.String(), ShouldEqual, c.want)
+		})
+	}
+}
+
 // TestNoCallIsSentTwice guards against a retry by net/http. A server reads a
 // complete call on a reused connection and closes the connection. net/http retries
 // such a request by itself if it has an idempotency key and its body can be
