Refuse stage requests of other instances with impossible sizes

One malformed message could take a process down: the number of pieces in a stage request of another instance was not bounded, and each piece takes memory before anything else is checked. 1<<30 pieces are a message of 50 bytes.

Every other message between instances was read: all are bounded by their size, and their lists by what they hold.

Why this fix works: more pieces than a caller's request can name are refused.

--- a/plugins/stages/dispatcher_test.go
+++ b/plugins/stages/dispatcher_test.go
@@ -1,12 +1,16 @@
 package stages
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"log/slog"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/rcrowley/go-metrics"
 	. "github.com/smartystreets/goconvey/convey"
 
@@ -95,3 +99,22 @@
 		So(owner.Zone, ShouldEqual, "a")
 	})
 }
+
+// TestMalformedDispatch guards against a stage request of another instance that uses up
+// the memory of the process.
+func TestMalformedDispatch(t *testing.T) {
+	Convey("A stage request with more pieces than a caller can ask for, or a negative size, is refused", t, func() {
+		s := newStagesInZoneA(t, 1)
+		s.groups = make(map[groupKey]*group)
+		for _, d := range []dispatchRequest{
+			{Service: "s", Pieces: 1 << 20, Final: true},
+			{Service: "s", Pieces: 1, ResultBytes: -1, Final: true},
+		} {
+			body, err := cbor.Marshal(d)
+			So(err, ShouldBeNil)
+			w := httptest.NewRecorder()
+			s.serveDispatch(w, httptest.NewRequest(http.MethodPost, dispatchPath, bytes.NewReader(body)))
+			So(w.Code, ShouldEqual, http.StatusBadRequest)
+		}
+	})
+}
--- a/plugins/stages/peer.go
+++ b/plugins/stages/peer.go
@@ -17,6 +17,9 @@
 	dispatchPath = "/stages"
 	// maxDispatchBytes bounds a stage request.
 	maxDispatchBytes = 1 << 20
+	// maxDispatchPieces bounds the pieces of a stage request: more than a caller can
+	// ask for.
+	maxDispatchPieces = 1 << 14
 )
 
 // peerError means that another instance gave no valid response. It may run the
@@ -142,6 +145,11 @@
 		http.Error(w, "no stage request, or no view of the servers yet", http.StatusServiceUnavailable)
 		return
 	}
+	if d.Pieces > maxDispatchPieces || d.ResultBytes < 0 {
+		s.host.Logger.Warn("invalid stage request of another instance", "request", d.Request, "pieces", d.Pieces, "result_bytes", d.ResultBytes)
+		http.Error(w, "invalid stage request", http.StatusBadRequest)
+		return
+	}
 	s.host.Catalogs.ObservePosition(d.Position)
 	now := time.Now()
 	g := s.group(groupKey{d.Service, d.Zone})
