Let a zone's reader serve again right after an outage of the store

Cause: the store holds a read of the topic of shared states for up to 2 s. Until its first read after the outage returned, the zone's reader refused that topic, and the others then avoided it for all topics.

Why this fix works: while the last read has not succeeded, a read does not wait for records, so that its success is known at once.

--- a/plugins/discovery/fanout.go
+++ b/plugins/discovery/fanout.go
@@ -102,6 +102,12 @@
 	}
 }
 
+func (h *history) isDirect() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.direct
+}
+
 // from returns the records from an offset on, and a channel that is closed when
 // there may be more. It reports false if the instance does not read the store
 // itself or the history does not cover the offset.
--- a/plugins/discovery/watch.go
+++ b/plugins/discovery/watch.go
@@ -129,7 +129,12 @@
 		return errStoreUnresponsive
 	}
 	w.slack = min(max(w.slack, readSlackMin), readSlackMax)
-	records, _, err := w.client.Read(w.pending.call(ctx), w.topic, w.next, w.wait, w.slack)
+	wait := w.wait
+	if !w.history.isDirect() {
+		// Until a read succeeds, other instances cannot rely on this one.
+		wait = 0
+	}
+	records, _, err := w.client.Read(w.pending.call(ctx), w.topic, w.next, wait, w.slack)
 	w.direct = true
 	if err != nil && ctx.Err() != nil {
 		return err // interrupted: nothing is known of the store
