Apply published limits to servers that are read later, and forecast stage waits by rate

- A limit that a grantor had published was dropped if the instance read it before the server's own entry, as a starting instance may.
It is applied once the server is known.
- The wait for a stage service whose servers state a limit was forecast from the time of the calls alone, so that requests waited until their deadline.
It now covers the rate of calls, and the time until the next turn.
TestPieceWait has the cases; the one with 2.5 calls a second was 300 ms before instead of 800 ms.

--- a/plugins/serverrates/serverrates.go
+++ b/plugins/serverrates/serverrates.go
@@ -193,11 +193,13 @@
 	m.host.Logger.Info("rate limit of a server "+change, "server", r.server.ID, "service", r.server.Service, "rate", rate, "before", before, "limit_age", age, "source", source)
 }
 
-// update removes servers that have left or have started again, ends limits that were
-// last stated limitTTL ago, and publishes the limits of this instance's servers.
+// update applies hints of new servers, removes servers that have left or have started
+// again, ends limits that were last stated limitTTL ago, and publishes the limits of this
+// instance's servers.
 func (m *Rates) update(now time.Time) {
 	m.roster.update(now, m.host)
 	m.dropHints(now)
+	m.applyHints()
 	m.removeOld(now)
 	m.publish(now)
 }
--- a/plugins/serverrates/shared.go
+++ b/plugins/serverrates/shared.go
@@ -187,8 +187,22 @@
 	}
 }
 
+// applyHints applies the hints of servers that have come into the catalog since the
+// hints were read.
+func (m *Rates) applyHints() {
+	m.hints.mu.Lock()
+	defer m.hints.mu.Unlock()
+	for instance, h := range m.hints.byInstance {
+		for key := range h.limits {
+			if r := (*m.servers.Load())[key.id]; r == nil || r.server.StartUnixMilli != key.startMS {
+				m.applyHint(key, false, instance)
+			}
+		}
+	}
+}
+
 // applyHint sets the hint of a server to the lowest limit that any instance publishes.
-// If fresh is true, an instance has begun to publish it, so that an earlier response
+// It does nothing for a server that is not in the catalog. If fresh is true, an instance has begun to publish it, so that an earlier response
 // without a limit no longer counts. The caller holds hints.mu.
 func (m *Rates) applyHint(key serverStart, fresh bool, source string) {
 	var rates []float64
@@ -199,10 +213,11 @@
 	}
 	r := (*m.servers.Load())[key.id]
 	if r == nil || r.server.StartUnixMilli != key.startMS {
-		if len(rates) == 0 {
+		server := m.serverOf(key)
+		if len(rates) == 0 || server == nil {
 			return
 		}
-		r = m.add(m.serverOf(key))
+		r = m.add(server)
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -222,15 +237,17 @@
 	}
 }
 
-// serverOf returns the server of the catalog, or one that is removed soon if the
-// catalog does not have it.
+// serverOf returns a server of the catalog, or nil if it has another start or is not
+// there.
 func (m *Rates) serverOf(key serverStart) *catalog.Server {
-	if view := m.host.Catalogs.Catalog(); view != nil {
-		if server := view.Server(key.id); server != nil && server.StartUnixMilli == key.startMS {
-			return server
-		}
+	view := m.host.Catalogs.Catalog()
+	if view == nil {
+		return nil
+	}
+	if server := view.Server(key.id); server != nil && server.StartUnixMilli == key.startMS {
+		return server
 	}
-	return &catalog.Server{ID: key.id, StartUnixMilli: key.startMS}
+	return nil
 }
 
 var _ kernel.ServerRates = (*Rates)(nil)
--- a/plugins/serverrates/turns.go
+++ b/plugins/serverrates/turns.go
@@ -68,6 +68,14 @@
 	return r != nil
 }
 
+// lowerRate returns the lower of two rates, of which 0 means none.
+func lowerRate(a, b float64) float64 {
+	if a == 0 || b == 0 {
+		return max(a, b)
+	}
+	return min(a, b)
+}
+
 // TurnWait implements kernel.ServerRates.
 func (m *Rates) TurnWait(now time.Time, q kernel.TurnRequest) time.Duration {
 	r, _ := m.limited(now, q)
@@ -90,6 +98,9 @@
 	wait, rate := r.wait.Remaining(now, q.Priority), r.rate()
 	r.usedAt = now
 	r.mu.Unlock()
+	if cold {
+		rate = lowerRate(rate, m.coldRate(q.Server))
+	}
 	if wait > 0 {
 		return kernel.SendTurn{RetryIn: wait, Rate: rate}
 	}
@@ -220,8 +231,8 @@
 		response.Statement = encodeStatement(now, r.limit.InForce())
 	}
 	rate := r.rate()
-	if cold := m.coldRate(server); cold > 0 && (q.Cold || server.Cold(now)) && (rate == 0 || cold < rate) {
-		rate = cold
+	if q.Cold || server.Cold(now) {
+		rate = lowerRate(rate, m.coldRate(server))
 	}
 	turn := policy.Turn{Granted: true}
 	switch {
--- a/plugins/stages/group.go
+++ b/plugins/stages/group.go
@@ -79,12 +79,15 @@
 	// turnAt is when the server's turn for the next call was granted, if its rate is
 	// limited; zero if there is none. It is known to have none until noTurnUntil.
 	turnAt, noTurnUntil time.Time
-	askingForTurn       bool
-	failures            int
-	lastCall            time.Time // start of the last call
-	measuredAt          time.Time // time of the last slowness sample
-	memory              memory
-	returned            returnedResults
+	// callRate is the number of calls per second that the server accepts, 0 if it is
+	// not limited.
+	callRate      float64
+	askingForTurn bool
+	failures      int
+	lastCall      time.Time // start of the last call
+	measuredAt    time.Time // time of the last slowness sample
+	memory        memory
+	returned      returnedResults
 }
 
 func newGroup(s *Stages, key groupKey) *group {
@@ -179,11 +182,11 @@
 		wait = forecast.Late
 	}
 	if now.Add(wait + call).After(r.Deadline) {
+		if noTurn := g.noTurnFor(now); noTurn > 0 {
+			return nil, &kernel.StageFailure{Reason: kernel.ReasonRateLimit, Detail: "the request rates of stage service " + g.key.service + " are used up", RetryAfter: max(noTurn, minRetryAfter)}
+		}
 		return nil, &kernel.StageFailure{Reason: kernel.ReasonOverload, Detail: "the queue of stage service " + g.key.service + " is too long", RetryAfter: max(wait/2, minRetryAfter)}
 	}
-	if noTurn := g.noTurnFor(now); noTurn > 0 && now.Add(noTurn+call).After(r.Deadline) {
-		return nil, &kernel.StageFailure{Reason: kernel.ReasonRateLimit, Detail: "the request rates of stage service " + g.key.service + " are used up", RetryAfter: noTurn}
-	}
 	var jobs []*job
 	for first := 0; first < r.Pieces; first += baseline.MaxPieces {
 		jobs = append(jobs, g.newJob(now, r, first, min(r.Pieces, first+baseline.MaxPieces)))
@@ -232,20 +235,26 @@
 // holds mu.
 func (g *group) load(now time.Time) policy.PieceLoad {
 	l := policy.PieceLoad{Waiting: g.queue.Pieces()}
+	unlimited := false
 	for _, s := range g.servers {
-		if !s.usable || now.Before(s.cooldownUntil) || now.Before(s.noTurnUntil) {
+		if !s.usable || now.Before(s.cooldownUntil) {
 			continue
 		}
 		l.Servers++
 		if !g.policyServer(now, s).Slow() {
 			l.Normal++
 		}
-		if s.inFlight < g.service.Slots {
+		if s.inFlight < g.service.Slots && !now.Before(s.noTurnUntil) {
 			l.Idle++
 		}
+		l.CallRate += s.callRate
+		unlimited = unlimited || s.callRate == 0
+	}
+	if unlimited {
+		l.CallRate = 0
 	}
 	if l.Idle == 0 {
-		l.NextFreeIn = g.nextCompletion(now)
+		l.NextFreeIn = max(g.nextCompletion(now), g.noTurnFor(now))
 	}
 	return l
 }
--- a/plugins/stages/turns.go
+++ b/plugins/stages/turns.go
@@ -16,6 +16,7 @@
 func (g *group) hasTurn(now time.Time, s *stageServer) bool {
 	q := kernel.TurnRequest{Server: s.server}
 	if !g.stages.host.RateLimited(now, q) {
+		s.callRate = 0
 		return true
 	}
 	if now.Sub(s.turnAt) < turnLifetime {
@@ -30,7 +31,7 @@
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		now := time.Now()
-		s.askingForTurn = false
+		s.askingForTurn, s.callRate = false, turn.Rate
 		if !turn.Granted {
 			s.noTurnUntil = now.Add(turn.RetryIn)
 			return
--- a/policy/piecequeue.go
+++ b/policy/piecequeue.go
@@ -248,11 +248,14 @@
 	Normal int
 	// NextFreeIn is the expected time until the next busy server is free.
 	NextFreeIn time.Duration
+	// CallRate is the number of calls per second that the servers together accept; 0
+	// if it is not limited.
+	CallRate float64
 }
 
 // PieceWait returns the expected queue wait of a job that is queued now: the time
 // until a server is free, plus the time of the full calls that the waiting pieces
-// fill, divided among all servers.
+// fill, divided among all servers, or the time in which the servers accept these calls.
 func PieceWait(l PieceLoad, s PieceServer) time.Duration {
 	if l.Servers == 0 {
 		return 0
@@ -262,6 +265,9 @@
 		return 0
 	}
 	rounds := time.Duration(full-l.Idle) * s.Duration(s.MaxPieces) / time.Duration(l.Servers)
+	if l.CallRate > 0 {
+		rounds = max(rounds, time.Duration(float64(full)/l.CallRate*float64(time.Second)))
+	}
 	return l.NextFreeIn + rounds
 }
 
--- a/policy/piecequeue_test.go
+++ b/policy/piecequeue_test.go
@@ -268,6 +268,8 @@
 		{"an idle server", PieceLoad{Servers: 2, Idle: 1}, 0},
 		{"all servers are busy and no piece waits", PieceLoad{Servers: 2, NextFreeIn: ms(80)}, ms(80)},
 		{"two full calls wait for two servers", PieceLoad{Waiting: 20, Servers: 2, NextFreeIn: ms(80)}, ms(80 + 300)},
+		{"two full calls wait for two servers that accept 2.5 calls a second", PieceLoad{Waiting: 20, Servers: 2, NextFreeIn: ms(80), CallRate: 2.5}, ms(80 + 800)},
+		{"two full calls wait for two servers that accept more than they finish", PieceLoad{Waiting: 20, Servers: 2, NextFreeIn: ms(80), CallRate: 25}, ms(80 + 300)},
 		{"no server", PieceLoad{Waiting: 20}, 0},
 	} {
 		Convey(c.name, t, func() { So(PieceWait(c.load, stageServer), ShouldEqual, c.want) })
