Keep a server's rate limit while its entry is missing, and draw limits in the soak

The limit of a server whose entry in the store lapsed was forgotten, so that instances which had been told of it sent without turns once the entry was back with the same start. It now ends with another start, with a response that names none, or after a minute without a statement.

--- a/plugins/forward/choose.go
+++ b/plugins/forward/choose.go
@@ -94,11 +94,11 @@
 		if turn.Granted {
 			c.reason, c.candidates = reason, n
 			if r.turnIn > 0 {
-				r.log.Add("servers passed over, their request rates are used up", "servers", n-len(usable), "retry_in", r.turnIn)
+				r.log.Add("servers passed over, request rates used up", "servers", n-len(usable), "retry_in", r.turnIn)
 			}
 			return c, true
 		}
-		r.log.Add("server has no turn", "server", c.server.ID, "rate", turn.Rate, "retry_in", turn.RetryIn)
+		r.log.Add("request rate of the server used up", "server", c.server.ID, "rate", turn.Rate, "retry_in", turn.RetryIn)
 		r.turnIn = shorterWait(r.turnIn, turn.RetryIn)
 		usable = append(usable[:i], usable[i+1:]...)
 		snapshots = append(snapshots[:i], snapshots[i+1:]...)
--- a/plugins/forward/send.go
+++ b/plugins/forward/send.go
@@ -69,7 +69,7 @@
 			c, ok = f.choose(ctx, now, r)
 		}
 		if !ok && r.turnIn > 0 {
-			r.log.Add("no server has a turn", "service", r.service.Name, "retry_in", r.turnIn)
+			r.log.Add("request rates of all servers used up", "service", r.service.Name, "retry_in", r.turnIn)
 			return unknownIfRan(ran, noTurn(r.turnIn))
 		}
 		if !ok {
--- a/plugins/serverrates/serverrates.go
+++ b/plugins/serverrates/serverrates.go
@@ -233,7 +233,7 @@
 	source := ""
 	switch {
 	case !isCurrent(view, r):
-		source = "server gone"
+		source = "another start"
 		r.hint = 0
 	case r.limit.Known() && now.Sub(last) >= limitTTL:
 		source = "no statement"
@@ -246,14 +246,15 @@
 	}
 }
 
-// isCurrent reports whether a catalog has the start of the server that a state belongs
-// to.
+// isCurrent reports whether the state of a server is that of its latest start. A server
+// that is missing from the catalog may come back with the same start: its entry may have
+// lapsed.
 func isCurrent(view *catalog.Catalog, r *serverRate) bool {
 	if view == nil {
 		return true
 	}
 	server := view.Server(r.server.ID)
-	return server != nil && server.StartUnixMilli == r.server.StartUnixMilli
+	return server == nil || server.StartUnixMilli == r.server.StartUnixMilli
 }
 
 // serverDump is the state of a server in a dump.
--- a/test/soak/run.go
+++ b/test/soak/run.go
@@ -6,6 +6,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 )
 
@@ -47,7 +48,10 @@
 	ctx, stop := context.WithCancel(context.Background())
 	wait := tb.startCallers(ctx)
 	injecting, end := context.WithTimeout(ctx, o.Length)
+	var limits sync.WaitGroup
+	limits.Go(func() { tb.injectRateLimits(injecting) })
 	tb.inject(injecting)
+	limits.Wait()
 	end()
 	if !tb.allServed(recoveryTimeout) {
 		tb.checker.addViolation("not every kind of request is served %v after the last fault", recoveryTimeout)
