--- a/test/passthrough/ratelimit_test.go
+++ b/test/passthrough/ratelimit_test.go
@@ -284,3 +284,37 @@
 		So(served, ShouldBeGreaterThan, 0)
 	})
 }
+
+// TestColdServerRate guards against a cold server that gets more requests from all
+// instances together than it can take.
+func TestColdServerRate(t *testing.T) {
+	Convey("With three instances and one cold server, it gets and uses its rate", t, func() {
+		c := New(t)
+		cfg := config(1)
+		const rate, coldTime = 10, 8 * time.Second
+		cfg.Services[0].ColdPerSecond = rate
+		c.Store.PutConfig(cfg)
+		for _, id := range []string{"e1", "e2", "e3"} {
+			c.Start(id, "z1", true, "")
+		}
+		c.WaitMembers(3)
+		server := platformtest.NewBackend("i-1")
+		t.Cleanup(server.Close)
+		c.Store.PutServer(platformtest.Entry{ID: "i-1", Service: "app", Address: server.Address(), Zone: "z1", Version: "v1", Slots: 8, Born: 1, Sequence: 1, ColdMS: int(coldTime.Milliseconds())})
+		for _, in := range c.Instances {
+			c.waitServers(in, "app", 1)
+		}
+		load(c.Instances, "/once/x", 60, coldTime-2*time.Second)
+		arrivals := server.Arrivals()
+		for i, first := range arrivals {
+			n := 0
+			for _, at := range arrivals[i:] {
+				if at.Sub(first) < time.Second {
+					n++
+				}
+			}
+			So(n, ShouldBeLessThanOrEqualTo, int(1.5*rate)+5)
+		}
+		So(float64(len(arrivals)), ShouldBeGreaterThan, 0.5*rate*(coldTime-2*time.Second).Seconds())
+	})
+}
