Let a leaving instance grant fewer turns, and keep turns apart from callers that leave

Found on reading the division of server rates again:

- An instance that stops has left the fleet, so that another one becomes the grantor of its servers, but it went on granting the whole rate to its own last requests.
It no longer counts its membership as confirmed and grants a third.
- A caller that left while its request asked for a turn made the server seem without turns to this instance for 300 ms.
The new case of TestTurns failed before.

--- a/kernel/catalogs.go
+++ b/kernel/catalogs.go
@@ -54,8 +54,8 @@
 	// Members returns the known instances, including this one, sorted by ID. It is
 	// empty until they are known.
 	Members() []FleetMember
-	// Confirmed reports whether this instance has lately confirmed its own membership.
-	// If not, the others may no longer count it as a member.
+	// Confirmed reports whether this instance has lately confirmed its own membership
+	// and is not leaving. If not, the others may no longer count it as a member.
 	Confirmed() bool
 }
 
--- a/plugins/discovery/fleet.go
+++ b/plugins/discovery/fleet.go
@@ -244,7 +244,7 @@
 }
 
 // Confirmed implements kernel.Fleet.
-func (d *Discovery) Confirmed() bool { return !d.storeUnresponsive.Load() }
+func (d *Discovery) Confirmed() bool { return d.canServeReads() }
 
 func encodeMember(m kernel.FleetMember) string {
 	return strings.Join([]string{m.ID, m.Zone, m.Address, strconv.FormatFloat(m.Capacity, 'g', -1, 64)}, memberSeparator)
--- a/plugins/serverrates/serverrates_test.go
+++ b/plugins/serverrates/serverrates_test.go
@@ -36,7 +36,10 @@
 func (f *fakeFleet) HandlePeer(string, http.HandlerFunc)             {}
 func (f *fakeFleet) OnState(string, func(instance string, _ []byte)) {}
 func (f *fakeFleet) PublishState(_ string, state []byte)             { f.published = append(f.published, state) }
-func (f *fakeFleet) CallPeer(_ context.Context, address, path string, body []byte) ([]byte, error) {
+func (f *fakeFleet) CallPeer(ctx context.Context, address, path string, body []byte) ([]byte, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
 	peer := f.peers[address]
 	if peer == nil {
 		return nil, errors.New("out of reach")
@@ -163,6 +166,12 @@
 			q.Priority = 0
 			So(last.TurnWait(time.Now(), q), ShouldEqual, 0)
 		})
+		Convey("a caller that leaves while it asks does not block the others", func() {
+			ctx, cancel := context.WithCancel(context.Background())
+			cancel()
+			last.AcquireTurn(ctx, kernel.TurnRequest{Server: testServer})
+			So(last.TurnWait(time.Now(), kernel.TurnRequest{Server: testServer}), ShouldBeLessThan, noGrantorWait/2)
+		})
 		Convey("an end of the limit reaches it with the next turn", func() {
 			turns(last, 50*time.Millisecond)
 			time.Sleep(askTimeout)
--- a/plugins/serverrates/turns.go
+++ b/plugins/serverrates/turns.go
@@ -104,7 +104,8 @@
 	if wait > 0 {
 		return kernel.SendTurn{RetryIn: wait, Rate: rate}
 	}
-	turn := m.ask(ctx, r, turnRequest{Turn: true, Cold: cold, Priority: q.Priority})
+	// A caller that leaves meanwhile must not make the server seem without turns.
+	turn := m.ask(context.WithoutCancel(ctx), r, turnRequest{Turn: true, Cold: cold, Priority: q.Priority})
 	result := "granted"
 	if !turn.Granted {
 		result = "denied"
--- a/test/passthrough/restart_test.go
+++ b/test/passthrough/restart_test.go
@@ -46,7 +46,9 @@
 		Convey("an instance that restarts after that uses neither", func() {
 			withdraw()
 			c.Eventually("the other instance has the change", func() bool { return c.Instances[1].Kernel.Host.Catalogs.Catalog().Config.Version == 2 })
+			So(c.Instances[0].Kernel.Host.Fleet.Confirmed(), ShouldBeTrue)
 			So(c.Instances[0].Stop(), ShouldBeNil)
+			So(c.Instances[0].Kernel.Host.Fleet.Confirmed(), ShouldBeFalse)
 			c.Instances = c.Instances[1:]
 			check(c.Start("e1", "z1", true, ""))
 		})
