--- a/test/passthrough/ratelimit_test.go
+++ b/test/passthrough/ratelimit_test.go
@@ -55,6 +55,21 @@
 	return n
 }
 
+// startInstances starts the servers of a service and three instances that know them and
+// each other.
+func (c *Cluster) startInstances(service string, servers ...string) []*platformtest.Backend {
+	c.Store.PutConfig(config(1))
+	var backends []*platformtest.Backend
+	for _, id := range servers {
+		backends = append(backends, c.startBackend(id, service))
+	}
+	for _, id := range []string{"e1", "e2", "e3"} {
+		c.waitServers(c.Start(id, "z1", true, ""), service, len(servers))
+	}
+	c.WaitMembers(3)
+	return backends
+}
+
 // load sends requests of a path at a rate per second to instances in turn, for a time,
 // and returns all responses after their requests have ended.
 func load(instances []*Instance, path string, rate int, d time.Duration) []response {
@@ -86,12 +101,7 @@
 func TestServerRateLimit(t *testing.T) {
 	Convey("With three instances and one server that states a limit", t, func() {
 		c := New(t)
-		c.Store.PutConfig(config(1))
-		server := c.startBackend("i-1", "app")
-		for _, id := range []string{"e1", "e2", "e3"} {
-			c.waitServers(c.Start(id, "z1", true, ""), "app", 1)
-		}
-		c.WaitMembers(3)
+		server := c.startInstances("app", "i-1")[0]
 		const instancesRate, duration = 60, learnTime + 2*limitWindow
 		for _, limit := range []struct {
 			rate float64
@@ -136,12 +146,7 @@
 func TestServerRateLimitLife(t *testing.T) {
 	Convey("With three instances, of which one has had a response with a limit", t, func() {
 		c := New(t)
-		c.Store.PutConfig(config(1))
-		server := c.startBackend("i-1", "app")
-		for _, id := range []string{"e1", "e2", "e3"} {
-			c.waitServers(c.Start(id, "z1", true, ""), "app", 1)
-		}
-		c.WaitMembers(3)
+		server := c.startInstances("app", "i-1")[0]
 		allLimited := func(want bool) func() bool {
 			return func() bool {
 				for _, in := range c.Instances {
@@ -205,13 +210,7 @@
 func TestServerRateLimitExcess(t *testing.T) {
 	Convey("With three instances, a server that states a limit and one that does not, all requests are served", t, func() {
 		c := New(t)
-		c.Store.PutConfig(config(1))
-		server := c.startBackend("i-1", "app")
-		c.startBackend("i-2", "app")
-		for _, id := range []string{"e1", "e2", "e3"} {
-			c.waitServers(c.Start(id, "z1", true, ""), "app", 2)
-		}
-		c.WaitMembers(3)
+		server := c.startInstances("app", "i-1", "i-2")[0]
 		server.StateRateLimit("1")
 		began := time.Now()
 		for _, r := range load(c.Instances, "/once/x", 60, learnTime+limitWindow) {
