--- a/policy/limitedserver_simulation_test.go
+++ b/policy/limitedserver_simulation_test.go
@@ -18,6 +18,7 @@
 	instances []*limitedInstance
 	arrivals  []time.Time // of requests at the server
 	asks      int         // that reached a grantor
+	served    [4]int      // requests by priority
 }
 
 type limitedInstance struct {
@@ -148,7 +149,10 @@
 				in.wait.Denied(now, turn.RetryIn, priority)
 				return
 			}
-			s.at(now.Add(simMessageTime), func(now time.Time) { s.arrivals = append(s.arrivals, now) })
+			s.at(now.Add(simMessageTime), func(now time.Time) {
+				s.arrivals = append(s.arrivals, now)
+				s.served[priority]++
+			})
 		})
 	})
 }
@@ -293,3 +297,22 @@
 	}
 	t.Logf("most asks a second beyond three for each turn, by instances: %v", asks)
 }
+
+// TestUrgentRequestsOnLimitedServer guards against urgent requests that go after others
+// when a server's rate does not suffice for all.
+func TestUrgentRequestsOnLimitedServer(t *testing.T) {
+	for _, instances := range []int{9, 90} {
+		s := newLimitedServer(1, instances, 8)
+		s.load(60, limitedServerLoads["even"])
+		s.run(nil, simLimitedTime)
+		t.Logf("%d instances, served by priority: %v", instances, s.served)
+		for urgent := range len(s.served) - 1 {
+			if s.served[urgent] < s.served[urgent+1] {
+				t.Errorf("%d instances: served %v by priority, from the most urgent on", instances, s.served)
+			}
+		}
+		if total := len(s.arrivals); s.served[0] < total/2 {
+			t.Errorf("%d instances: %d of %d served requests were the most urgent ones, which alone exceed the rate", instances, s.served[0], total)
+		}
+	}
+}
