Answer requests that are read while an instance shuts down

And under load the accept loop did not get to the whole backlog within its 50 ms.

Why this fix works: the backlog is accepted until it is empty. Then the servers go on without keep-alive, so that each connection closes after its response, and they are closed once only connections are left that have sent nothing for 300 ms.

--- a/plugins/forward/listener.go
+++ b/plugins/forward/listener.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"net"
@@ -11,6 +12,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
 
 	"github.com/savoryfold/savoryfold/catalog"
 	"github.com/savoryfold/savoryfold/internal/backoff"
@@ -29,12 +31,14 @@
 	// acceptRetryDelay is the delay after a connection that could not be
 	// accepted.
 	acceptRetryDelay = 20 * time.Millisecond
-	// backlogTime is how long a server that stops goes on accepting: connections that
-	// are established but not accepted would be reset when its listener closes.
+	// backlogTime is how long a server that stops goes on accepting, and the timeout for
+	// accepting a connection that is waiting. Connections that are established but not
+	// accepted would be reset when the listener closes.
 	backlogTime = 50 * time.Millisecond
-	// handOffInterval is the time between checks that all accepted connections have
-	// reached their server.
-	handOffInterval = time.Millisecond
+	// silentTime is how long a server that stops waits for a connection that has sent
+	// nothing. closeCheckInterval is the time between checks that connections are closed.
+	silentTime         = 300 * time.Millisecond
+	closeCheckInterval = 2 * time.Millisecond
 )
 
 // entryServer serves callers. The limits of an http.Server cannot change while
@@ -43,10 +47,11 @@
 	logger     *slog.Logger
 	handler    http.Handler
 	inProgress atomic.Int64
-	// accepting ends with the loop that accepts connections. handedOff counts the
-	// accepted connections that their http.Server does not know yet.
+	// accepting ends with the loop that accepts connections.
 	accepting sync.WaitGroup
-	handedOff atomic.Int64
+	// open counts the connections that are accepted and not closed, and silent those of
+	// them that have sent nothing yet.
+	open, silent atomic.Int64
 
 	mu       sync.Mutex
 	listener *net.TCPListener // guarded by mu
@@ -68,12 +73,13 @@
 
 // start listens on an address and serves in the background.
 func (e *entryServer) start(address string) error {
-	l, err := net.Listen("tcp", address)
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return errors.Wrap(err, "listen")
 	}
+	l := listener.(*net.TCPListener) // as the network is "tcp"
 	e.mu.Lock()
-	e.listener = l.(*net.TCPListener) // as the network is "tcp"
+	e.listener = l
 	e.startServer()
 	e.mu.Unlock()
 	e.accepting.Go(func() { e.accept(l) })
@@ -81,9 +87,9 @@
 }
 
 // accept passes every connection to the current server.
-func (e *entryServer) accept(l net.Listener) {
+func (e *entryServer) accept(l *net.TCPListener) {
 	for {
-		c, err := l.Accept()
+		c, err := l.AcceptTCP()
 		if errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) {
 			return
 		}
@@ -98,20 +104,39 @@
 	}
 }
 
+// callerConn is a connection of a caller. Its state is used by the goroutine that serves
+// it.
+type callerConn struct {
+	*net.TCPConn
+	sentBytes bool
+}
+
+// trackState counts the connections by what they have sent. It is a hook of http.Server.
+func (e *entryServer) trackState(c net.Conn, state http.ConnState) {
+	conn, ok := c.(*callerConn)
+	if !ok {
+		return
+	}
+	if state != http.StateNew && !conn.sentBytes {
+		conn.sentBytes = true
+		e.silent.Add(-1)
+	}
+	if state == http.StateClosed || state == http.StateHijacked {
+		e.open.Add(-1)
+	}
+}
+
 // handOff passes a connection to the current server. If the listener of that
 // server has closed in the meantime, another server has replaced it.
-func (e *entryServer) handOff(c net.Conn) {
-	e.handedOff.Add(1)
+func (e *entryServer) handOff(c *net.TCPConn) {
+	conn := &callerConn{TCPConn: c}
+	e.open.Add(1)
+	e.silent.Add(1)
 	for {
 		e.mu.Lock()
-		current, stopped := e.current, e.stopped
+		current := e.current
 		e.mu.Unlock()
-		if stopped {
-			e.handedOff.Add(-1)
-			_ = c.Close() // nothing was read from it
-			return
-		}
-		if current.deliver(c) {
+		if current.deliver(conn) {
 			return
 		}
 	}
@@ -145,12 +170,8 @@
 	}
 	server := &http.Server{
 		Handler: e.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
-		ErrorLog: slog.NewLogLogger(e.logger.Handler(), slog.LevelDebug),
-		ConnState: func(_ net.Conn, state http.ConnState) {
-			if state == http.StateNew {
-				e.handedOff.Add(-1)
-			}
-		},
+		ErrorLog:  slog.NewLogLogger(e.logger.Handler(), slog.LevelDebug),
+		ConnState: e.trackState,
 	}
 	old := e.current
 	e.current = &chanListener{address: e.listener.Addr(), conns: make(chan net.Conn), closed: make(chan struct{})}
@@ -173,25 +194,36 @@
 	e.stopped = true
 	servers := e.servers
 	e.mu.Unlock()
-	var wg sync.WaitGroup
-	var mu sync.Mutex
-	var shutdownErr error
+	// http.Server.Shutdown would drop the requests that it reads from then on without a
+	// response. Without keep-alive, each connection closes after its response.
 	for _, s := range servers {
-		wg.Go(func() {
-			if err := s.Shutdown(ctx); err != nil {
-				_ = s.Close() // aborts requests that exceed the grace period
-				mu.Lock()
-				defer mu.Unlock()
-				shutdownErr = err
-			}
-		})
+		s.SetKeepAlivesEnabled(false)
+	}
+	err := e.awaitRequests(ctx)
+	for _, s := range servers {
+		_ = s.Close() // what remains has sent nothing, or exceeds the grace period
+	}
+	return err
+}
+
+// awaitRequests waits until all connections are closed, but for those that have sent
+// nothing for silentTime. It returns the context's error if that ends first.
+func (e *entryServer) awaitRequests(ctx context.Context) error {
+	began := time.Now()
+	for {
+		open := e.open.Load()
+		if open == 0 || open == e.silent.Load() && time.Since(began) > silentTime {
+			return nil
+		}
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		backoff.Sleep(ctx, closeCheckInterval)
 	}
-	wg.Wait()
-	return shutdownErr
 }
 
-// stopAccepting closes the listener once all connections that have reached it are known
-// to their server.
+// stopAccepting closes the listener once all connections that have reached it are
+// accepted.
 func (e *entryServer) stopAccepting(ctx context.Context) {
 	e.mu.Lock()
 	l := e.listener
@@ -199,17 +231,52 @@
 	if l == nil {
 		return
 	}
-	if err := l.SetDeadline(time.Now().Add(backlogTime)); err != nil {
+	backoff.Sleep(ctx, backlogTime)
+	if err := l.SetDeadline(time.Unix(1, 0)); err != nil {
 		e.logger.Warn("could not accept the rest of the connections", "error", err)
 		_ = l.Close()
 	}
 	e.accepting.Wait()
+	e.acceptBacklog(l)
 	_ = l.Close()
-	for e.handedOff.Load() > 0 && ctx.Err() == nil {
-		backoff.Sleep(ctx, handOffInterval)
+}
+
+// acceptBacklog accepts the connections that wait in the listener's backlog.
+func (e *entryServer) acceptBacklog(l *net.TCPListener) {
+	for {
+		waiting, err := hasBacklog(l)
+		if err == nil && !waiting {
+			return
+		}
+		var c *net.TCPConn
+		if err == nil {
+			err = l.SetDeadline(time.Now().Add(backlogTime))
+		}
+		if err == nil {
+			c, err = l.AcceptTCP()
+		}
+		if err != nil {
+			e.logger.Warn("could not accept the rest of the connections", "error", err)
+			return
+		}
+		e.handOff(c)
 	}
 }
 
+// hasBacklog reports whether a connection waits to be accepted.
+func hasBacklog(l *net.TCPListener) (bool, error) {
+	raw, err := l.SyscallConn()
+	if err != nil {
+		return false, err
+	}
+	ready := 0
+	var pollErr error
+	err = raw.Control(func(fd uintptr) {
+		ready, pollErr = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
+	})
+	return ready > 0, cmp.Or(err, pollErr)
+}
+
 // chanListener is a listener for connections that another listener has
 // accepted.
 type chanListener struct {
