--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -185,7 +185,7 @@
 		if end == nil {
 			continue
 		}
-		fmt.Fprintf(tb.options.Out, "%7.2f s  %s %s, for %v\n", time.Since(tb.startedAt).Seconds(), f.name, what, length.Round(time.Millisecond))
+		tb.printFault(f.name, what, length)
 		wg.Go(func() {
 			sleep(ctx, length)
 			mu.Lock()
@@ -196,6 +196,13 @@
 	wg.Wait()
 }
 
+// printFault prints a line for a fault that begins.
+func (tb *testbed) printFault(name, what string, length time.Duration) {
+	tb.printing.Lock()
+	defer tb.printing.Unlock()
+	fmt.Fprintf(tb.options.Out, "%7.2f s  %s %s, for %v\n", time.Since(tb.startedAt).Seconds(), name, what, length.Round(time.Millisecond))
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	select {
 	case <-time.After(d):
--- a/test/soak/ratelimits.go
+++ b/test/soak/ratelimits.go
@@ -34,7 +34,7 @@
 		s := tb.servers[random.IntN(len(tb.servers))]
 		rate := []float64{0.5, 1, 4, 20}[random.IntN(4)]
 		length := minLimitDuration + time.Duration(random.Int64N(int64(maxLimitDuration-minLimitDuration)))
-		fmt.Fprintf(tb.options.Out, "%7.2f s  server states a rate limit %s %v, for %v\n", time.Since(tb.startedAt).Seconds(), s.entry.ID, rate, length.Round(time.Millisecond))
+		tb.printFault("server states a rate limit", fmt.Sprintf("%s %v", s.entry.ID, rate), length)
 		began := time.Now()
 		s.stateRateLimit(strconv.FormatFloat(rate, 'g', -1, 64))
 		sleep(ctx, length)
--- a/test/soak/testbed.go
+++ b/test/soak/testbed.go
@@ -43,6 +43,7 @@
 	checker   *checker
 	version   atomic.Int64
 	startedAt time.Time
+	printing  sync.Mutex // serializes the lines of faults
 }
 
 // instance is one savoryfold instance, its process and its link to the store.
