Wait in tests until a started instance knows its fleet

Traced in 3 of 16 runs at once: the requests came within 0.1 s of the start, before the instance knew any member, and were refused with 'the connections to the server are used up', as an instance that does not know the others uses the connections of a large fleet's member. That is what the instance is meant to do; the cluster of the tests now waits for the members of every instance that has to be ready, which replaces the wait of TestServerFailures.

--- a/test/passthrough/cluster.go
+++ b/test/passthrough/cluster.go
@@ -65,7 +65,8 @@
 
 // Start starts an instance with additional lines of settings and waits until its
 // kernel runs. If ready is true it also waits until the instance reports that it
-// is ready, which needs a configuration in the store.
+// is ready, which needs a configuration in the store, and knows its fleet. Until then it
+// uses less than its share of what the instances divide.
 func (c *Cluster) Start(id, zone string, ready bool, settings string) *Instance {
 	c.t.Helper()
 	in := &Instance{ID: id, Zone: zone, Address: freeAddress(c.t), Readiness: freeAddress(c.t), Log: &LogBuffer{}, done: make(chan struct{})}
@@ -91,6 +92,7 @@
 	c.Eventually("the instance runs", func() bool { return in.Kernel.State() == kernel.StateReady })
 	if ready {
 		c.Eventually("the instance is ready", func() bool { return platformtest.Ready(in.Readiness) })
+		c.Eventually("the instance knows its fleet", func() bool { return len(in.Kernel.Host.Fleet.Members()) > 0 })
 	}
 	return in
 }
--- a/test/passthrough/passthrough_test.go
+++ b/test/passthrough/passthrough_test.go
@@ -178,7 +178,6 @@
 			}
 			in := cl.Start("e1", "z1", true, "")
 			cl.waitServers(in, "app", 2)
-			cl.WaitMembers(1)
 			arrivals := func() int { return len(servers[0].Requests()) + len(servers[1].Requests()) }
 			So(send(in, "POST", "/once/x", "once-1").status, ShouldEqual, c.once)
 			So(arrivals(), ShouldEqual, c.onceArrivals)
