--- a/kernel/server_rates.go
+++ b/kernel/server_rates.go
@@ -10,7 +10,7 @@
 
 // ServerRates divides among the instances the rates of requests that backend servers
 // accept from all of them together: the limits that servers state, and the rates of
-// cold servers.
+// cold servers. A turn is the right to send one request to such a server.
 type ServerRates interface {
 	// AcquireTurn asks for a turn to send one request to a server now. It returns at
 	// once if the server has no such rate, and may call another instance otherwise.
--- a/policy/ratedivision.go
+++ b/policy/ratedivision.go
@@ -7,7 +7,7 @@
 
 // Some servers state the rate of requests that they accept from all instances
 // together: a limit of their own, or a rate while they are cold. One instance, the
-// server's grantor, grants each request its turn. A fixed share for each instance would
+// server's grantor, grants each request its turn: the right to be sent. A fixed share for each instance would
 // waste the shares of those without requests, and below one request per second and
 // instance the first requests alone would exceed the rate.
 
