Let requests wait for the first catalog of an instance that has just started

Cause: an instance accepts connections 0.1 to 0.2 s before it has read its configuration, servers and fleet, and refused what came in between.

Once a call to the store has failed, requests are refused at once, as nobody knows when there will be a catalog.

--- a/kernel/catalogs.go
+++ b/kernel/catalogs.go
@@ -12,6 +12,11 @@
 type Catalogs interface {
 	// Catalog returns the current catalog, or nil before the first configuration.
 	Catalog() *catalog.Catalog
+	// AwaitCatalog returns the current catalog. Until this instance has read the
+	// configuration, the servers and the fleet for the first time, it waits for them. It
+	// stops waiting when the context ends or a call to the store has failed, after which
+	// nobody knows when they will be read; the result may then be nil.
+	AwaitCatalog(ctx context.Context) *catalog.Catalog
 	// OnCatalog registers a function that is called with every new catalog. It
 	// must be called during provisioning only.
 	OnCatalog(func(*catalog.Catalog))
--- a/plugins/discovery/discovery.go
+++ b/plugins/discovery/discovery.go
@@ -64,6 +64,10 @@
 	avoidedReaders     backoff.CoolDowns // zone readers that failed a call recently
 	cancel             context.CancelFunc
 	running            sync.WaitGroup
+	// loaded is closed when the configuration, the servers and the fleet were read for the
+	// first time, loadFailed at the first failed call before that.
+	loaded, loadFailed         chan struct{}
+	loadedOnce, loadFailedOnce sync.Once
 	// leaving is closed when this instance has to leave the fleet.
 	leaving    chan struct{}
 	moduleCtx  context.Context // canceled when the module stops
@@ -91,6 +95,7 @@
 	d.state = newState()
 	d.states = newSharedStates(h)
 	d.leaving = make(chan struct{})
+	d.loaded, d.loadFailed = make(chan struct{}), make(chan struct{})
 	if address := h.Settings.String(section, "address"); address != "" {
 		d.client = platform.NewStoreClient(address, h.Settings.Duration(section, "timeout"))
 		d.client.OnRestored(d.storeRestored)
@@ -155,6 +160,7 @@
 	w.onUnavailable = func(now time.Time, err error) {
 		d.host.Logger.Warn("metadata store unavailable", "topic", topic, "error", err)
 		d.host.Counter("store_lost").Inc(1)
+		d.noteLoadFailed()
 	}
 	w.onAvailable = func(now time.Time, _ error) {
 		d.host.Logger.Info("metadata store available again", "topic", topic)
@@ -291,6 +297,34 @@
 // Catalog implements kernel.Catalogs.
 func (d *Discovery) Catalog() *catalog.Catalog { return d.current.Load() }
 
+// AwaitCatalog implements kernel.Catalogs.
+func (d *Discovery) AwaitCatalog(ctx context.Context) *catalog.Catalog {
+	select {
+	case <-d.loaded:
+		return d.Catalog()
+	default:
+	}
+	if d.client != nil {
+		select {
+		case <-d.loaded:
+		case <-d.loadFailed:
+		case <-ctx.Done():
+		}
+	}
+	return d.Catalog()
+}
+
+// noteLoaded ends the waits of AwaitCatalog if everything was read for the first time. The
+// caller holds mu.
+func (d *Discovery) noteLoaded() {
+	if d.state.config != nil && d.state.serversListed && d.members.Load() != nil {
+		d.loadedOnce.Do(func() { close(d.loaded) })
+	}
+}
+
+// noteLoadFailed ends the waits of AwaitCatalog after a failed call to the store.
+func (d *Discovery) noteLoadFailed() { d.loadFailedOnce.Do(func() { close(d.loadFailed) }) }
+
 // OnCatalog implements kernel.Catalogs.
 func (d *Discovery) OnCatalog(f func(*catalog.Catalog)) { d.subscribers = append(d.subscribers, f) }
 
@@ -309,6 +343,7 @@
 	for _, f := range d.subscribers {
 		f(snapshot)
 	}
+	d.noteLoaded()
 }
 
 // applyOperatorRecords applies records of the operator topic.
@@ -409,6 +444,7 @@
 			s.restores, s.storeAvailableAt = s.restores+1, now
 		}
 		if kind != newRecords {
+			s.serversListed = true
 			listed := make(map[string]bool, len(records))
 			for _, r := range records {
 				listed[r.Key] = true
--- a/plugins/discovery/fleet.go
+++ b/plugins/discovery/fleet.go
@@ -134,6 +134,7 @@
 	group, err := d.client.Join(ctx, fleetGroup, encodeMember(f.self), []string{f.topicName()}, f.ttl, f.generation)
 	if err != nil {
 		d.host.Counter(`store_calls_failed{call="join"}`).Inc(1)
+		d.noteLoadFailed()
 		if !d.storeUnresponsive.Swap(true) {
 			d.host.Logger.Warn("metadata store does not answer the heartbeat", "error", err)
 		}
@@ -173,6 +174,7 @@
 	parts, err := d.client.Owners(ctx, fleetGroup)
 	if err != nil {
 		d.host.Logger.Warn("cannot read fleet members", "error", err)
+		d.noteLoadFailed()
 		return
 	}
 	f.listedGeneration, f.listedAt = f.generation, now
@@ -197,7 +199,13 @@
 	if d.restoredWithin(time.Now(), d.host.Settings.Duration(section, "member_ttl")) {
 		members = mergeMembers(members, d.Members())
 	}
-	if old := d.members.Swap(&members); old == nil || !slices.Equal(*old, members) {
+	old := d.members.Swap(&members)
+	if old == nil {
+		d.mu.Lock()
+		d.noteLoaded()
+		d.mu.Unlock()
+	}
+	if old == nil || !slices.Equal(*old, members) {
 		d.host.Logger.Info("fleet members changed", "members", len(members))
 		d.host.Gauge("fleet_members").Update(int64(len(members)))
 	}
--- a/plugins/discovery/state.go
+++ b/plugins/discovery/state.go
@@ -20,6 +20,8 @@
 	moves         map[string]*catalog.Move
 	statuses      map[string]catalog.MoveStatus
 	servers       map[string]*catalog.Server
+	// serversListed is true once the servers were listed.
+	serversListed bool
 	// keepUntil maps the ID of a server without an entry to the end of its grace
 	// period.
 	keepUntil map[string]time.Time
--- a/plugins/forward/forward.go
+++ b/plugins/forward/forward.go
@@ -70,6 +70,10 @@
 	readiness *http.Server
 	metrics   *http.Server
 	leaving   atomic.Bool
+	// loaded is true once a request did not have to wait for the first catalog; waiting
+	// counts those that do.
+	loaded  atomic.Bool
+	waiting atomic.Int64
 	// bodyBytes is the size of the bodies of requests and responses in memory.
 	bodyBytes    atomic.Int64
 	maxBodyBytes int64
--- a/plugins/forward/request.go
+++ b/plugins/forward/request.go
@@ -14,6 +14,7 @@
 	"github.com/savoryfold/savoryfold/catalog"
 	"github.com/savoryfold/savoryfold/kernel"
 	"github.com/savoryfold/savoryfold/platform"
+	"github.com/savoryfold/savoryfold/policy"
 )
 
 const (
@@ -123,7 +124,7 @@
 // accept validates a request and reads its body. The outcome is empty if the
 // request may proceed.
 func (f *Forward) accept(w http.ResponseWriter, hr *http.Request, r *request) kernel.Outcome {
-	r.view = f.host.Catalogs.Catalog()
+	r.view = f.awaitCatalog(hr.Context(), r)
 	if r.view == nil {
 		return kernel.Outcome{Kind: kernel.NotRun, Reason: kernel.ReasonNotReady, Detail: "no configuration yet", RetryAfter: retryAfterNotReady}
 	}
@@ -152,6 +153,28 @@
 	return f.readBody(w, hr, r)
 }
 
+// awaitCatalog returns the current catalog. A request that arrives before this instance has
+// read the first one waits for it.
+func (f *Forward) awaitCatalog(ctx context.Context, r *request) *catalog.Catalog {
+	if f.loaded.Load() {
+		return f.host.Catalogs.Catalog()
+	}
+	waiting := f.waiting.Add(1)
+	defer f.waiting.Add(-1)
+	ctx, cancel := context.WithTimeout(ctx, policy.StartWait(int(waiting)-1, r.call.Timeout))
+	defer cancel()
+	stop := context.AfterFunc(f.requestsCtx, cancel)
+	defer stop()
+	view := f.host.Catalogs.AwaitCatalog(ctx)
+	waited := time.Since(r.began)
+	if view != nil && ctx.Err() == nil {
+		f.loaded.Store(true)
+	}
+	f.host.Histogram("catalog_wait_seconds").Update(int64(waited))
+	r.log.Add("waited for the first catalog", "waited", waited, "waiting", waiting, "found", view != nil)
+	return view
+}
+
 // findRoute returns the route that matches the path and the host, with or
 // without its port.
 func findRoute(view *catalog.Catalog, hr *http.Request) *catalog.Route {
--- a/plugins/serverrates/serverrates_test.go
+++ b/plugins/serverrates/serverrates_test.go
@@ -55,11 +55,12 @@
 // fakeCatalogs provides a catalog.
 type fakeCatalogs struct{ view *catalog.Catalog }
 
-func (c *fakeCatalogs) Catalog() *catalog.Catalog              { return c.view }
-func (c *fakeCatalogs) OnCatalog(func(*catalog.Catalog))       {}
-func (c *fakeCatalogs) Position() kernel.CatalogPosition       { return kernel.CatalogPosition{} }
-func (c *fakeCatalogs) ObservePosition(kernel.CatalogPosition) {}
-func (c *fakeCatalogs) ServerLeaves(*catalog.Server)           {}
+func (c *fakeCatalogs) Catalog() *catalog.Catalog                     { return c.view }
+func (c *fakeCatalogs) AwaitCatalog(context.Context) *catalog.Catalog { return c.Catalog() }
+func (c *fakeCatalogs) OnCatalog(func(*catalog.Catalog))              {}
+func (c *fakeCatalogs) Position() kernel.CatalogPosition              { return kernel.CatalogPosition{} }
+func (c *fakeCatalogs) ObservePosition(kernel.CatalogPosition)        {}
+func (c *fakeCatalogs) ServerLeaves(*catalog.Server)                  {}
 func (c *fakeCatalogs) RecordMove(context.Context, string, catalog.MoveStatus) error {
 	return nil
 }
--- a/plugins/stages/dispatcher_test.go
+++ b/plugins/stages/dispatcher_test.go
@@ -21,11 +21,12 @@
 // fixedCatalog provides a catalog snapshot that does not change.
 type fixedCatalog struct{ view *catalog.Catalog }
 
-func (f fixedCatalog) Catalog() *catalog.Catalog                { return f.view }
-func (f fixedCatalog) OnCatalog(func(*catalog.Catalog))         {}
-func (f fixedCatalog) Position() kernel.CatalogPosition         { return kernel.CatalogPosition{} }
-func (f fixedCatalog) ObservePosition(p kernel.CatalogPosition) {}
-func (f fixedCatalog) ServerLeaves(*catalog.Server)             {}
+func (f fixedCatalog) Catalog() *catalog.Catalog                     { return f.view }
+func (f fixedCatalog) AwaitCatalog(context.Context) *catalog.Catalog { return f.Catalog() }
+func (f fixedCatalog) OnCatalog(func(*catalog.Catalog))              {}
+func (f fixedCatalog) Position() kernel.CatalogPosition              { return kernel.CatalogPosition{} }
+func (f fixedCatalog) ObservePosition(p kernel.CatalogPosition)      {}
+func (f fixedCatalog) ServerLeaves(*catalog.Server)                  {}
 func (f fixedCatalog) RecordMove(context.Context, string, catalog.MoveStatus) error {
 	return nil
 }
