Let a second reader stand in for a zone's reader, and spare the store in outages

Cause: an instance whose reader refused or did not respond read the store by itself, all topics, for 0.7 to 3 s. When the store goes away every reader refuses, when it is back every instance asks a reader that does not know it yet, and after a start the reader has not begun to read.

Change: a zone has two candidates. One that is asked for records reads the store from then on, and the request waits 0.2 s for that. A reader that responds but does not reach the store says so; the others then wait 1.2 s before they read the store themselves. A reader that is slow or leaves is replaced at once, as before. The shared states are listed once there is a catalog, which all requests need first. Calls are counted by kind (store_calls).

The test of zoneReaderOf checks the first of zoneReadersOf, the function that replaces it, by the same bound.

--- a/plugins/discovery/discovery.go
+++ b/plugins/discovery/discovery.go
@@ -62,8 +62,13 @@
 	catchingUp         atomic.Bool
 	storeUnresponsive  atomic.Bool       // the last heartbeat to the store failed
 	avoidedReaders     backoff.CoolDowns // zone readers that failed a call recently
-	cancel             context.CancelFunc
-	running            sync.WaitGroup
+	// takenOverUntil is until when this instance reads the store for others, in Unix
+	// nanoseconds. cutOffSince is since when the candidates for the zone's reader have
+	// responded without reaching the store, nil if they do not.
+	takenOverUntil atomic.Int64
+	cutOffSince    atomic.Pointer[time.Time]
+	cancel         context.CancelFunc
+	running        sync.WaitGroup
 	// loaded is closed when the configuration, the servers and the fleet were read for the
 	// first time, loadFailed at the first failed call before that.
 	loaded, loadFailed         chan struct{}
@@ -99,6 +104,7 @@
 	if address := h.Settings.String(section, "address"); address != "" {
 		d.client = platform.NewStoreClient(address, h.Settings.Duration(section, "timeout"))
 		d.client.OnRestored(d.storeRestored)
+		d.client.OnCall(func(call string) { h.Counter(`store_calls{call="` + call + `"}`).Inc(1) })
 	}
 	if h.PeerCalls != nil {
 		h.PeerCalls.HandlePeer(recordsPath, d.serveRecords)
@@ -130,8 +136,16 @@
 	d.sharedState = d.newWatch(platform.SharedStateTopic, serverReadInterval, d.states.apply)
 	d.sharedState.wait = stateReadWait
 	for _, w := range []*watch{d.operators, d.servers, d.sharedState} {
-		w.readPeer, w.readerIsRemote = d.readPeer, d.readerIsRemote
-		d.running.Go(func() { w.run(ctx) })
+		run := w.run
+		if w == d.sharedState {
+			// No request needs the shared states, which would delay what all need.
+			run = func(ctx context.Context) {
+				d.AwaitCatalog(ctx)
+				w.run(ctx)
+			}
+		}
+		w.readPeer, w.readerIsRemote, w.mayReadStore = d.readPeer, d.readerIsRemote, d.mayReadStore
+		d.running.Go(func() { run(ctx) })
 	}
 	d.running.Go(func() { d.states.write(ctx, d.client) })
 	d.running.Go(func() { d.deleteAbandoned(ctx) })
--- a/plugins/discovery/fanout.go
+++ b/plugins/discovery/fanout.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -16,8 +17,9 @@
 
 // One instance of each availability zone, the zone's reader, reads records from
 // the store. The other instances of the zone read from it, so that the number of
-// store calls grows with the zones and not with the instances. An instance whose
-// reader does not respond reads the store itself.
+// store calls grows with the zones and not with the instances. While the reader does not
+// respond, the next candidate takes its place. An instance for which neither can read
+// reads the store itself.
 
 const (
 	recordsPath = "/records"
@@ -29,6 +31,21 @@
 	peerReadWait        = time.Second
 	peerReadSlack       = 300 * time.Millisecond
 	peerTransferTimeout = 1500 * time.Millisecond
+	// standInReadWait and standInReadSlack apply to a candidate that stands in for the first
+	// one, whose failure has taken time already.
+	standInReadWait  = 200 * time.Millisecond
+	standInReadSlack = 200 * time.Millisecond
+	// readerCandidates is the number of instances of a zone that read for the others in turn.
+	readerCandidates = 2
+	// takeoverTime is how long an instance reads the store for others after one of them has
+	// asked it, if it would itself read from another instance. takeoverWait is how long a
+	// request waits until the reads have begun.
+	takeoverTime = 3 * time.Second
+	takeoverWait = 200 * time.Millisecond
+	// cutOffPatience is how long an instance does not read the store itself while the
+	// candidates respond but do not reach the store. If the store is away, all instances of
+	// a zone would call it in vain, and all at once when it is back.
+	cutOffPatience = 1200 * time.Millisecond
 	// slowReceiveTime is how long the response to a read of a zone's reader may take to
 	// arrive before the reader lets other instances read the store themselves.
 	slowReceiveTime = 300 * time.Millisecond
@@ -96,8 +113,8 @@
 func (h *history) setDirect(direct bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.direct = direct
-	if !direct {
+	if h.direct != direct {
+		h.direct = direct
 		h.wakeWaiters()
 	}
 }
@@ -109,18 +126,18 @@
 }
 
 // from returns the records from an offset on, and a channel that is closed when
-// there may be more. It reports false if the instance does not read the store
-// itself or the history does not cover the offset.
+// there may be more. It reports false, and still returns the channel, if the instance does
+// not read the store itself or the history does not cover the offset.
 func (h *history) from(offset uint64) (records []platform.StoreRecord, updated <-chan struct{}, ok bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	next := h.first + uint64(len(h.records))
-	if !h.direct || offset < h.first || offset > next {
-		return nil, nil, false
-	}
 	if h.updated == nil {
 		h.updated = make(chan struct{})
 	}
+	if !h.direct || offset < h.first || offset > next {
+		return nil, h.updated, false
+	}
 	return append(records, h.records[offset-h.first:]...), h.updated, true
 }
 
@@ -131,6 +148,8 @@
 	From  uint64 `cbor:"2,keyasint"`
 	// Era is the store's era of the offset.
 	Era uint64 `cbor:"3,keyasint,omitempty"`
+	// Wait is how long the reader may hold the request, 0 for peerReadWait.
+	Wait time.Duration `cbor:"4,keyasint,omitempty"`
 }
 
 // recordsResponse is the response to a request that states an era.
@@ -139,6 +158,8 @@
 	// is not that of the request.
 	Era     uint64       `cbor:"1,keyasint"`
 	Records []wireRecord `cbor:"2,keyasint"`
+	// CutOff is true if the reader does not reach the store.
+	CutOff bool `cbor:"3,keyasint,omitempty"`
 }
 
 type wireRecord struct {
@@ -163,16 +184,30 @@
 	if q.Era > 0 {
 		d.checkEra(q.Era)
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), peerReadWait)
+	wait := peerReadWait
+	if q.Wait > 0 {
+		wait = min(q.Wait, peerReadWait)
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), wait)
 	defer cancel()
+	takeover := time.After(takeoverWait)
 	for {
 		records, updated, ok := watch.history.from(q.From)
+		if !watch.history.isDirect() && d.canServeReads() {
+			d.takeOver(time.Now())
+			select {
+			case <-updated:
+				continue
+			case <-takeover:
+			case <-ctx.Done():
+			}
+		}
 		if era := watch.era.Load(); q.Era > 0 && era != q.Era {
 			writeRecords(w, era, nil)
 			return
 		}
 		if !ok || !d.canServeReads() {
-			http.Error(w, notServingReads, http.StatusServiceUnavailable)
+			d.refuseRead(w, q, watch)
 			return
 		}
 		if len(records) > 0 {
@@ -194,18 +229,43 @@
 	}
 }
 
+// refuseRead refuses a read, so that the other instance reads from another one or from the
+// store.
+func (d *Discovery) refuseRead(w http.ResponseWriter, q recordsRequest, watch *watch) {
+	if q.Era == 0 || d.isLeaving() || watch.history.isDirect() && d.canServeReads() {
+		http.Error(w, notServingReads, http.StatusServiceUnavailable)
+		return
+	}
+	writeResponse(w, recordsResponse{Era: q.Era, CutOff: true})
+}
+
+// takeOver makes this instance read the store for others that have asked it to, although
+// it takes another one for the zone's reader.
+func (d *Discovery) takeOver(now time.Time) {
+	remote := d.readerIsRemote()
+	before := d.takenOverUntil.Swap(now.Add(takeoverTime).UnixNano())
+	if remote && before < now.UnixNano() {
+		d.host.Counter("reader_takeovers").Inc(1)
+		d.host.Logger.Info("another instance reads from this one, reading the store for it", "for", takeoverTime)
+		interruptReads(d.watches())
+	}
+}
+
 // notServingReads is the response that makes another instance read the store
 // itself.
 const notServingReads = "this instance leaves, does not reach the store, or keeps no records that old"
 
 // canServeReads reports whether other instances may rely on this instance's
 // reads: it is not leaving the fleet, and the store answers its heartbeat.
-func (d *Discovery) canServeReads() bool {
+func (d *Discovery) canServeReads() bool { return !d.isLeaving() && !d.storeUnresponsive.Load() }
+
+// isLeaving reports whether this instance is leaving the fleet.
+func (d *Discovery) isLeaving() bool {
 	select {
 	case <-d.leaving:
-		return false
+		return true
 	default:
-		return !d.storeUnresponsive.Load()
+		return false
 	}
 }
 
@@ -218,11 +278,16 @@
 	}
 	var response any = out
 	if era > 0 {
-		response = recordsResponse{era, out}
+		response = recordsResponse{Era: era, Records: out}
 	}
+	writeResponse(w, response)
+}
+
+// writeResponse writes a response to another instance.
+func writeResponse(w http.ResponseWriter, response any) {
 	body, err := cbor.Marshal(response)
 	if err != nil {
-		panic("discovery: records: " + err.Error())
+		panic("discovery: response to another instance: " + err.Error())
 	}
 	_, _ = w.Write(body) // a peer that has disconnected needs no response
 }
@@ -236,51 +301,93 @@
 	return nil
 }
 
-// usableReader returns the reader of this instance's zone. The result has no ID
-// if the reader is this instance, is unknown or failed a call recently.
-func (d *Discovery) usableReader(now time.Time) kernel.FleetMember {
-	best := d.zoneReader()
-	if best.ID == d.host.ID() || d.avoidedReaders.Active(best.ID, now) {
-		return kernel.FleetMember{}
+// usableReader returns the instance that reads for this one: the first candidate of its zone
+// that has not failed a call recently. The result has no ID if this instance reads the store
+// itself or no candidate can be used. standIn reports whether it is not the first candidate.
+func (d *Discovery) usableReader(now time.Time) (reader kernel.FleetMember, standIn bool) {
+	if now.UnixNano() < d.takenOverUntil.Load() {
+		return kernel.FleetMember{}, false
 	}
-	return best
+	for i, candidate := range d.zoneReaders() {
+		if candidate.ID == d.host.ID() {
+			break
+		}
+		if !d.avoidedReaders.Active(candidate.ID, now) {
+			return candidate, i > 0
+		}
+	}
+	return kernel.FleetMember{}, false
 }
 
-// readerIsRemote reports whether another instance is the zone's reader.
+// readerIsRemote reports whether another instance is to read for this one, even if it
+// cannot be used at the moment.
 func (d *Discovery) readerIsRemote() bool {
-	reader := d.zoneReader()
-	return reader.ID != "" && reader.ID != d.host.ID()
+	now := time.Now()
+	if now.UnixNano() < d.takenOverUntil.Load() {
+		return false
+	}
+	for _, candidate := range d.zoneReaders() {
+		if candidate.ID == d.host.ID() {
+			return false
+		}
+		if !d.avoidedReaders.Active(candidate.ID, now) {
+			return true
+		}
+	}
+	return len(d.zoneReaders()) > 0
+}
+
+// mayReadStore reports whether this instance may read the store itself now that it cannot
+// read from another one.
+func (d *Discovery) mayReadStore(now time.Time) bool {
+	since := d.cutOffSince.Load()
+	return since == nil || now.Sub(*since) >= cutOffPatience || !d.readerIsRemote()
 }
 
-// zoneReader returns the reader of this instance's zone. The result has no ID if
-// no instance of the zone that accepts calls is known.
-func (d *Discovery) zoneReader() kernel.FleetMember {
+// zoneReaders returns the candidates for the reader of this instance's zone, the first one
+// first. It is empty if no instance of the zone that accepts calls is known.
+func (d *Discovery) zoneReaders() []kernel.FleetMember {
 	if d.host.PeerCalls == nil {
-		return kernel.FleetMember{}
+		return nil
 	}
-	return zoneReaderOf(d.host.Zone(), d.Members())
+	return zoneReadersOf(d.host.Zone(), d.Members())
 }
 
-// zoneReaderOf returns the reader of a zone: one of its members with the largest
-// capacity, since it sends every record to all others.
-func zoneReaderOf(zone string, members []kernel.FleetMember) kernel.FleetMember {
-	callable := func(m kernel.FleetMember) bool { return m.Zone == zone && m.Address != "" }
-	var largest float64
-	for _, m := range members {
-		if callable(m) {
-			largest = max(largest, m.Capacity)
+// zoneReadersOf returns the candidates for the reader of a zone: of its members with the
+// largest capacity, since a reader sends every record to all others, and if there is only
+// one of them, of the rest too.
+func zoneReadersOf(zone string, members []kernel.FleetMember) []kernel.FleetMember {
+	var readers []kernel.FleetMember
+	for len(readers) < readerCandidates {
+		callable := func(m kernel.FleetMember) bool {
+			return m.Zone == zone && m.Address != "" && !slices.ContainsFunc(readers, func(r kernel.FleetMember) bool { return r.ID == m.ID })
 		}
+		var largest float64
+		for _, m := range members {
+			if callable(m) {
+				largest = max(largest, m.Capacity)
+			}
+		}
+		next := kernel.FleetOwner(zone+"/reader", members, func(m kernel.FleetMember) bool { return callable(m) && m.Capacity == largest })
+		if next.ID == "" {
+			break
+		}
+		readers = append(readers, next)
 	}
-	return kernel.FleetOwner(zone+"/reader", members, func(m kernel.FleetMember) bool { return callable(m) && m.Capacity == largest })
+	return readers
 }
 
 // readFrom reads records from the zone's reader.
-func (d *Discovery) readFrom(ctx context.Context, reader kernel.FleetMember, topic string, from, era uint64) ([]platform.StoreRecord, error) {
-	body, err := cbor.Marshal(recordsRequest{topic, from, era})
+func (d *Discovery) readFrom(ctx context.Context, reader kernel.FleetMember, standIn bool, topic string, from, era uint64) ([]platform.StoreRecord, error) {
+	wait, slack := peerReadWait, peerReadSlack
+	if standIn {
+		wait, slack = standInReadWait, standInReadSlack
+	}
+	body, err := cbor.Marshal(recordsRequest{topic, from, era, wait})
 	if err != nil {
 		panic("discovery: request for records: " + err.Error())
 	}
-	ctx, call := transfer.Start(ctx, transfer.Limits{Begin: peerReadWait + peerReadSlack, Rest: peerTransferTimeout})
+	ctx, call := transfer.Start(ctx, transfer.Limits{Begin: wait + slack, Rest: peerTransferTimeout})
 	defer call.Stop()
 	data, err := d.host.PeerCalls.CallPeer(ctx, reader.Address, recordsPath, body)
 	if err != nil {
@@ -303,6 +410,9 @@
 	return records, nil
 }
 
+// errReaderCutOff means that a reader does not reach the store.
+var errReaderCutOff = errors.Wrap(kernel.ErrPeerRefused, "the reader does not reach the store")
+
 // decodeRecords decodes the response of the zone's reader to a request with an era.
 func (d *Discovery) decodeRecords(data []byte, era uint64) ([]wireRecord, error) {
 	if era == 0 {
@@ -313,6 +423,9 @@
 	if err := cbor.Unmarshal(data, &response); err != nil {
 		return nil, errors.Wrap(err, "decode records from the zone's reader")
 	}
+	if response.CutOff {
+		return nil, errReaderCutOff
+	}
 	if response.Era != era {
 		d.checkEra(response.Era)
 		return nil, errors.Wrapf(kernel.ErrPeerRefused, "the zone's reader has records of era %d", response.Era)
@@ -323,20 +436,34 @@
 // readPeer reads records from the zone's reader if there is one. It reports
 // whether that succeeded; if not, the store has to be read.
 func (d *Discovery) readPeer(ctx context.Context, topic string, from, era uint64) ([]platform.StoreRecord, bool) {
-	reader := d.usableReader(time.Now())
-	if reader.ID == "" {
-		return nil, false
-	}
-	records, err := d.readFrom(ctx, reader, topic, from, era)
-	if err == nil {
-		return records, true
-	}
-	if ctx.Err() == nil {
+	for range readerCandidates {
+		reader, standIn := d.usableReader(time.Now())
+		if reader.ID == "" {
+			break
+		}
+		records, err := d.readFrom(ctx, reader, standIn, topic, from, era)
+		if err == nil {
+			d.cutOffSince.Store(nil)
+			return records, true
+		}
+		if ctx.Err() != nil {
+			break
+		}
+		d.noteCutOff(time.Now(), err)
 		d.avoidReader(reader, recordsPath, err)
 	}
 	return nil, false
 }
 
+// noteCutOff records since when the candidates have not reached the store.
+func (d *Discovery) noteCutOff(now time.Time, err error) {
+	if errors.Is(err, errReaderCutOff) {
+		d.cutOffSince.CompareAndSwap(nil, &now)
+		return
+	}
+	d.cutOffSince.Store(nil)
+}
+
 // avoidReader excludes a reader after a failed call, for a time that depends on
 // whether it responded at all.
 func (d *Discovery) avoidReader(reader kernel.FleetMember, path string, err error) {
@@ -346,5 +473,5 @@
 	}
 	d.avoidedReaders.Add(reader.ID, time.Now().Add(pause))
 	d.host.Counter("reader_lost").Inc(1)
-	d.host.Logger.Info("zone reader failed, reading from the store", "reader", reader.ID, "path", path, "for", pause, "error", err)
+	d.host.Logger.Info("zone reader failed, not reading from it", "reader", reader.ID, "path", path, "for", pause, "error", err)
 }
--- a/plugins/discovery/fanout_test.go
+++ b/plugins/discovery/fanout_test.go
@@ -59,9 +59,9 @@
 			}
 		}
 		for i := range 10 {
-			So(zoneReaderOf(fmt.Sprint("z", i), members).Capacity, ShouldEqual, 200)
+			So(zoneReadersOf(fmt.Sprint("z", i), members)[0].Capacity, ShouldEqual, 200)
 		}
-		So(zoneReaderOf("z10", members).ID, ShouldBeEmpty)
+		So(zoneReadersOf("z10", members), ShouldBeEmpty)
 	})
 }
 
--- a/plugins/discovery/fleet.go
+++ b/plugins/discovery/fleet.go
@@ -143,7 +143,12 @@
 	f.generation, f.heldPartitions = group.Generation, len(group.Partitions)
 	if d.storeUnresponsive.Swap(false) {
 		d.host.Logger.Info("metadata store answers the heartbeat again, restarting store reads")
-		d.noteStoreAvailable(time.Now())
+		now := time.Now()
+		d.noteStoreAvailable(now)
+		if since := d.cutOffSince.Load(); since != nil {
+			// The readers need time to find the store available, too.
+			d.cutOffSince.CompareAndSwap(since, &now)
+		}
 		interruptReads(d.watches())
 	}
 	return true
@@ -162,13 +167,13 @@
 func (f *fleetMembership) refreshMembers(ctx context.Context, now time.Time) {
 	d := f.d
 	f.checkEra()
-	if reader := d.usableReader(now); reader.ID != "" {
+	if reader, _ := d.usableReader(now); reader.ID != "" {
 		if members, ok := d.readMembers(ctx, reader); ok {
 			d.setMembers(members)
 			return
 		}
 	}
-	if d.storeUnresponsive.Load() || f.listedGeneration == f.generation && now.Sub(f.listedAt) < membersRefreshInterval {
+	if d.storeUnresponsive.Load() || d.Members() != nil && !d.mayReadStore(now) || f.listedGeneration == f.generation && now.Sub(f.listedAt) < membersRefreshInterval {
 		return
 	}
 	parts, err := d.client.Owners(ctx, fleetGroup)
--- a/plugins/discovery/watch.go
+++ b/plugins/discovery/watch.go
@@ -80,7 +80,10 @@
 	// instance reads from the store.
 	readPeer       func(ctx context.Context, topic string, from, era uint64) ([]platform.StoreRecord, bool)
 	readerIsRemote func() bool
-	history        history
+	// mayReadStore reports whether this instance may read the store itself if readPeer
+	// did not succeed.
+	mayReadStore func(now time.Time) bool
+	history      history
 }
 
 // run follows the topic until the context ends.
@@ -98,6 +101,9 @@
 			return
 		case err != nil && interrupted():
 			continue // the read was interrupted to be restarted
+		case errors.Is(err, errReadersCutOff):
+			backoff.Sleep(ctx, refusingReaderAvoidTime/2)
+			continue
 		case errors.Is(err, platform.ErrStoreRestored):
 			pause.Wait(ctx)
 			continue // the topic is listed again
@@ -143,6 +149,10 @@
 // answer the heartbeat.
 var errStoreUnresponsive = errors.Wrap(platform.ErrStoreUnavailable, "store not called: last heartbeat failed")
 
+// errReadersCutOff means that the store was not called because the readers of the zone do
+// not reach it.
+var errReadersCutOff = errors.New("store not called: the zone's readers do not reach it")
+
 // step makes one listing or one read. It reads from the zone's reader if possible
 // and otherwise from the store.
 func (w *watch) step(ctx context.Context) error {
@@ -162,6 +172,10 @@
 			w.applyNext(records)
 			return nil
 		}
+		if !w.mayReadStore(time.Now()) {
+			w.history.setDirect(false)
+			return errReadersCutOff
+		}
 	}
 	if w.storeUnresponsive() {
 		w.history.setDirect(false)
--- a/test/passthrough/fleet_test.go
+++ b/test/passthrough/fleet_test.go
@@ -137,3 +137,40 @@
 		So(calls, ShouldBeGreaterThan, 3)
 	})
 }
+
+// TestReadersDuringOutage guards against a zone whose instances all call the store when it
+// goes away and when it is back, because their reader does not reach it either.
+func TestReadersDuringOutage(t *testing.T) {
+	Convey("With twelve instances in a zone", t, func() {
+		const (
+			instances = 12
+			topics    = 3
+			outage    = 3 * time.Second
+			after     = 2500 * time.Millisecond
+			// readWait is how long the store may hold a read without records.
+			readWait = 700 * time.Millisecond
+			readers  = 2
+		)
+		c := New(t)
+		c.Store.PutConfig(config(1))
+		for i := range instances {
+			c.Start(fmt.Sprint("e", i), "z1", true, "")
+		}
+		c.WaitMembers(instances)
+		c.Eventually("only one instance reads the store", func() bool {
+			before := c.Store.Reads.Load()
+			time.Sleep(2 * time.Second)
+			return c.Store.Reads.Load()-before < 10
+		})
+		Convey("after an outage no more than the candidates read it", func() {
+			c.Store.Unresponsive.Store(true)
+			time.Sleep(outage)
+			before := c.Store.Reads.Load()
+			c.Store.Unresponsive.Store(false)
+			time.Sleep(after)
+			reads := c.Store.Reads.Load() - before
+			So(reads, ShouldBeGreaterThan, 0)
+			So(reads, ShouldBeLessThanOrEqualTo, readers*topics*int64(after/readWait+2))
+		})
+	})
+}
