Let a reader say that it is cut off also where the store states no era

Requests now state how long they may be held, and all that do get the full response.

Test: TestReadersDuringOutage runs with and without eras, and also counts the reads that arrive while the store is away.

--- a/plugins/discovery/fanout.go
+++ b/plugins/discovery/fanout.go
@@ -148,11 +148,13 @@
 	From  uint64 `cbor:"2,keyasint"`
 	// Era is the store's era of the offset.
 	Era uint64 `cbor:"3,keyasint,omitempty"`
-	// Wait is how long the reader may hold the request, 0 for peerReadWait.
+	// Wait is how long the reader may hold the request. Instances of earlier versions do not
+	// state it.
 	Wait time.Duration `cbor:"4,keyasint,omitempty"`
 }
 
-// recordsResponse is the response to a request that states an era.
+// recordsResponse is the response to a request that states an era or a wait. The response
+// to any other is a list of records only.
 type recordsResponse struct {
 	// Era is the era in which the reader has listed the topic. There are no records if it
 	// is not that of the request.
@@ -203,7 +205,7 @@
 			}
 		}
 		if era := watch.era.Load(); q.Era > 0 && era != q.Era {
-			writeRecords(w, era, nil)
+			writeRecords(w, q, era, nil)
 			return
 		}
 		if !ok || !d.canServeReads() {
@@ -211,7 +213,7 @@
 			return
 		}
 		if len(records) > 0 {
-			writeRecords(w, q.Era, records)
+			writeRecords(w, q, q.Era, records)
 			return
 		}
 		if watch.pending.receivingFor(time.Now()) > slowReceiveTime {
@@ -219,7 +221,7 @@
 			return
 		}
 		if ctx.Err() != nil {
-			writeRecords(w, q.Era, nil)
+			writeRecords(w, q, q.Era, nil)
 			return
 		}
 		select {
@@ -232,7 +234,7 @@
 // refuseRead refuses a read, so that the other instance reads from another one or from the
 // store.
 func (d *Discovery) refuseRead(w http.ResponseWriter, q recordsRequest, watch *watch) {
-	if q.Era == 0 || d.isLeaving() || watch.history.isDirect() && d.canServeReads() {
+	if !q.takesResponse() || d.isLeaving() || watch.history.isDirect() && d.canServeReads() {
 		http.Error(w, notServingReads, http.StatusServiceUnavailable)
 		return
 	}
@@ -269,15 +271,17 @@
 	}
 }
 
-// writeRecords writes records of an era. Without an era, the response is a list of records
-// only, as instances expect it that know of none.
-func writeRecords(w http.ResponseWriter, era uint64, records []platform.StoreRecord) {
+// takesResponse reports whether the sender of a request expects a recordsResponse.
+func (q recordsRequest) takesResponse() bool { return q.Era > 0 || q.Wait > 0 }
+
+// writeRecords writes records of an era.
+func writeRecords(w http.ResponseWriter, q recordsRequest, era uint64, records []platform.StoreRecord) {
 	out := make([]wireRecord, len(records))
 	for i, r := range records {
 		out[i] = wireRecord{r.Key, r.Value, r.Offset}
 	}
 	var response any = out
-	if era > 0 {
+	if q.takesResponse() {
 		response = recordsResponse{Era: era, Records: out}
 	}
 	writeResponse(w, response)
@@ -413,11 +417,12 @@
 // errReaderCutOff means that a reader does not reach the store.
 var errReaderCutOff = errors.Wrap(kernel.ErrPeerRefused, "the reader does not reach the store")
 
-// decodeRecords decodes the response of the zone's reader to a request with an era.
+// decodeRecords decodes the response of the zone's reader to a request for records of an
+// era.
 func (d *Discovery) decodeRecords(data []byte, era uint64) ([]wireRecord, error) {
-	if era == 0 {
-		var wire []wireRecord
-		return wire, errors.Wrap(cbor.Unmarshal(data, &wire), "decode records from the zone's reader")
+	var wire []wireRecord
+	if era == 0 && cbor.Unmarshal(data, &wire) == nil {
+		return wire, nil // from an instance of an earlier version
 	}
 	var response recordsResponse
 	if err := cbor.Unmarshal(data, &response); err != nil {
--- a/test/passthrough/fleet_test.go
+++ b/test/passthrough/fleet_test.go
@@ -141,7 +141,13 @@
 // TestReadersDuringOutage guards against a zone whose instances all call the store when it
 // goes away and when it is back, because their reader does not reach it either.
 func TestReadersDuringOutage(t *testing.T) {
-	Convey("With twelve instances in a zone", t, func() {
+	for _, statesEra := range []bool{true, false} {
+		testReadersDuringOutage(t, statesEra)
+	}
+}
+
+func testReadersDuringOutage(t *testing.T, statesEra bool) {
+	Convey(fmt.Sprint("With twelve instances in a zone, of a store that states its era: ", statesEra), t, func() {
 		const (
 			instances = 12
 			topics    = 3
@@ -152,6 +158,7 @@
 			readers  = 2
 		)
 		c := New(t)
+		c.Store.StatesNoEra.Store(!statesEra)
 		c.Store.PutConfig(config(1))
 		for i := range instances {
 			c.Start(fmt.Sprint("e", i), "z1", true, "")
@@ -163,9 +170,11 @@
 			return c.Store.Reads.Load()-before < 10
 		})
 		Convey("after an outage no more than the candidates read it", func() {
+			before := c.Store.Attempts.Load()
 			c.Store.Unresponsive.Store(true)
 			time.Sleep(outage)
-			before := c.Store.Reads.Load()
+			So(c.Store.Attempts.Load()-before, ShouldBeLessThanOrEqualTo, readers*topics*int64(outage/readWait+2))
+			before = c.Store.Reads.Load()
 			c.Store.Unresponsive.Store(false)
 			time.Sleep(after)
 			reads := c.Store.Reads.Load() - before
