Take during a planned stop only what can end before the abort

Another operator reported requests that were taken late in the grace, passed on, and cut at its end.

Cause: an instance took everything for the drain time, and aborted all of it at one moment.

Work goes on only if its own deadline, or the time that nearly all complete requests of its route took, ends before the abort. Calls to stage servers and requests for turns no longer outlast the stop.

--- a/kernel/host.go
+++ b/kernel/host.go
@@ -46,6 +46,8 @@
 	LogLevel *slog.LevelVar
 	Metrics  metrics.Registry
 	Instance *Instance
+	// StopBudget decides which requests an instance that stops still takes on.
+	StopBudget StopBudget
 
 	Decisions     Decisions
 	Transport     Transport
--- a/kernel/run.go
+++ b/kernel/run.go
@@ -113,6 +113,9 @@
 	if !r.deadline.After(now) {
 		return Outcome{Kind: NotRun, Reason: ReasonDeadline, Detail: "the deadline has passed"}
 	}
+	if v := r.host.StopBudget.Fits(now, r.route.Name, r.deadline); !v.Fits {
+		return r.refuseStopping(v)
+	}
 	r.fingerprint = fingerprintOf(r.req)
 	if g := r.host.CrashGuard; g != nil && g.Refuse(now, r.fingerprint) {
 		return Outcome{Kind: NotRun, Reason: ReasonCrashes, Detail: "backend servers died while they ran this request", RetryAfter: time.Minute}
@@ -126,6 +129,18 @@
 	return Outcome{}
 }
 
+// stopRetryAfter is the retry delay for a caller that is to turn to another instance.
+const stopRetryAfter = 300 * time.Millisecond
+
+// refuseStopping returns the outcome of a request that cannot end before the instance stops.
+func (r *run) refuseStopping(v StopVerdict) Outcome {
+	r.host.Counter("refused_during_stop").Inc(1)
+	r.host.Logger.Info("refused during a stop", "request", r.req.ID, "route", r.route.Name, "stop_left", v.Left, "expected", v.Expected, "expected_known", v.Known)
+	out := r.fail(ReasonLeaving, "the instance stops before the request could end")
+	out.RetryAfter = stopRetryAfter
+	return out
+}
+
 // authorize finds the route and the client account.
 func (r *run) authorize() Outcome {
 	r.route = r.snap.Tables.Routes[r.req.Route]
@@ -246,12 +261,18 @@
 // runStages runs all stages in order.
 func (r *run) runStages(ctx context.Context) Result {
 	for i, stage := range r.route.Stages {
+		began := time.Now()
+		kind := r.route.Name + "/" + stage.Name
+		if v := r.host.StopBudget.Fits(began, kind, r.deadline); !v.Fits && !r.nonIdempotentSent {
+			return Result{Outcome: r.refuseStopping(v)}
+		}
 		r.costs = append(r.costs, StageCost{Stage: stage.Name, Pool: stage.Pool})
 		s := &stageRun{run: r, stage: stage, pool: r.snap.Pool(stage.Pool), cost: &r.costs[i]}
 		s.deadline = r.stageDeadline(time.Now(), stage)
 		if out := s.do(ctx); out.Kind != "" {
 			return Result{Outcome: out}
 		}
+		r.host.StopBudget.Observe(kind, time.Since(began))
 	}
 	return Result{Outcome: Outcome{Kind: Served}, Answer: r.lastAnswer}
 }
@@ -288,6 +309,9 @@
 	}
 	h.addCount(requestsFamily, route, string(result.Outcome.Kind), 1)
 	h.observeDuration(requestSecondsFamily, route, int64(took))
+	if r.route != nil && result.Outcome.Kind == Served && !result.Replayed {
+		h.StopBudget.Observe(route, took)
+	}
 	for _, c := range result.Costs {
 		wasted := c.WastedMS
 		if result.Outcome.Kind != Served {
--- a/kernel/settings.go
+++ b/kernel/settings.go
@@ -27,7 +27,7 @@
 	s.Add(
 		config.Key{Section: "instance", Name: "id", Required: true, Doc: "name of this instance, unique among all instances"},
 		config.Key{Section: "instance", Name: "zone", Required: true, Doc: "availability zone of this instance"},
-		config.Key{Section: "instance", Name: "stop_timeout", Kind: config.Duration, Default: "30s", Doc: "maximum duration of a graceful stop; requests in progress get four fifths of it, so those of routes with longer deadlines may be aborted"},
+		config.Key{Section: "instance", Name: "stop_timeout", Kind: config.Duration, Default: "30s", Doc: "maximum duration of a graceful stop; requests in progress get four fifths of it, and what is not expected to end by then is refused as not run"},
 		config.Key{Section: "instance", Name: "settle", Kind: config.Duration, Default: "1s", Doc: "how long an instance that left still counts in the shares of the servers' limits, and how long a new instance uses no share"},
 		config.Key{Section: "instance", Name: "disable", Kind: config.List, Doc: "IDs of modules that are disabled"},
 		config.Key{Section: "log", Name: "format", Kind: config.Enum, Accepted: []string{"text", "json"}, Default: "text", Doc: "format of log lines"},
--- a/plugins/entryhttp/entryhttp.go
+++ b/plugins/entryhttp/entryhttp.go
@@ -105,6 +105,9 @@
 // balancer sees that the instance is not ready. Then it refuses new connections
 // and waits for the requests that have reached it until ctx is done.
 func (e *Entry) Stop(ctx context.Context) error {
+	if deadline, ok := ctx.Deadline(); ok {
+		e.host.StopBudget.Begin(deadline)
+	}
 	drained := time.NewTimer(e.drain)
 	defer drained.Stop()
 	select {
--- a/plugins/forward/forward.go
+++ b/plugins/forward/forward.go
@@ -154,7 +154,10 @@
 
 // PrepareStop implements kernel.StopPreparer. From then on the instance reports
 // that it is not ready and asks callers to close their connections.
-func (f *Forward) PrepareStop() { f.leaving.Store(true) }
+func (f *Forward) PrepareStop() {
+	f.host.StopBudget.Begin(time.Now().Add(f.host.Settings.Duration(section, "grace") - stopMargin - abortMargin))
+	f.leaving.Store(true)
+}
 
 const (
 	// stopMargin is the part of the grace period kept for the steps after the
--- a/plugins/forward/request.go
+++ b/plugins/forward/request.go
@@ -114,6 +114,9 @@
 		outcome = f.run(ctx, w, r)
 		stop()
 		cancel()
+		if outcome.Kind == kernel.Served {
+			f.host.StopBudget.Observe(r.route.Name, time.Since(now))
+		}
 		if outcome.Reason == kernel.ReasonCallerGone && f.requestsCtx.Err() != nil {
 			outcome.Reason, outcome.Detail, outcome.RetryAfter = kernel.ReasonLeaving, "the instance stops", retryAfterBusy
 		}
@@ -147,6 +150,9 @@
 	r.sharedParts = sharedParts(&r.call)
 	r.log.Add("accepted", "route", r.route.Name, "kind", r.route.Kind.String(), "service", r.service.Name, "account", r.accountName(),
 		"config", r.view.Config.Version, "catalog_epoch", r.view.Epoch, "left", r.deadline.Sub(r.began))
+	if out := f.checkStop(time.Now(), r, r.route.Name); out.Kind != "" {
+		return out
+	}
 	if f.refusesParts(r) {
 		return partsRefused
 	}
@@ -175,6 +181,22 @@
 	return view
 }
 
+// checkStop refuses work of a request that cannot end before this instance stops. The
+// outcome is empty if the work may begin.
+func (f *Forward) checkStop(now time.Time, r *request, kind string) kernel.Outcome {
+	v := f.host.StopBudget.Fits(now, kind, r.deadline)
+	if v.Fits {
+		return kernel.Outcome{}
+	}
+	r.log.Add("refused during a stop", "work", kind, "stop_left", v.Left, "expected", v.Expected, "expected_known", v.Known, "left", r.deadline.Sub(now))
+	f.host.Counter("refused_during_stop").Inc(1)
+	return kernel.Outcome{Kind: kernel.NotRun, Reason: kernel.ReasonLeaving, Detail: "the instance stops before the request could end", RetryAfter: retryAfterBusy}
+}
+
+// sendKind returns the kind of work that is sending a request of a route to a server, for
+// the time that it takes.
+func sendKind(r *request) string { return r.route.Name + "/send" }
+
 // findRoute returns the route that matches the path and the host, with or
 // without its port.
 func findRoute(view *catalog.Catalog, hr *http.Request) *catalog.Route {
--- a/plugins/forward/send.go
+++ b/plugins/forward/send.go
@@ -66,6 +66,9 @@
 		if f.refusesParts(r) {
 			return unknownIfRan(ran, partsRefused)
 		}
+		if out := f.checkStop(now, r, sendKind(r)); out.Kind != "" {
+			return unknownIfRan(ran, out)
+		}
 		c, ok := f.choose(ctx, now, r)
 		if !ok && r.delay.For == 0 && !ran && r.resetTried(n == 0) {
 			c, ok = f.choose(ctx, now, r)
@@ -87,6 +90,9 @@
 			"inputs_zone", r.inputZone, "input_bytes", r.inputBytes, "shared_tokens", r.sharedTokens,
 			"entry_age", now.Sub(c.server.FirstSeen), "left", r.deadline.Sub(now))
 		result, out := f.sendOnce(ctx, a, r, c)
+		if out.Kind == kernel.Served {
+			f.host.StopBudget.Observe(sendKind(r), time.Since(now))
+		}
 		f.host.CountSend(r.service.Name, result.String())
 		r.tried[c.server.ID] = true
 		if result != sendNotSent {
--- a/plugins/stages/call.go
+++ b/plugins/stages/call.go
@@ -93,7 +93,7 @@
 	if err != nil {
 		return nil, err
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	ctx, cancel := context.WithTimeout(s.callsContext(), timeout)
 	defer cancel()
 	began := time.Now()
 	x, err := s.pool.Do(ctx, &upstream.Request{
--- a/plugins/stages/stages.go
+++ b/plugins/stages/stages.go
@@ -56,6 +56,9 @@
 	nextID     atomic.Uint64
 	cancel     context.CancelFunc
 	done       sync.WaitGroup
+	// callsCtx ends when the module stops, once nobody waits for the calls any more.
+	callsCtx    context.Context
+	cancelCalls context.CancelFunc
 }
 
 // Provision implements kernel.Provisioner.
@@ -64,6 +67,7 @@
 	s.shared = h.Settings.Bool(section, "shared") && h.PeerCalls != nil
 	s.groups = make(map[groupKey]*group)
 	s.pool = upstream.New(upstream.FleetOptions())
+	s.callsCtx, s.cancelCalls = context.WithCancel(context.Background())
 	s.pendingReleases.handles = make(map[string][]string)
 	s.peers.links = make(map[groupKey]*peerLink)
 	if h.Catalogs != nil {
@@ -85,11 +89,20 @@
 // Stop implements kernel.Stopper.
 func (s *Stages) Stop(context.Context) error {
 	s.cancel()
+	s.cancelCalls()
 	s.done.Wait()
 	s.pool.Close()
 	return nil
 }
 
+// callsContext returns the context of calls to stage servers.
+func (s *Stages) callsContext() context.Context {
+	if s.callsCtx == nil {
+		return context.Background() // groups are also used without the module
+	}
+	return s.callsCtx
+}
+
 // maintain handles overdue calls, sends releases and probes dispatchers until
 // the context ends.
 func (s *Stages) maintain(ctx context.Context) {
--- a/plugins/stages/turns.go
+++ b/plugins/stages/turns.go
@@ -1,7 +1,6 @@
 package stages
 
 import (
-	"context"
 	"time"
 
 	"github.com/savoryfold/savoryfold/kernel"
@@ -31,7 +30,7 @@
 	}
 	s.askingForTurn = true
 	g.stages.done.Go(func() {
-		turn := g.stages.host.AcquireTurn(context.Background(), q)
+		turn := g.stages.host.AcquireTurn(g.stages.callsContext(), q)
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		now := time.Now()
--- a/test/passthrough/cluster.go
+++ b/test/passthrough/cluster.go
@@ -23,7 +23,9 @@
 type Cluster struct {
 	Store     *platformtest.Store
 	Instances []*Instance
-	t         *testing.T
+	// Drain is the drain time of instances that are started from now on.
+	Drain time.Duration
+	t     *testing.T
 }
 
 // Instance is one instance and its addresses.
@@ -58,7 +60,7 @@
 // New starts a store. The store and the cluster's instances stop at the end of
 // the test.
 func New(t *testing.T) *Cluster {
-	c := &Cluster{Store: platformtest.NewStore(), t: t}
+	c := &Cluster{Store: platformtest.NewStore(), Drain: 200 * time.Millisecond, t: t}
 	t.Cleanup(c.close)
 	return c
 }
@@ -73,7 +75,7 @@
 	peer := freeAddress(c.t)
 	text := platformtest.Settings{
 		ID: id, Zone: zone, Store: c.Store.Address(), Peer: peer, Listen: in.Address, Readiness: in.Readiness,
-		MemberTTL: time.Second, Drain: 200 * time.Millisecond, RepeatExtra: 100, Extra: settings,
+		MemberTTL: time.Second, Drain: c.Drain, RepeatExtra: 100, Extra: settings,
 	}.Text()
 	s, err := kernel.Schema().Load("test", []byte(text))
 	if err != nil {
