Use more topics of members when the fleet has more instances than partitions

The number of topics in the settings (16, of 12 to 24 partitions on the sites) bounded the fleet: an instance beyond it was never known to the others, which found no fault but a log line. Members are read from all topics of the group, so that instances need not agree on their number: one that got no partition in two topics uses twice as many, 80 at most.

Test: TestMoreInstancesThanPartitions, 28 instances and 24 partitions; before, 20 s passed without all members.

--- a/plugins/discovery/discovery.go
+++ b/plugins/discovery/discovery.go
@@ -37,7 +37,7 @@
 			{Section: section, Name: "address", Kind: config.Address, Doc: "address of the platform's metadata store; empty means none"},
 			{Section: section, Name: "timeout", Kind: config.Duration, Default: "1500ms", Doc: "timeout of a call to the store, excluding the time that a read waits for records"},
 			{Section: section, Name: "member_ttl", Kind: config.Duration, Default: "3s", Doc: "time without a heartbeat after which an instance is removed from the fleet"},
-			{Section: section, Name: "member_topics", Kind: config.Int, Default: "16", Doc: "number of topics over which the instances spread; each instance must hold a partition of one topic to be known, so the total number of partitions limits the size of the fleet"},
+			{Section: section, Name: "member_topics", Kind: config.Int, Default: "16", Doc: "number of topics over which the instances spread; each instance must hold a partition of one topic to be known. Instances that get none use more topics, after some seconds"},
 			{Section: section, Name: "capacity", Kind: config.Float, Default: "1", Doc: "capacity of this instance relative to others, such as its link in Mbit/s; it gets a proportional share of the tasks that one instance does for all"},
 			{Section: section, Name: "peer_address", Kind: config.Address, Doc: "address at which this instance accepts calls from other instances; empty means none"},
 		},
--- a/plugins/discovery/fleet.go
+++ b/plugins/discovery/fleet.go
@@ -101,6 +101,10 @@
 // their next join or the one after it.
 const emptyJoinsPerTopic = 4
 
+// maxMemberTopics bounds the topics of members. The store has 100 topics at most, of which
+// others are used for records.
+const maxMemberTopics = 80
+
 // topicName returns the topic that this instance currently joins with.
 func (f *fleetMembership) topicName() string {
 	return fmt.Sprintf("fleet-%d", (policy.Rendezvous(fleetGroup, f.self.ID)+f.topicOffset)%f.topicCount)
@@ -122,9 +126,20 @@
 		return
 	}
 	if f.emptyJoins++; f.emptyJoins%emptyJoinsPerTopic == 0 {
-		f.topicOffset++
-		f.d.host.Logger.Info("no partition assigned, changing to another topic", "topic", f.topicName(), "joins", f.emptyJoins)
+		f.changeTopic()
+	}
+}
+
+// changeTopic selects another topic, and of twice as many topics as before once the first
+// change was in vain too: the fleet has more instances than all topics have partitions. Members
+// are read from all topics of the group, so that instances need not agree on the number.
+func (f *fleetMembership) changeTopic() {
+	f.topicOffset++
+	if f.emptyJoins > emptyJoinsPerTopic && f.topicCount < maxMemberTopics {
+		f.topicCount = min(2*f.topicCount, maxMemberTopics)
+		f.d.host.Counter("member_topics_added").Inc(1)
 	}
+	f.d.host.Logger.Info("no partition assigned, changing to another topic", "topic", f.topicName(), "topics", f.topicCount, "joins", f.emptyJoins)
 }
 
 // joinOnce sends one heartbeat and reports whether it succeeded.
--- a/test/passthrough/fleet_test.go
+++ b/test/passthrough/fleet_test.go
@@ -91,6 +91,19 @@
 	})
 }
 
+// TestMoreInstancesThanPartitions guards against a fleet whose size is bounded by the number
+// of topics in the settings: the instances beyond it were unknown to all.
+func TestMoreInstancesThanPartitions(t *testing.T) {
+	Convey("With more instances than all topics of the settings have partitions, all are discovered", t, func() {
+		c := New(t)
+		c.Store.PutConfig(config(1))
+		for i := range 28 {
+			c.Start(fmt.Sprintf("e%d", i), "z1", false, "")
+		}
+		c.WaitMembers(28)
+	})
+}
+
 // TestZoneOutWithoutConcurrentCalls guards against a stage server that gets two
 // concurrent calls. A zone with its own stage servers is taken out, so that its
 // instances have no stage servers while the other zones continue.
