Do not take a response that was on its way for a sign that readers reach the store

Their read of another topic was answered, empty, after a reader had said that it was cut off, and ended the wait. A response from a reader that is avoided meanwhile no longer does.

--- a/plugins/discovery/fanout.go
+++ b/plugins/discovery/fanout.go
@@ -448,7 +448,10 @@
 		}
 		records, err := d.readFrom(ctx, reader, standIn, topic, from, era)
 		if err == nil {
-			d.cutOffSince.Store(nil)
+			// A response that was on its way while another call failed proves nothing.
+			if !d.avoidedReaders.Active(reader.ID, time.Now()) {
+				d.cutOffSince.Store(nil)
+			}
 			return records, true
 		}
 		if ctx.Err() != nil {
