Do not close connections as idle of whose next request a part was read

Cause: 50 ms after the drain a stop called SetKeepAlivesEnabled(false), which closes the connections that http.Server counts as idle. It counts them so until it has read the whole head of the next request, so that one that is being read is served into a closed connection.

Change: a stop closes a connection that waits for a request only by a read deadline in the past, which takes effect only if no byte of the request was read; each response closes its connection. Bytes that are no request have a second to become one.

Test: TestStopAnswersRequestsBeingRead, with and without TLS, fails before with 'unexpected EOF'.

--- a/internal/callerserver/conn.go
+++ b/internal/callerserver/conn.go
@@ -4,10 +4,12 @@
 	"cmp"
 	"context"
 	"crypto/tls"
+	"io"
 	"log/slog"
 	"net"
 	"net/http"
 	"sync"
+	"time"
 )
 
 // callerConn is a connection of a caller.
@@ -15,6 +17,81 @@
 	*net.TCPConn
 	// sentBytes and multiplexed are used by the goroutine that serves the connection.
 	sentBytes, multiplexed bool
+
+	mu sync.Mutex
+	// idle is true from the end of a response until the head of the next request was read;
+	// guarded by mu.
+	idle bool
+	// receivedAt is when bytes were last read after the last write, zero if none were: a part
+	// of the next request, or the rest of a body that the response did not wait for; guarded
+	// by mu.
+	receivedAt time.Time
+	// ending is true if the connection ends unless a byte is read first; guarded by mu.
+	ending bool
+}
+
+// Read implements net.Conn.
+func (c *callerConn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if n > 0 {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.receivedAt = time.Now()
+		if c.ending {
+			c.ending = false
+			_ = c.TCPConn.SetReadDeadline(time.Time{}) // http.Server sets its own next
+		}
+	}
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *callerConn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	c.receivedAt = time.Time{}
+	c.mu.Unlock()
+	return c.TCPConn.Write(p)
+}
+
+// ReadFrom implements io.ReaderFrom, for which a net.TCPConn has a fast path.
+func (c *callerConn) ReadFrom(r io.Reader) (int64, error) {
+	c.mu.Lock()
+	c.receivedAt = time.Time{}
+	c.mu.Unlock()
+	return c.TCPConn.ReadFrom(r)
+}
+
+// past is a deadline that has passed.
+var past = time.Unix(1, 0)
+
+// SetReadDeadline implements net.Conn. A connection that is ending keeps its deadline.
+func (c *callerConn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ending {
+		t = past
+	}
+	return c.TCPConn.SetReadDeadline(t)
+}
+
+// setIdle records whether the connection waits for a request.
+func (c *callerConn) setIdle(idle bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idle = idle
+}
+
+// endIfIdle makes the connection end if it waits for a request of which nothing was read. The
+// goroutine that serves it then closes it. Bytes that have arrived and may be a part of the
+// request have headTime to become one.
+func (c *callerConn) endIfIdle(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.idle || c.ending || now.Sub(c.receivedAt) < headTime {
+		return
+	}
+	c.ending = true
+	_ = c.TCPConn.SetReadDeadline(past)
 }
 
 // reset closes the connection with a reset, and before TLS could announce its end.
@@ -61,6 +138,12 @@
 			s.multiplexed.Add(1)
 		}
 	}
+	conn.setIdle(state == http.StateIdle)
+	if state == http.StateIdle && !conn.multiplexed {
+		s.idle.Store(conn, nil)
+	} else {
+		s.idle.Delete(conn)
+	}
 	if state == http.StateClosed || state == http.StateHijacked {
 		s.open.Add(-1)
 		if conn.multiplexed {
--- a/internal/callerserver/server.go
+++ b/internal/callerserver/server.go
@@ -31,7 +31,10 @@
 	backlogTime = 50 * time.Millisecond
 	// silentTime is how long a server that stops waits for a connection that has sent
 	// nothing. closeCheckInterval is the time between checks that connections are closed.
-	silentTime         = 300 * time.Millisecond
+	silentTime = 300 * time.Millisecond
+	// headTime is how long a server that stops waits for the rest of a request's head after
+	// bytes of it have arrived.
+	headTime           = time.Second
 	closeCheckInterval = 2 * time.Millisecond
 )
 
@@ -68,6 +71,10 @@
 	open, silent, multiplexed atomic.Int64
 	// unfinished has the connections with a request of HTTP/1.0 in progress as its keys.
 	unfinished sync.Map
+	// idle has the connections that wait for a request as its keys.
+	idle sync.Map
+	// stopping is true from the time from which each response closes its connection.
+	stopping atomic.Bool
 
 	mu       sync.Mutex
 	listener *net.TCPListener // guarded by mu
@@ -145,6 +152,9 @@
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	s.inProgress.Add(1)
 	defer s.inProgress.Add(-1)
+	if s.stopping.Load() && r.ProtoMajor == 1 {
+		w.Header().Set("Connection", "close")
+	}
 	conn := callerConnOf(r)
 	if conn == nil || r.ProtoAtLeast(1, 1) {
 		s.options.Handler.ServeHTTP(w, r)
@@ -211,10 +221,10 @@
 	servers := s.servers
 	s.mu.Unlock()
 	// http.Server.Shutdown would drop the requests of HTTP/1 that it reads from then on
-	// without a response. Without keep-alive, each connection closes after its response.
-	for _, server := range servers {
-		server.SetKeepAlivesEnabled(false)
-	}
+	// without a response, and SetKeepAlivesEnabled closes connections as idle of whose next
+	// request a part was read. Instead each response closes its connection, and
+	// awaitRequests ends those that are idle.
+	s.stopping.Store(true)
 	err := s.awaitRequests(ctx)
 	if err == nil && s.multiplexed.Load() > 0 {
 		for _, server := range servers {
@@ -236,6 +246,11 @@
 func (s *Server) awaitRequests(ctx context.Context) error {
 	began := time.Now()
 	for {
+		now := time.Now()
+		s.idle.Range(func(conn, _ any) bool {
+			conn.(*callerConn).endIfIdle(now)
+			return true
+		})
 		open := s.open.Load() - s.multiplexed.Load()
 		if open == 0 || open == s.silent.Load() && time.Since(began) > silentTime {
 			return nil
