Wait for the shared states before the first request too, and measure a pause at the answer

Cause: listed the shared states only after the catalog, so that the first requests were served without what the fleet knows of such parts. They are listed at once again, and requests wait for them like for the catalog. The test has a new case, the first request of an instance while the store takes 100 ms a call: 502 before, 503 after.

--- a/kernel/catalogs.go
+++ b/kernel/catalogs.go
@@ -13,7 +13,8 @@
 	// Catalog returns the current catalog, or nil before the first configuration.
 	Catalog() *catalog.Catalog
 	// AwaitCatalog returns the current catalog. Until this instance has read the
-	// configuration, the servers and the fleet for the first time, it waits for them. It
+	// configuration, the servers, the fleet and the states that instances share for the first
+	// time, it waits for them. It
 	// stops waiting when the context ends or a call to the store has failed, after which
 	// nobody knows when they will be read; the result may then be nil.
 	AwaitCatalog(ctx context.Context) *catalog.Catalog
--- a/plugins/discovery/discovery.go
+++ b/plugins/discovery/discovery.go
@@ -69,8 +69,8 @@
 	cutOffSince    atomic.Pointer[time.Time]
 	cancel         context.CancelFunc
 	running        sync.WaitGroup
-	// loaded is closed when the configuration, the servers and the fleet were read for the
-	// first time, loadFailed at the first failed call before that.
+	// loaded is closed when the configuration, the servers, the fleet and the shared states
+	// were read for the first time, loadFailed at the first failed call before that.
 	loaded, loadFailed         chan struct{}
 	loadedOnce, loadFailedOnce sync.Once
 	// leaving is closed when this instance has to leave the fleet.
@@ -133,19 +133,11 @@
 	d.moduleCtx = ctx
 	d.operators = d.newWatch(platform.OperatorTopic, configReadInterval, d.applyOperatorRecords)
 	d.servers = d.newWatch(platform.ServersTopic, serverReadInterval, d.applyServers)
-	d.sharedState = d.newWatch(platform.SharedStateTopic, serverReadInterval, d.states.apply)
+	d.sharedState = d.newWatch(platform.SharedStateTopic, serverReadInterval, d.applySharedStates)
 	d.sharedState.wait = stateReadWait
 	for _, w := range []*watch{d.operators, d.servers, d.sharedState} {
-		run := w.run
-		if w == d.sharedState {
-			// No request needs the shared states, which would delay what all need.
-			run = func(ctx context.Context) {
-				d.AwaitCatalog(ctx)
-				w.run(ctx)
-			}
-		}
 		w.readPeer, w.readerIsRemote, w.mayReadStore = d.readPeer, d.readerIsRemote, d.mayReadStore
-		d.running.Go(func() { run(ctx) })
+		d.running.Go(func() { w.run(ctx) })
 	}
 	d.running.Go(func() { d.states.write(ctx, d.client) })
 	d.running.Go(func() { d.deleteAbandoned(ctx) })
@@ -331,11 +323,21 @@
 // noteLoaded ends the waits of AwaitCatalog if everything was read for the first time. The
 // caller holds mu.
 func (d *Discovery) noteLoaded() {
-	if d.state.config != nil && d.state.serversListed && d.members.Load() != nil {
+	if d.state.config != nil && d.state.serversListed && d.members.Load() != nil && d.states.isListed() {
 		d.loadedOnce.Do(func() { close(d.loaded) })
 	}
 }
 
+// applySharedStates applies records of the shared state topic.
+func (d *Discovery) applySharedStates(now time.Time, records []platform.StoreRecord, kind recordsKind) {
+	d.states.apply(now, records, kind)
+	if kind != newRecords {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.noteLoaded()
+	}
+}
+
 // noteLoadFailed ends the waits of AwaitCatalog after a failed call to the store.
 func (d *Discovery) noteLoadFailed() { d.loadFailedOnce.Do(func() { close(d.loadFailed) }) }
 
--- a/plugins/discovery/sharedstate.go
+++ b/plugins/discovery/sharedstate.go
@@ -143,6 +143,16 @@
 	}
 }
 
+// isListed reports whether the shared states were listed.
+func (s *sharedStates) isListed() bool {
+	select {
+	case <-s.listed:
+		return true
+	default:
+		return false
+	}
+}
+
 // forgetStored records that the store may hold none of the published states, so that those
 // that it does not list are written again.
 func (s *sharedStates) forgetStored() {
--- a/test/passthrough/crashes_test.go
+++ b/test/passthrough/crashes_test.go
@@ -92,6 +92,13 @@
 			So(traffic(2*time.Second), ShouldBeGreaterThan, 0.95)
 			So(crashes.Load(), ShouldEqual, before)
 		})
+		Convey("an instance that starts later refuses them from its first request on", func() {
+			c.Store.Latency.Store(int64(100 * time.Millisecond))
+			in := c.Start("e4", "z1", false, "")
+			So(sendPrompt(in, true), ShouldEqual, http.StatusServiceUnavailable)
+			So(crashes.Load(), ShouldEqual, before)
+			c.Store.Latency.Store(0)
+		})
 		Convey("an instance that starts later refuses them, also after all others have ended", func() {
 			for _, in := range c.Instances {
 				So(in.Stop(), ShouldBeNil)
--- a/test/passthrough/statements_test.go
+++ b/test/passthrough/statements_test.go
@@ -213,7 +213,7 @@
 				served := c.received(0)
 				c.servers[0].Pause(k.retryAfter)
 				var responses []response
-				var sentAt []time.Time
+				var sentAt, answeredAt []time.Time
 				var mu sync.Mutex
 				var wg sync.WaitGroup
 				stop := make(chan struct{})
@@ -223,7 +223,7 @@
 							at := time.Now()
 							r := c.request(k.route)
 							mu.Lock()
-							responses, sentAt = append(responses, r), append(sentAt, at)
+							responses, sentAt, answeredAt = append(responses, r), append(sentAt, at), append(answeredAt, time.Now())
 							mu.Unlock()
 							time.Sleep(between)
 						}
@@ -259,7 +259,7 @@
 					if since := sentAt[i].Sub(first); servers == 1 && since < k.pause-between {
 						retryAfter, err := strconv.ParseFloat(r.header.Get("Retry-After"), 64)
 						So(err, ShouldBeNil)
-						So(retryAfter, ShouldBeBetween, (k.pause - since - r.took - between).Seconds(), (k.pause - since + grace).Seconds())
+						So(retryAfter, ShouldBeBetween, (k.pause - answeredAt[i].Sub(first) - between).Seconds(), (k.pause - since + grace).Seconds())
 					}
 				}
 				if servers > 1 {
