--- a/kernel/stopbudget_test.go
+++ b/kernel/stopbudget_test.go
@@ -8,7 +8,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 )
 
-// TestServeDuringStop guards against requests that are begun during a stop and aborted at
+// TestServeDuringStop guards against requests that start during a stop and are aborted at
 // its end.
 func TestServeDuringStop(t *testing.T) {
 	serve := func(h *Host, route string) Outcome {
@@ -39,7 +39,7 @@
 			So(serve(h, "single").Kind, ShouldEqual, NotRun)
 			So(transport.calls, ShouldBeEmpty)
 		})
-		Convey("a non-idempotent stage that might be aborted is not begun, and the claim is released", func() {
+		Convey("a non-idempotent stage that might be aborted is not started, and the claim is released", func() {
 			transport.before = func(context.Context) { stop() }
 			So(serve(h, "once").Kind, ShouldEqual, Incomplete)
 			So(transport.calls, ShouldHaveLength, 1)
--- a/plugins/discovery/fanout.go
+++ b/plugins/discovery/fanout.go
@@ -31,7 +31,7 @@
 	peerReadWait        = time.Second
 	peerReadSlack       = 300 * time.Millisecond
 	peerTransferTimeout = 1500 * time.Millisecond
-	// standInReadWait and standInReadSlack apply to a candidate that stands in for the first
+	// standInReadWait and standInReadSlack apply to a candidate that replaces the first
 	// one, whose failure has taken time already.
 	standInReadWait  = 200 * time.Millisecond
 	standInReadSlack = 200 * time.Millisecond
@@ -39,7 +39,7 @@
 	readerCandidates = 2
 	// takeoverTime is how long an instance reads the store for others after one of them has
 	// asked it, if it would itself read from another instance. takeoverWait is how long a
-	// request waits until the reads have begun.
+	// request waits until it reads the store.
 	takeoverTime = 3 * time.Second
 	takeoverWait = 200 * time.Millisecond
 	// cutOffPatience is how long an instance does not read the store itself while the
--- a/policy/stopadmission.go
+++ b/policy/stopadmission.go
@@ -44,9 +44,9 @@
 	Known    bool
 }
 
-// Admit reports whether the request may be taken on, or the step begun: only if it ends
+// Admit reports whether the request may be accepted, or the step started: only if it ends
 // before the abort, by its own deadline or as expected. A request that was aborted after a
-// server has begun to run it would have an unknown result.
+// server has started to run it would have an unknown result.
 func (a StopAdmission) Admit(now time.Time) bool {
 	if !a.Deadline.After(a.Abort) {
 		return true
