Finish what is in progress when a planned stop of the own interface begins

Cause: asked before every stage whether it ends before the abort, also for requests that were accepted before the stop, and without samples of a stage the answer was no. And the module forward began a stop of its own 6.9 s although it served nothing.

Change: an accepted request goes on, except to a stage that may run once only and is known to take longer than is left; forward does nothing in a stop if it does not listen. The path on the platform is the same.

--- a/kernel/run.go
+++ b/kernel/run.go
@@ -263,7 +263,9 @@
 	for i, stage := range r.route.Stages {
 		began := time.Now()
 		kind := r.route.Name + "/" + stage.Name
-		if v := r.host.StopBudget.Fits(began, kind, r.deadline); !v.Fits && !r.nonIdempotentSent {
+		// A request that was accepted goes on, but for a stage that may run once only and is
+		// known to take longer than is left.
+		if v := r.host.StopBudget.Fits(began, kind, r.deadline); !v.Fits && v.Known && !stage.Idempotent && !r.nonIdempotentSent {
 			return Result{Outcome: r.refuseStopping(v)}
 		}
 		r.costs = append(r.costs, StageCost{Stage: stage.Name, Pool: stage.Pool})
--- a/plugins/forward/forward.go
+++ b/plugins/forward/forward.go
@@ -155,6 +155,9 @@
 // PrepareStop implements kernel.StopPreparer. From then on the instance reports
 // that it is not ready and asks callers to close their connections.
 func (f *Forward) PrepareStop() {
+	if f.cancel == nil {
+		return // this module serves nothing
+	}
 	f.host.StopBudget.Begin(time.Now().Add(f.host.Settings.Duration(section, "grace") - stopMargin - abortMargin))
 	f.leaving.Store(true)
 }
