Stop forwarded requests and those of the own interface by their own times

One StopBudget served both interfaces, so that the abort time of the one that stops later replaced the other's. The module forward has its own now. Test: TestStopsOfInterfaces, which failed before.

--- a/kernel/host.go
+++ b/kernel/host.go
@@ -46,7 +46,7 @@
 	LogLevel *slog.LevelVar
 	Metrics  metrics.Registry
 	Instance *Instance
-	// StopBudget decides which requests an instance that stops still takes on.
+	// StopBudget decides which requests Serve still takes on while the instance stops.
 	StopBudget StopBudget
 
 	Decisions     Decisions
--- a/plugins/forward/forward.go
+++ b/plugins/forward/forward.go
@@ -70,6 +70,9 @@
 	readiness *http.Server
 	metrics   *http.Server
 	leaving   atomic.Bool
+	// stop decides which requests are still taken on during a stop. The project's own
+	// interface stops by another time (kernel.Host.StopBudget).
+	stop kernel.StopBudget
 	// loaded is true once a request did not have to wait for the first catalog; waiting
 	// counts those that do.
 	loaded  atomic.Bool
@@ -155,10 +158,7 @@
 // PrepareStop implements kernel.StopPreparer. From then on the instance reports
 // that it is not ready and asks callers to close their connections.
 func (f *Forward) PrepareStop() {
-	if f.cancel == nil {
-		return // this module serves nothing
-	}
-	f.host.StopBudget.Begin(time.Now().Add(f.host.Settings.Duration(section, "grace") - stopMargin - abortMargin))
+	f.stop.Begin(time.Now().Add(f.host.Settings.Duration(section, "grace") - stopMargin - abortMargin))
 	f.leaving.Store(true)
 }
 
--- a/plugins/forward/request.go
+++ b/plugins/forward/request.go
@@ -115,7 +115,7 @@
 		stop()
 		cancel()
 		if outcome.Kind == kernel.Served {
-			f.host.StopBudget.Observe(r.route.Name, time.Since(now))
+			f.stop.Observe(r.route.Name, time.Since(now))
 		}
 		if outcome.Reason == kernel.ReasonCallerGone && f.requestsCtx.Err() != nil {
 			outcome.Reason, outcome.Detail, outcome.RetryAfter = kernel.ReasonLeaving, "the instance stops", retryAfterBusy
@@ -184,7 +184,7 @@
 // checkStop refuses work of a request that cannot end before this instance stops. The
 // outcome is empty if the work may begin.
 func (f *Forward) checkStop(now time.Time, r *request, kind string) kernel.Outcome {
-	v := f.host.StopBudget.Fits(now, kind, r.deadline)
+	v := f.stop.Fits(now, kind, r.deadline)
 	if v.Fits {
 		return kernel.Outcome{}
 	}
--- a/plugins/forward/send.go
+++ b/plugins/forward/send.go
@@ -91,7 +91,7 @@
 			"entry_age", now.Sub(c.server.FirstSeen), "left", r.deadline.Sub(now))
 		result, out := f.sendOnce(ctx, a, r, c)
 		if out.Kind == kernel.Served {
-			f.host.StopBudget.Observe(sendKind(r), time.Since(now))
+			f.stop.Observe(sendKind(r), time.Since(now))
 		}
 		f.host.CountSend(r.service.Name, result.String())
 		r.tried[c.server.ID] = true
--- a/test/passthrough/stop_test.go
+++ b/test/passthrough/stop_test.go
@@ -121,3 +121,16 @@
 		})
 	}
 }
+
+// TestStopsOfInterfaces guards against a stop of the interface for forwarded requests that
+// also bounds the requests of the project's own interface, which stops by another time.
+func TestStopsOfInterfaces(t *testing.T) {
+	Convey("The stop of forwarded requests does not bound those of the own interface", t, func() {
+		c := New(t)
+		c.Store.PutConfig(config(1))
+		in := c.Start("e1", "z1", true, "")
+		c.Instances = nil
+		So(in.Stop(), ShouldBeNil)
+		So(in.Kernel.Host.StopBudget.Fits(time.Now(), "any", time.Now().Add(time.Hour)).Fits, ShouldBeTrue)
+	})
+}
