Log and count records that are skipped, and name the second reader as such

A record that cannot be decoded was read past without a trace: one line with topic and offset, counter store_records_skipped. 'stand in' is the project's word for test servers; the second candidate for a zone's reader is called the second.

--- a/plugins/discovery/discovery.go
+++ b/plugins/discovery/discovery.go
@@ -162,7 +162,16 @@
 }
 
 func (d *Discovery) newWatch(topic string, minInterval time.Duration, apply func(time.Time, []platform.StoreRecord, recordsKind)) *watch {
-	w := &watch{client: d.client, logger: d.host.Logger, topic: topic, minInterval: minInterval, wait: readWait, apply: apply, storeUnresponsive: d.storeUnresponsive.Load}
+	w := &watch{client: d.client, logger: d.host.Logger, topic: topic, minInterval: minInterval, wait: readWait, storeUnresponsive: d.storeUnresponsive.Load}
+	w.apply = func(now time.Time, records []platform.StoreRecord, kind recordsKind) {
+		for _, r := range records {
+			if r.Key == "" {
+				d.host.Counter(`store_records_skipped{topic="` + topic + `"}`).Inc(1)
+				d.host.Logger.Warn("record without a key that can be read, skipped", "topic", topic, "offset", r.Offset)
+			}
+		}
+		apply(now, records, kind)
+	}
 	w.onUnavailable = func(now time.Time, err error) {
 		d.host.Logger.Warn("metadata store unavailable", "topic", topic, "error", err)
 		d.host.Counter("store_lost").Inc(1)
--- a/plugins/discovery/fanout.go
+++ b/plugins/discovery/fanout.go
@@ -31,10 +31,10 @@
 	peerReadWait        = time.Second
 	peerReadSlack       = 300 * time.Millisecond
 	peerTransferTimeout = 1500 * time.Millisecond
-	// standInReadWait and standInReadSlack apply to a candidate that replaces the first
-	// one, whose failure has taken time already.
-	standInReadWait  = 200 * time.Millisecond
-	standInReadSlack = 200 * time.Millisecond
+	// secondReadWait and secondReadSlack apply to the second candidate: the failure of the
+	// first has taken time already.
+	secondReadWait  = 200 * time.Millisecond
+	secondReadSlack = 200 * time.Millisecond
 	// readerCandidates is the number of instances of a zone that read for the others in turn.
 	readerCandidates = 2
 	// takeoverTime is how long an instance reads the store for others after one of them has
@@ -307,8 +307,8 @@
 
 // usableReader returns the instance that reads for this one: the first candidate of its zone
 // that has not failed a call recently. The result has no ID if this instance reads the store
-// itself or no candidate can be used. standIn reports whether it is not the first candidate.
-func (d *Discovery) usableReader(now time.Time) (reader kernel.FleetMember, standIn bool) {
+// itself or no candidate can be used. isSecond reports whether it is the second candidate.
+func (d *Discovery) usableReader(now time.Time) (reader kernel.FleetMember, isSecond bool) {
 	if now.UnixNano() < d.takenOverUntil.Load() {
 		return kernel.FleetMember{}, false
 	}
@@ -382,10 +382,10 @@
 }
 
 // readFrom reads records from the zone's reader.
-func (d *Discovery) readFrom(ctx context.Context, reader kernel.FleetMember, standIn bool, topic string, from, era uint64) ([]platform.StoreRecord, error) {
+func (d *Discovery) readFrom(ctx context.Context, reader kernel.FleetMember, isSecond bool, topic string, from, era uint64) ([]platform.StoreRecord, error) {
 	wait, slack := peerReadWait, peerReadSlack
-	if standIn {
-		wait, slack = standInReadWait, standInReadSlack
+	if isSecond {
+		wait, slack = secondReadWait, secondReadSlack
 	}
 	body, err := cbor.Marshal(recordsRequest{topic, from, era, wait})
 	if err != nil {
@@ -442,11 +442,11 @@
 // whether that succeeded; if not, the store has to be read.
 func (d *Discovery) readPeer(ctx context.Context, topic string, from, era uint64) ([]platform.StoreRecord, bool) {
 	for range readerCandidates {
-		reader, standIn := d.usableReader(time.Now())
+		reader, isSecond := d.usableReader(time.Now())
 		if reader.ID == "" {
 			break
 		}
-		records, err := d.readFrom(ctx, reader, standIn, topic, from, era)
+		records, err := d.readFrom(ctx, reader, isSecond, topic, from, era)
 		if err == nil {
 			// A response that was on its way while another call failed proves nothing.
 			if !d.avoidedReaders.Active(reader.ID, time.Now()) {
--- a/test/passthrough/views_test.go
+++ b/test/passthrough/views_test.go
@@ -213,3 +213,18 @@
 		}
 	})
 }
+
+// TestUnreadableRecord guards against a record of another writer that cannot be decoded and
+// that keeps later ones from being read.
+func TestUnreadableRecord(t *testing.T) {
+	Convey("A record without a key is skipped with a line and a count, and the next one is read", t, func() {
+		c := New(t)
+		c.Store.PutConfig(config(1))
+		in := c.Start("e1", "z1", true, "")
+		c.Store.Put(platform.ServersTopic, "", []byte("x"))
+		c.startBackend("i-0", "app")
+		c.waitServers(in, "app", 1)
+		So(in.Kernel.Host.Counter(`store_records_skipped{topic="`+platform.ServersTopic+`"}`).Count(), ShouldBeGreaterThan, 0)
+		So(in.Log.String(), ShouldContainSubstring, "record without a key that can be read, skipped")
+	})
+}
