Stop the administration API like the interfaces for callers

The administration API is served by internal/callerserver now, which takes a write timeout for it. Its tests reach the routes without the server. Test: TestStopAnswersRequestsBeingRead of plugins/admin, 'unexpected EOF' before.

--- a/internal/callerserver/server.go
+++ b/internal/callerserver/server.go
@@ -55,6 +55,8 @@
 	TLS *tls.Config
 	// ReadTimeout bounds the time to read a request. 0 means no bound.
 	ReadTimeout time.Duration
+	// WriteTimeout bounds the time to write a response. 0 means no bound.
+	WriteTimeout time.Duration
 	// Limits may be changed by SetLimits.
 	Limits Limits
 }
@@ -189,7 +191,7 @@
 // one. The caller holds mu.
 func (s *Server) startServer() {
 	server := &http.Server{
-		Handler: http.HandlerFunc(s.serve), ReadHeaderTimeout: s.limits.HeaderTimeout, ReadTimeout: s.options.ReadTimeout,
+		Handler: http.HandlerFunc(s.serve), ReadHeaderTimeout: s.limits.HeaderTimeout, ReadTimeout: s.options.ReadTimeout, WriteTimeout: s.options.WriteTimeout,
 		IdleTimeout: s.limits.IdleTimeout, MaxHeaderBytes: s.limits.HeaderBytes, TLSConfig: s.options.TLS,
 		ErrorLog:    slog.NewLogLogger(s.options.Logger.Handler(), slog.LevelDebug),
 		ConnState:   s.trackState,
--- a/plugins/admin/admin.go
+++ b/plugins/admin/admin.go
@@ -5,14 +5,12 @@
 
 import (
 	"context"
-	"log/slog"
-	"net"
-	"net/http"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/savoryfold/savoryfold/config"
+	"github.com/savoryfold/savoryfold/internal/callerserver"
 	"github.com/savoryfold/savoryfold/internal/httpapi"
 	"github.com/savoryfold/savoryfold/kernel"
 )
@@ -39,27 +37,22 @@
 type Admin struct {
 	host      *kernel.Host
 	operators []operator
-	server    *http.Server
-	listener  net.Listener
+	server    *callerserver.Server
+	listening bool
 }
 
 // Provision implements kernel.Provisioner.
 func (a *Admin) Provision(h *kernel.Host) error {
 	a.host = h
 	a.operators = readOperators(h.Settings)
-	a.server = &http.Server{
-		Handler:           a.routes(),
-		ReadHeaderTimeout: 5 * time.Second,
-		ReadTimeout:       10 * time.Second,
-		WriteTimeout:      30 * time.Second,
-		IdleTimeout:       time.Minute,
-		ErrorLog:          slog.NewLogLogger(h.Logger.Handler(), slog.LevelDebug),
-	}
 	tlsConfig, err := httpapi.ServerTLS(h.Settings.String(section, "tls_cert"), h.Settings.String(section, "tls_key"))
 	if err != nil {
 		return errors.Wrap(err, "[admin]")
 	}
-	a.server.TLSConfig = tlsConfig
+	a.server = callerserver.New(callerserver.Options{
+		Logger: h.Logger, Handler: a.routes(), TLS: tlsConfig, ReadTimeout: 10 * time.Second, WriteTimeout: 30 * time.Second,
+		Limits: callerserver.Limits{HeaderTimeout: 5 * time.Second, IdleTimeout: time.Minute},
+	})
 	return nil
 }
 
@@ -79,38 +72,27 @@
 	if address == "" {
 		return nil
 	}
-	l, err := net.Listen("tcp", address)
-	if err != nil {
+	if err := a.server.Listen(address); err != nil {
 		return errors.Wrap(err, "admin")
 	}
-	a.listener = l
-	a.host.Logger.Info("admin server listening", "address", l.Addr().String())
-	go a.serve(l)
+	a.listening = true
+	a.host.Logger.Info("admin server listening", "address", a.Address())
 	return nil
 }
 
-func (a *Admin) serve(l net.Listener) {
-	var err error
-	if a.server.TLSConfig != nil {
-		err = a.server.ServeTLS(l, "", "")
-	} else {
-		err = a.server.Serve(l)
-	}
-	if !errors.Is(err, http.ErrServerClosed) {
-		a.host.Logger.Error("admin server failed, administration API not served until the next start", "error", err)
-	}
-}
-
 // Address returns the address that the server listens on, or "" if it does not
 // listen.
 func (a *Admin) Address() string {
-	if a.listener == nil {
+	if !a.listening {
 		return ""
 	}
-	return a.listener.Addr().String()
+	return a.server.Address().String()
 }
 
 // Stop implements kernel.Stopper.
 func (a *Admin) Stop(ctx context.Context) error {
-	return errors.Wrap(a.server.Shutdown(ctx), "admin")
+	if !a.listening {
+		return nil
+	}
+	return errors.Wrap(a.server.Stop(ctx), "admin")
 }
--- a/plugins/admin/admin_test.go
+++ b/plugins/admin/admin_test.go
@@ -1,11 +1,13 @@
 package admin
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
 	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -87,7 +89,7 @@
 }
 
 func newTestAPI(t *testing.T) *testAPI {
-	text := "[instance]\nid = a\nzone = hobart\n"
+	text := "[instance]\nid = a\nzone = hobart\n[admin]\nlisten = 127.0.0.1:0\n"
 	for name, rest := range map[string]string{
 		"alice " + editToken: "rights = edit", "bob " + teamToken: "rights = edit\nsections = route team-, zone hobart", "carol " + readToken: "rights = read",
 	} {
@@ -120,7 +122,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	w.server = httptest.NewServer(w.admin.server.Handler)
+	w.server = httptest.NewServer(w.admin.routes())
 	t.Cleanup(w.server.Close)
 	return w
 }
@@ -269,3 +271,33 @@
 		}
 	})
 }
+
+// TestStopAnswersRequestsBeingRead guards against a stop that closes a connection as idle
+// although a part of its next request has been read.
+func TestStopAnswersRequestsBeingRead(t *testing.T) {
+	Convey("An operator's request of which a part was read when the stop began gets a response", t, func() {
+		a := newTestAPI(t).admin
+		So(a.Start(context.Background()), ShouldBeNil)
+		c, err := net.Dial("tcp", a.Address())
+		So(err, ShouldBeNil)
+		defer c.Close()
+		reader := bufio.NewReader(c)
+		stopped := make(chan error, 1)
+		for _, before := range []func(){func() {}, func() {
+			time.Sleep(20 * time.Millisecond) // the first part is read
+			go func() { stopped <- a.Stop(context.Background()) }()
+			time.Sleep(200 * time.Millisecond)
+		}} {
+			_, err := io.WriteString(c, "GET /healthz HTTP/1.1\r\n")
+			So(err, ShouldBeNil)
+			before()
+			_, err = io.WriteString(c, "Host: a.example\r\n\r\n")
+			So(err, ShouldBeNil)
+			r, err := http.ReadResponse(reader, nil)
+			So(err, ShouldBeNil)
+			_, err = io.Copy(io.Discard, r.Body)
+			So(err, ShouldBeNil)
+		}
+		So(<-stopped, ShouldBeNil)
+	})
+}
