Log which request broke with its server, and how far its response had come

A line of a failed send named the request by its ID, which is new with each attempt, so that repeats of one request could not be recognized in the logs of several instances, nor whether a crash came before or after the first event.

--- a/plugins/forward/request.go
+++ b/plugins/forward/request.go
@@ -52,6 +52,9 @@
 	deadline  time.Time
 	random    float64
 	promptKey uint64
+	// fingerprint is equal for requests that differ only in their ID, their deadline and
+	// the event after which they resume. It is 0 until the body is read.
+	fingerprint uint64
 	// sharedParts holds the IDs of the parts of the prompt that other requests share.
 	sharedParts []uint64
 	// sharedTokens is the number of tokens in the part of the prompt that other
@@ -156,7 +159,11 @@
 	if f.refusesParts(r) {
 		return partsRefused
 	}
-	return f.readBody(w, hr, r)
+	if out := f.readBody(w, hr, r); out.Kind != "" {
+		return out
+	}
+	r.fingerprint = fingerprint(r)
+	return kernel.Outcome{}
 }
 
 // awaitCatalog returns the current catalog. A request that arrives before this instance has
--- a/plugins/forward/send.go
+++ b/plugins/forward/send.go
@@ -238,7 +238,8 @@
 // the failure for outlier ejection.
 func (f *Forward) classifyError(ctx context.Context, r *request, c choice, began time.Time, err error) (sendResult, kernel.Outcome) {
 	now := time.Now()
-	r.log.Add("send failed", "server", c.server.ID, "sent", upstream.MaybeSent(err), "took", now.Sub(began), "error", err)
+	r.log.Add("send failed", "server", c.server.ID, "sent", upstream.MaybeSent(err), "response_begun", r.begun,
+		"fingerprint", r.fingerprint, "took", now.Sub(began), "error", err)
 	if errors.Is(err, upstream.ErrConnectionLimit) {
 		return sendNotSent, kernel.Outcome{Kind: kernel.NotRun, Reason: kernel.ReasonOverload, Detail: "the connections to the server are used up", RetryAfter: retryAfterBusy}
 	}
