--- /dev/null
+++ b/test/passthrough/crashing_requests_test.go
@@ -0,0 +1,219 @@
+package passthrough
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/savoryfold/savoryfold/platform/platformtest"
+)
+
+const (
+	// guiltyBody marks a request that crashes each server that runs it.
+	guiltyBody = "guilty"
+	// contactTime is the time after the third crash from which on the users count, and
+	// maxLateRuns how often the request may still reach a server then.
+	contactTime = 3 * time.Second
+	maxLateRuns = 3
+)
+
+// crashingServers are servers that crash when they run a guilty request, and start again
+// at once.
+type crashingServers struct {
+	cluster  *Cluster
+	backends []*platformtest.Backend
+	starts   atomic.Int64
+
+	mu      sync.Mutex
+	crashes []time.Time // by guilty requests; guarded by mu
+}
+
+// startCrashingServers starts n servers of a service. A guilty request crashes its server
+// after a number of events of its stream.
+func (c *Cluster) startCrashingServers(service string, n, events int) *crashingServers {
+	s := &crashingServers{cluster: c}
+	s.starts.Store(1)
+	for i := range n {
+		b := c.startBackend(fmt.Sprint(service, "-", i), service)
+		s.backends = append(s.backends, b)
+		b.Do = func(w http.ResponseWriter, _ *http.Request, q platformtest.ReceivedRequest) {
+			guilty := strings.HasPrefix(q.Body, guiltyBody)
+			if guilty && events > 0 {
+				platformtest.Stream(w, 1, events)
+			}
+			switch {
+			case guilty:
+				time.Sleep(10 * time.Millisecond)
+				s.mu.Lock()
+				s.crashes = append(s.crashes, time.Now())
+				s.mu.Unlock()
+				s.crash(i)
+				platformtest.AbortConnection()
+			case service == "llm":
+				platformtest.StreamSlowly(w, 1, 3, 5*time.Millisecond)
+			default:
+				time.Sleep(10 * time.Millisecond)
+				platformtest.Respond(w, http.StatusOK, "ok")
+			}
+		}
+	}
+	return s
+}
+
+// crash breaks all connections of a server and registers its new start.
+func (s *crashingServers) crash(i int) {
+	b := s.backends[i]
+	service, _, _ := strings.Cut(b.ID, "-")
+	s.cluster.Store.PutServer(platformtest.Entry{ID: b.ID, Service: service, Address: b.Address(), Zone: "z1", Version: "v1", Slots: 8, Born: 1 + s.starts.Add(1), Sequence: 1})
+	b.Crash()
+}
+
+// lateRuns returns how often guilty requests ran, and how often later than contactTime
+// after the third of these runs.
+func (s *crashingServers) lateRuns() (all, late int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i, at := range s.crashes {
+		if i > 2 && at.Sub(s.crashes[2]) > contactTime {
+			late++
+		}
+	}
+	return len(s.crashes), late
+}
+
+// tally counts the responses to a kind of request.
+type tally struct {
+	sent, served, refused atomic.Int64
+}
+
+func (n *tally) add(a response) {
+	n.sent.Add(1)
+	switch {
+	case a.err == nil && a.status == http.StatusOK:
+		n.served.Add(1)
+	case a.status == http.StatusServiceUnavailable:
+		n.refused.Add(1)
+	}
+}
+
+func (n *tally) servedShare() float64 { return float64(n.served.Load()) / float64(n.sent.Load()) }
+
+// everywhere sends requests to each instance for a time, one each interval, and waits for
+// the responses. The number of a request differs from that of all others.
+func (c *Cluster) everywhere(d, interval time.Duration, request func(n int64) platformtest.Request) *tally {
+	var t tally
+	var sent atomic.Int64
+	var requests sync.WaitGroup
+	for _, in := range c.Instances {
+		requests.Go(func() {
+			for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(interval) {
+				n := sent.Add(1)
+				requests.Go(func() {
+					q := request(n)
+					q.Address, q.Method, q.Host, q.APIKey, q.Timeout = in.Address, "POST", host, "key-1", 4*time.Second
+					t.add(sendRequest(q))
+				})
+			}
+		})
+	}
+	requests.Wait()
+	return &t
+}
+
+// startFive starts five instances that know each other and n servers of a service.
+func (c *Cluster) startFive(service string, n int) {
+	c.Store.PutConfig(config(1))
+	for i := range 5 {
+		c.waitServers(c.Start(fmt.Sprint("e", i), "z1", true, ""), service, n)
+	}
+	c.WaitMembers(5)
+}
+
+// TestCrashingRequest guards against a request that comes again unchanged, at all
+// instances, and crashes server after server.
+func TestCrashingRequest(t *testing.T) {
+	const servers = 8
+	cases := []struct {
+		name, service, path, prompt string
+		events                      int
+	}{
+		{"a request that may run once", "app", "/once/x", "", 0},
+		{"an idempotent request", "app", "/again/x", "", 0},
+		{"a stream without a prompt, before its first event", "llm", "/stream/x", "", 0},
+		{"a stream whose prompt has no shared part, before its first event", "llm", "/resume/x", "c0ffee:100", 0},
+		{"a resumable stream, after its first events", "llm", "/resume/x", "a1:100,c0ffee:10", 2},
+	}
+	for _, q := range cases {
+		Convey("With "+q.name+" that crashes each server", t, func() {
+			c := New(t)
+			s := c.startCrashingServers(q.service, servers, q.events)
+			c.startFive(q.service, servers)
+			var requests sync.WaitGroup
+			var guilty, sound *tally
+			requests.Go(func() {
+				guilty = c.everywhere(contactTime+3*time.Second, 40*time.Millisecond, func(n int64) platformtest.Request {
+					return platformtest.Request{Path: q.path, Prompt: q.prompt, ID: fmt.Sprint("g", n), Body: guiltyBody}
+				})
+			})
+			time.Sleep(contactTime)
+			requests.Go(func() {
+				sound = c.everywhere(2*time.Second, 20*time.Millisecond, func(n int64) platformtest.Request {
+					return platformtest.Request{Path: q.path, Prompt: q.prompt, ID: fmt.Sprint("s", n), Body: fmt.Sprint("sound", n)}
+				})
+			})
+			requests.Wait()
+			all, late := s.lateRuns()
+			t.Logf("%s: %d runs, %d of them late; %d of %d refused; %d of %d other requests served",
+				q.name, all, late, guilty.refused.Load(), guilty.sent.Load(), sound.served.Load(), sound.sent.Load())
+			So(all, ShouldBeGreaterThanOrEqualTo, 3)
+			So(late, ShouldBeLessThanOrEqualTo, maxLateRuns)
+			So(sound.servedShare(), ShouldBeGreaterThan, 0.95)
+		})
+	}
+}
+
+// TestRepeatedSoundRequests guards against a guard that refuses a request that is often
+// repeated, unchanged, while servers crash by themselves under it.
+func TestRepeatedSoundRequests(t *testing.T) {
+	const servers = 16
+	cases := []struct {
+		name, service, path, prompt string
+	}{
+		{"idempotent requests", "app", "/again/x", ""},
+		{"streams", "llm", "/resume/x", "a1:100,c0ffee:10"},
+	}
+	for _, q := range cases {
+		for _, interval := range []time.Duration{10 * time.Millisecond, 500 * time.Millisecond} {
+			Convey(fmt.Sprintf("Unchanged %s, one each %v at each instance, stay served while servers crash by themselves", q.name, interval), t, func() {
+				c := New(t)
+				s := c.startCrashingServers(q.service, servers, 0)
+				c.startFive(q.service, servers)
+				var requests sync.WaitGroup
+				stop := make(chan struct{})
+				requests.Go(func() {
+					for i := 0; ; i++ {
+						select {
+						case <-stop:
+							return
+						case <-time.After(150 * time.Millisecond):
+							s.crash(i % servers)
+						}
+					}
+				})
+				sound := c.everywhere(5*time.Second, interval, func(n int64) platformtest.Request {
+					return platformtest.Request{Path: q.path, Prompt: q.prompt, ID: fmt.Sprint("s", n), Body: "sound"}
+				})
+				close(stop)
+				requests.Wait()
+				t.Logf("%s, each %v: %d of %d served, %d refused", q.name, interval, sound.served.Load(), sound.sent.Load(), sound.refused.Load())
+				So(sound.servedShare(), ShouldBeGreaterThan, 0.95)
+			})
+		}
+	}
+}
