Count crashes at the same moment once, instead of not at all

Callers saw server after server end although the ledger of crashes was asked. If the connections to three servers broke within 100 ms, PartLedger took that for a fault of the network and withdrew all charges of that time. Requests that come often enough, or are retried at once, crash three servers in that time, again and again, so that the charges never added up.

Crashes within 100 ms are one incident now, and three incidents refuse a part. A request that was sent after one crash and meets the next cannot have met one common cause, so its charge is an incident of its own. Charges are thinned where they are dense; before, the newest 15 were kept, which may all be of one moment.

The two new cases of TestPartLedger fail on the ledger as it was (nothing refused). The old ones hold; their calls name when the request was sent. The bound on remembered successes is the same, now kept in two generations, so that a full table no longer forgets all of them at once.

--- a/plugins/forward/crashes.go
+++ b/plugins/forward/crashes.go
@@ -56,8 +56,8 @@
 
 // recordBreak records that the connection to a server broke. A server that has begun
 // to respond to a request was not crashed by it.
-func (f *Forward) recordBreak(now time.Time, r *request, c choice, err error) {
+func (f *Forward) recordBreak(now, sent time.Time, r *request, c choice, err error) {
 	if g := f.host.PartGuard; g != nil && len(r.sharedParts) > 0 && !r.begun && upstream.MaybeSent(err) && !upstream.TimedOut(err) {
-		g.PartsCrashed(now, r.sharedParts, c.server.ID+"/"+strconv.FormatInt(c.server.StartUnixMilli, 10))
+		g.PartsCrashed(now, sent, r.sharedParts, c.server.ID+"/"+strconv.FormatInt(c.server.StartUnixMilli, 10))
 	}
 }
--- a/plugins/forward/send.go
+++ b/plugins/forward/send.go
@@ -252,7 +252,7 @@
 		}
 		return sendNotSent, out
 	}
-	f.recordBreak(now, r, c, err)
+	f.recordBreak(now, began, r, c, err)
 	f.observe(now, c.server, c.state, policy.CallSample{Unresponsive: !upstream.MaybeSent(err) || upstream.TimedOut(err), Broken: true})
 	if !upstream.MaybeSent(err) {
 		return sendNotSent, kernel.Outcome{Kind: kernel.NotRun, Reason: kernel.ReasonNoServer, Detail: "no connection to the server", RetryAfter: retryAfterBusy}
--- a/plugins/partguard/partguard.go
+++ b/plugins/partguard/partguard.go
@@ -1,6 +1,7 @@
 // Package partguard refuses requests with a part of a prompt that crashes the servers
-// that begin to respond to it. It shares the evidence with other instances, since
-// such requests come at any instance, and each crash is seen by few.
+// that begin to respond to it, and requests that come again unchanged and crash the
+// servers that run them. It shares the evidence with other instances, since such requests
+// come at any instance, and each crash is seen by few.
 package partguard
 
 import (
@@ -87,12 +88,12 @@
 func (g *Guard) RefuseParts(parts []uint64) bool { return g.refusals.Load().Refuse(parts) }
 
 // PartsCrashed implements kernel.PartGuard.
-func (g *Guard) PartsCrashed(now time.Time, parts []uint64, server string) {
+func (g *Guard) PartsCrashed(now, sent time.Time, parts []uint64, server string) {
 	g.mu.Lock()
-	g.ledger.Crashed(now, parts, xxhash.Sum64String(server))
+	g.ledger.Crashed(now, sent, parts, xxhash.Sum64String(server))
 	g.mu.Unlock()
 	g.host.Counter("crash_part_charges").Inc(int64(len(parts)))
-	g.host.Logger.Info("server crashed before it began to respond", "server", server, "parts", parts)
+	g.host.Logger.Info("server crashed while it ran a request", "server", server, "parts", parts)
 	g.update(now)
 }
 
@@ -124,7 +125,7 @@
 	refusals := g.ledger.Refusals(now)
 	suspects := refusals.Parts()
 	if !slices.Equal(suspects, g.suspects) {
-		g.host.Logger.Warn("refused prompt parts changed: servers crashed when they began to respond to them", "parts", suspects, "before", g.suspects)
+		g.host.Logger.Warn("refused parts of requests changed: servers crashed when they ran them", "parts", suspects, "before", g.suspects)
 		g.host.Gauge("crash_parts_refused").Update(int64(len(suspects)))
 	}
 	g.suspects = suspects
@@ -169,6 +170,7 @@
 	Part        uint64 `cbor:"1,keyasint"`
 	Server      uint64 `cbor:"2,keyasint"`
 	AtUnixMilli int64  `cbor:"3,keyasint"`
+	Independent bool   `cbor:"4,keyasint,omitempty"`
 }
 
 type wireSuccess struct {
@@ -180,7 +182,7 @@
 	var w wireReport
 	for _, record := range r.Charges {
 		for _, c := range record.Charges {
-			w.Charges = append(w.Charges, wireCharge{record.Fingerprint, c.Server, c.At.UnixMilli()})
+			w.Charges = append(w.Charges, wireCharge{record.Fingerprint, c.Server, c.At.UnixMilli(), c.Independent})
 		}
 	}
 	for _, s := range r.Successes {
@@ -207,7 +209,7 @@
 	}
 	var r policy.PartReport
 	for _, c := range w.Charges {
-		r.Charges = append(r.Charges, policy.CrashRecord{Fingerprint: c.Part, Charges: []policy.CrashCharge{{Server: c.Server, At: time.UnixMilli(c.AtUnixMilli)}}})
+		r.Charges = append(r.Charges, policy.CrashRecord{Fingerprint: c.Part, Charges: []policy.CrashCharge{{Server: c.Server, At: time.UnixMilli(c.AtUnixMilli), Independent: c.Independent}}})
 	}
 	for _, s := range w.Successes {
 		r.Successes = append(r.Successes, policy.PartSuccess{Part: s.Part, At: time.UnixMilli(s.AtUnixMilli)})
--- a/policy/crash.go
+++ b/policy/crash.go
@@ -25,6 +25,9 @@
 	// Server is a hash of the server's identity.
 	Server uint64    `cbor:"1,keyasint" json:"server"`
 	At     time.Time `cbor:"2,keyasint" json:"at"`
+	// Independent is true if the request was sent after the charge before this one was
+	// observed, so that both cannot have one common cause. Only PartLedger sets it.
+	Independent bool `cbor:"3,keyasint,omitempty" json:"independent,omitempty"`
 }
 
 // CrashRecord holds the charges against one request.
--- a/policy/crashparts.go
+++ b/policy/crashparts.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"maps"
 	"slices"
 	"time"
@@ -9,7 +10,7 @@
 
 // Parameters of the ledger of prompt parts.
 const (
-	// partCrashLimit is the number of crashes without a success in between at which
+	// partCrashLimit is the number of incidents without a success in between at which
 	// requests with a part are refused. It is higher than that of a request: sound
 	// parts that share requests or servers with the guilty one are charged as well.
 	partCrashLimit = 3
@@ -19,7 +20,7 @@
 	// sameCrashWindow is the time within which charges with the same server are taken
 	// for one crash that several instances saw. Their clocks may differ.
 	sameCrashWindow = 3 * time.Second
-	// MaxPartCharges bounds the charges that are kept of a part; the newest are kept.
+	// MaxPartCharges bounds the charges that are kept of a part.
 	MaxPartCharges = 5 * partCrashLimit
 	// maxPartSuccesses bounds the number of parts whose last success is kept.
 	maxPartSuccesses = 8192
@@ -27,8 +28,7 @@
 	MaxPartReports = 64
 )
 
-// PartSuccess is the time at which a server began to respond to a request with a
-// part.
+// PartSuccess is the time at which a server showed that a part does not crash it.
 type PartSuccess struct {
 	Part uint64
 	At   time.Time
@@ -41,20 +41,40 @@
 	Successes []PartSuccess
 }
 
-// PartLedger detects parts of prompts that crash each server that begins to respond
-// to them, whatever else the requests hold.
+// PartLedger detects parts of requests that crash each server that runs them, whatever
+// else the requests hold. A part is one of a prompt, or a whole request that comes again
+// unchanged.
 //
-// When a server crashes, the parts of the requests to which it had not begun to
-// respond are charged. Charges before a success of the part do not count, nor do
-// crashes that a part with more charges explains. Each instance sees only some of
-// the crashes and some of the successes, so instances exchange reports of the
-// crashes, and of the successes of parts that come close to being refused.
+// When a server crashes, the parts of the requests that it was running are charged.
+// Charges before a success of the part do not count, nor do crashes that a part with
+// more charges explains. Crashes at the same moment count once: they may have a common
+// cause. A request that is sent after one crash and meets the next is no such case. Each instance sees only some of the crashes and some of the successes, so
+// instances exchange reports of the crashes, and of the successes of parts that come
+// close to being refused.
 //
 // PartLedger is not safe for concurrent use.
 type PartLedger struct {
 	parts     map[uint64]*partRecord
-	successes map[uint64]time.Time // last success here, by part
-	breaks    recentBreaks
+	successes recentSuccesses
+}
+
+// recentSuccesses holds the time of the last success of each part: of the last
+// maxPartSuccesses/2 parts at least, and of maxPartSuccesses at most.
+type recentSuccesses struct{ current, previous map[uint64]time.Time }
+
+func (s *recentSuccesses) add(part uint64, at time.Time) {
+	if s.current == nil || len(s.current) >= maxPartSuccesses/2 {
+		s.current, s.previous = make(map[uint64]time.Time), s.current
+	}
+	s.current[part] = at
+}
+
+// last returns the time of the last success of a part, zero if it is not known.
+func (s *recentSuccesses) last(part uint64) time.Time {
+	if at, ok := s.current[part]; ok {
+		return at
+	}
+	return s.previous[part]
 }
 
 // partRecord is what is known of a part that was charged.
@@ -78,25 +98,19 @@
 
 // NewPartLedger returns an empty ledger.
 func NewPartLedger() *PartLedger {
-	return &PartLedger{parts: make(map[uint64]*partRecord), successes: make(map[uint64]time.Time)}
+	return &PartLedger{parts: make(map[uint64]*partRecord)}
 }
 
-// Crashed records that a server crashed before it began to respond to a request with
-// the parts.
-func (l *PartLedger) Crashed(now time.Time, parts []uint64, server uint64) {
-	if l.breaks.commonCause(now, server) {
-		l.withdrawCommonCause(now)
-		return
-	}
+// Crashed records that a server crashed while it ran a request with the parts, which was
+// sent at a time.
+func (l *PartLedger) Crashed(now, sent time.Time, parts []uint64, server uint64) {
 	for _, part := range parts {
-		l.charge(now, part, partCharge{CrashCharge{Server: server, At: now}, true})
-	}
-}
-
-// withdrawCommonCause removes this instance's charges of the last commonCauseWindow.
-func (l *PartLedger) withdrawCommonCause(now time.Time) {
-	for _, r := range l.parts {
-		r.charges = slices.DeleteFunc(r.charges, func(c partCharge) bool { return c.own && now.Sub(c.At) <= commonCauseWindow })
+		c := CrashCharge{Server: server, At: now}
+		if r := l.parts[part]; r != nil {
+			own := r.ownCharges(now)
+			c.Independent = len(own) > 0 && sent.After(own[len(own)-1].At)
+		}
+		l.charge(now, part, partCharge{c, true})
 	}
 }
 
@@ -110,11 +124,47 @@
 	}
 	r.charges = append(r.charges, c)
 	if len(r.charges) > MaxPartCharges {
-		slices.SortFunc(r.charges, func(a, b partCharge) int { return a.At.Compare(b.At) })
-		r.charges = slices.Delete(r.charges, 0, 1)
+		r.thin()
+	}
+}
+
+// thin removes one charge: the last one of the incident that has most, the oldest of all
+// if each incident has one.
+func (r *partRecord) thin() {
+	surplus, most, before := 0, 0, 0
+	for end := range incidents(r.charges) {
+		if end-before > most {
+			surplus, most = end-1, end-before
+		}
+		before = end
+	}
+	r.charges = slices.Delete(r.charges, surplus, surplus+1)
+}
+
+// incidents sorts charges by time and yields the end of each incident in them. Crashes
+// within commonCauseWindow of the first one are one incident, unless the request was sent
+// after it.
+func incidents(charges []partCharge) iter.Seq[int] {
+	slices.SortFunc(charges, func(a, b partCharge) int { return a.At.Compare(b.At) })
+	return func(yield func(end int) bool) {
+		for i := 0; i < len(charges); {
+			first := charges[i].At
+			for i++; i < len(charges) && !charges[i].Independent && charges[i].At.Sub(first) <= commonCauseWindow; i++ {
+			}
+			if !yield(i) {
+				return
+			}
+		}
 	}
 }
 
+func countIncidents(charges []partCharge) (n int) {
+	for range incidents(charges) {
+		n++
+	}
+	return n
+}
+
 // record returns the record of a part, which it creates if there is none. A full
 // ledger first drops the records without charges, then arbitrary ones.
 func (l *PartLedger) record(now time.Time, part uint64) *partRecord {
@@ -134,7 +184,7 @@
 		}
 		delete(l.parts, p)
 	}
-	r := &partRecord{success: l.successes[part]}
+	r := &partRecord{success: l.successes.last(part)}
 	l.parts[part] = r
 	return r
 }
@@ -150,14 +200,25 @@
 	return out
 }
 
-// Succeeded records that a server began to respond to a request with the parts. It
+// ownCharges returns the charges that this instance observed since the last success of the
+// part, in the order of their times.
+func (r *partRecord) ownCharges(now time.Time) []CrashCharge {
+	var own []CrashCharge
+	for _, c := range r.since(now, r.success) {
+		if c.own {
+			own = append(own, c.CrashCharge)
+		}
+	}
+	slices.SortFunc(own, func(a, b CrashCharge) int { return a.At.Compare(b.At) })
+	return own
+}
+
+// Succeeded records that the parts did not crash a server: it began to respond to a
+// request with these parts of its prompt, or ran this whole request to its end. It
 // reports whether other instances should learn of it.
 func (l *PartLedger) Succeeded(now time.Time, parts []uint64) (report bool) {
 	for _, part := range parts {
-		if l.successes[part].IsZero() && len(l.successes) >= maxPartSuccesses {
-			clear(l.successes)
-		}
-		l.successes[part] = now
+		l.successes.add(part, now)
 		if r := l.parts[part]; r != nil {
 			r.noteSuccess(now)
 			report = r.defend(now) || report
@@ -218,29 +279,34 @@
 
 // suspectPart is a part that has reached the limit of charges.
 type suspectPart struct {
-	part    uint64
-	charges []partCharge
-	success time.Time
+	part      uint64
+	charges   []partCharge
+	incidents int
+	success   time.Time
 }
 
 // explainedBy reports whether the charges of other parts leave fewer than the limit.
 func (s suspectPart) explainedBy(charges []partCharge) bool {
 	left := slices.DeleteFunc(slices.Clone(s.charges), func(c partCharge) bool { return slices.ContainsFunc(charges, c.sameCrash) })
-	return len(left) < partCrashLimit
+	return countIncidents(left) < partCrashLimit
 }
 
 // Refusals returns which requests must not run.
 func (l *PartLedger) Refusals(now time.Time) PartRefusals {
 	var suspects []suspectPart
 	for part, r := range l.parts {
-		if charges := r.since(now, r.success); len(charges) >= partCrashLimit {
-			suspects = append(suspects, suspectPart{part, charges, r.success})
+		if len(r.charges) < partCrashLimit {
+			continue
+		}
+		charges := r.since(now, r.success)
+		if n := countIncidents(charges); n >= partCrashLimit {
+			suspects = append(suspects, suspectPart{part, charges, n, r.success})
 		}
 	}
 	// Of parts with equally many charges, the one that succeeded longest ago, or
 	// never, explains those of the others.
 	slices.SortFunc(suspects, func(a, b suspectPart) int {
-		return cmp.Or(len(b.charges)-len(a.charges), a.success.Compare(b.success), cmp.Compare(a.part, b.part))
+		return cmp.Or(b.incidents-a.incidents, len(b.charges)-len(a.charges), a.success.Compare(b.success), cmp.Compare(a.part, b.part))
 	})
 	refusals := PartRefusals{groups: make(map[uint64]int)}
 	var leaders []suspectPart // the first part of each group
@@ -264,12 +330,7 @@
 func (l *PartLedger) Report(now time.Time) PartReport {
 	var report PartReport
 	for part, r := range l.parts {
-		record := CrashRecord{Fingerprint: part}
-		for _, c := range r.since(now, r.success) {
-			if c.own {
-				record.Charges = append(record.Charges, c.CrashCharge)
-			}
-		}
+		record := CrashRecord{Fingerprint: part, Charges: r.ownCharges(now)}
 		if len(record.Charges) > 0 {
 			report.Charges = append(report.Charges, record)
 		}
--- a/policy/crashparts_test.go
+++ b/policy/crashparts_test.go
@@ -39,7 +39,7 @@
 			for i, l := range ledgers {
 				now := at(time.Duration(i) * time.Second)
 				So(refused(now, guilty), ShouldEqual, 0)
-				l.Crashed(now, []uint64{guilty, popular + uint64(i)}, uint64(i))
+				l.Crashed(now, now, []uint64{guilty, popular + uint64(i)}, uint64(i))
 				exchange(now)
 			}
 			So(refused(at(3*time.Second), guilty), ShouldEqual, 3)
@@ -54,7 +54,7 @@
 		Convey("a part of which one instance has seen a success since the first crash is refused by none", func() {
 			for i, l := range ledgers {
 				now := at(time.Duration(i) * time.Second)
-				l.Crashed(now, []uint64{guilty, popular}, uint64(i))
+				l.Crashed(now, now, []uint64{guilty, popular}, uint64(i))
 				if i == 0 {
 					ledgers[1].Succeeded(now.Add(500*time.Millisecond), []uint64{popular})
 				}
@@ -65,7 +65,7 @@
 		})
 		Convey("two parts that were in all requests that crashed servers", func() {
 			for i, l := range ledgers {
-				l.Crashed(at(time.Duration(i)*time.Second), []uint64{guilty, popular}, uint64(i))
+				l.Crashed(at(time.Duration(i)*time.Second), at(time.Duration(i)*time.Second), []uint64{guilty, popular}, uint64(i))
 			}
 			exchange(at(3 * time.Second))
 			both := func(now time.Time) bool { return ledgers[0].Refusals(now).Refuse([]uint64{popular, guilty}) }
@@ -81,7 +81,7 @@
 				So(refused(at(4*time.Second), popular), ShouldEqual, 0)
 			})
 			Convey("or by another crash", func() {
-				ledgers[2].Crashed(at(4*time.Second), []uint64{guilty}, 9)
+				ledgers[2].Crashed(at(4*time.Second), at(4*time.Second), []uint64{guilty}, 9)
 				exchange(at(4 * time.Second))
 				So(refused(at(4*time.Second), guilty), ShouldEqual, 3)
 				So(refused(at(4*time.Second), popular), ShouldEqual, 0)
@@ -90,38 +90,53 @@
 		})
 		Convey("one crash that all instances saw counts once", func() {
 			for i, l := range ledgers {
-				l.Crashed(at(time.Duration(i)*300*time.Millisecond), []uint64{popular}, 7)
+				l.Crashed(at(time.Duration(i)*300*time.Millisecond), at(time.Duration(i)*300*time.Millisecond), []uint64{popular}, 7)
 			}
 			exchange(at(time.Second))
 			So(refused(at(time.Second), popular), ShouldEqual, 0)
 		})
 		Convey("crashes of many servers at once charge no part", func() {
 			for server := range uint64(5) {
-				ledgers[0].Crashed(at(time.Duration(server)*time.Millisecond), []uint64{popular}, server)
+				ledgers[0].Crashed(at(time.Duration(server)*time.Millisecond), at(0), []uint64{popular}, server)
 			}
 			So(refused(at(time.Second), popular), ShouldEqual, 0)
 		})
+		Convey("a part that crashes servers again and again, also at once, is refused", func() {
+			for i := range uint64(3) {
+				sent := at(time.Duration(10*i) * time.Millisecond)
+				ledgers[0].Crashed(sent.Add(5*time.Millisecond), sent, []uint64{guilty}, i)
+			}
+			So(refused(at(25*time.Millisecond), guilty), ShouldEqual, 1)
+		})
+		Convey("a part that keeps crashing servers is refused, however many crash at once", func() {
+			for i := range uint64(300) {
+				ledgers[0].Crashed(at(time.Duration(i)*time.Millisecond), at(0), []uint64{guilty}, i)
+			}
+			So(refused(at(300*time.Millisecond), guilty), ShouldEqual, 1)
+			exchange(at(300 * time.Millisecond))
+			So(refused(at(300*time.Millisecond), guilty), ShouldEqual, 3)
+		})
 		Convey("charges expire", func() {
 			for server := range uint64(3) {
-				ledgers[0].Crashed(at(time.Duration(server)*time.Second), []uint64{guilty}, server)
+				ledgers[0].Crashed(at(time.Duration(server)*time.Second), at(time.Duration(server)*time.Second), []uint64{guilty}, server)
 			}
 			So(refused(at(3*time.Second), guilty), ShouldEqual, 1)
 			So(refused(at(time.Hour), guilty), ShouldEqual, 0)
 		})
 		Convey("a restarted instance goes on with its own report", func() {
-			ledgers[0].Crashed(at(0), []uint64{guilty}, 1)
+			ledgers[0].Crashed(at(0), at(0), []uint64{guilty}, 1)
 			l := NewPartLedger()
 			l.Merge(at(time.Second), ledgers[0].Report(at(time.Second)), true)
-			l.Crashed(at(2*time.Second), []uint64{guilty}, 2)
+			l.Crashed(at(2*time.Second), at(2*time.Second), []uint64{guilty}, 2)
 			So(len(l.Report(at(3 * time.Second)).Charges[0].Charges), ShouldEqual, 2)
 		})
 		Convey("the sizes of ledger and report are bounded", func() {
 			for p := range uint64(3 * maxCrashRecords) {
-				ledgers[0].Crashed(at(time.Duration(p)*time.Second), []uint64{p}, p)
+				ledgers[0].Crashed(at(time.Duration(p)*time.Second), at(time.Duration(p)*time.Second), []uint64{p}, p)
 				ledgers[0].Succeeded(at(time.Duration(p)*time.Second), []uint64{p + 1e6})
 			}
 			So(len(ledgers[0].parts), ShouldBeLessThanOrEqualTo, maxCrashRecords)
-			So(len(ledgers[0].successes), ShouldBeLessThanOrEqualTo, maxPartSuccesses)
+			So(len(ledgers[0].successes.current)+len(ledgers[0].successes.previous), ShouldBeLessThanOrEqualTo, maxPartSuccesses)
 			So(len(ledgers[0].Report(at(3*maxCrashRecords*time.Second)).Charges), ShouldBeLessThanOrEqualTo, MaxPartReports)
 		})
 	})
@@ -151,7 +166,7 @@
 			case l.Refusals(now).Refuse(parts):
 			case crash:
 				server++
-				l.Crashed(now, parts, server)
+				l.Crashed(now, now, parts, server)
 			default:
 				l.Succeeded(now, parts)
 			}
