Refuse requests that come again unchanged and crash the servers that run them

Cause: on the forwarding path, crashes counted for shared parts of prompts only. A request without a prompt, the last part of a prompt, and a stream that crashes its server after the first event left no charge: the logs have 148 to 195 broken sends of one fingerprint at each instance and no line of a charge.

The ledger of crashes takes the fingerprint of the whole request as one more part. It is charged wherever in its answer the server crashed, and cleared when a server runs the request to its end. Instances share the evidence as they do for parts of prompts, and a part that explains more crashes still comes first, so that sound requests and sound parts stay served.

The test got a case with requests that come five times as often, and its servers resume streams now where the caller left off; the bounds are as they were.

--- a/plugins/forward/answer.go
+++ b/plugins/forward/answer.go
@@ -101,6 +101,9 @@
 	if x.Response.StatusCode < 300 {
 		f.recordBegin(now, r)
 	}
+	if x.Response.StatusCode < 500 {
+		f.recordComplete(now, r)
+	}
 	f.finishExchange(r, x, answer)
 	f.observeResponse(now, r, c, x.Response.StatusCode, now.Sub(began))
 	if err := a.extendWriteDeadline(); err != nil {
@@ -219,8 +222,10 @@
 		}
 		a.writeHeader(x.Response, -1)
 		f.finishExchange(r, x, answer)
-		f.observe(time.Now(), c.server, c.state, policy.CallSample{OK: true})
-		f.observeVersion(r, c, false, time.Since(began))
+		now := time.Now()
+		f.recordComplete(now, r)
+		f.observe(now, c.server, c.state, policy.CallSample{OK: true})
+		f.observeVersion(r, c, false, now.Sub(began))
 		return sendDone, kernel.Outcome{Kind: kernel.Served}
 	}
 }
--- a/plugins/forward/crashes.go
+++ b/plugins/forward/crashes.go
@@ -11,10 +11,11 @@
 )
 
 // retryAfterCrashes is the retry delay for a caller whose request was refused because
-// servers crashed when they began to respond to a part of its prompt.
+// servers crashed when they ran it, or when they began to respond to a part of its
+// prompt.
 const retryAfterCrashes = time.Minute
 
-var partsRefused = kernel.Outcome{Kind: kernel.NotRun, Reason: kernel.ReasonCrashes, Detail: "backend servers crashed when they began to respond to a part of this prompt", RetryAfter: retryAfterCrashes}
+var partsRefused = kernel.Outcome{Kind: kernel.NotRun, Reason: kernel.ReasonCrashes, Detail: "backend servers crashed when they ran this request, or began to respond to a part of its prompt", RetryAfter: retryAfterCrashes}
 
 // fingerprint returns a hash of what a caller repeats unchanged when it sends a request
 // again.
@@ -39,25 +40,40 @@
 	return d.Sum64()
 }
 
-// refusesParts reports whether the request must not run because of a part of its
-// prompt.
+// refusesParts reports whether the request must not run, because of a part of its prompt
+// or as a whole.
 func (f *Forward) refusesParts(r *request) bool {
 	g := f.host.PartGuard
-	return g != nil && len(r.sharedParts) > 0 && g.RefuseParts(r.sharedParts)
+	return g != nil && g.RefuseParts(r.parts)
 }
 
-// recordBegin records that a server began to respond to the request.
+// recordBegin records that a server began to respond to the request. It may still crash
+// while it goes on, but not because of a part that requests share.
 func (f *Forward) recordBegin(now time.Time, r *request) {
 	r.begun = true
-	if g := f.host.PartGuard; g != nil && len(r.sharedParts) > 0 {
-		g.PartsSucceeded(now, r.sharedParts)
+	f.recordSuccess(now, r.sharedParts)
+}
+
+// recordComplete records that a server ran the request to its end.
+func (f *Forward) recordComplete(now time.Time, r *request) {
+	f.recordSuccess(now, []uint64{r.fingerprint})
+}
+
+func (f *Forward) recordSuccess(now time.Time, parts []uint64) {
+	if g := f.host.PartGuard; g != nil && len(parts) > 0 {
+		g.PartsSucceeded(now, parts)
 	}
 }
 
-// recordBreak records that the connection to a server broke. A server that has begun
-// to respond to a request was not crashed by it.
+// recordBreak records that the connection to a server broke while it ran the request.
 func (f *Forward) recordBreak(now, sent time.Time, r *request, c choice, err error) {
-	if g := f.host.PartGuard; g != nil && len(r.sharedParts) > 0 && !r.begun && upstream.MaybeSent(err) && !upstream.TimedOut(err) {
-		g.PartsCrashed(now, sent, r.sharedParts, c.server.ID+"/"+strconv.FormatInt(c.server.StartUnixMilli, 10))
+	g := f.host.PartGuard
+	if g == nil || !upstream.MaybeSent(err) || upstream.TimedOut(err) {
+		return
+	}
+	parts := r.parts
+	if r.begun {
+		parts = []uint64{r.fingerprint}
 	}
+	g.PartsCrashed(now, sent, parts, c.server.ID+"/"+strconv.FormatInt(c.server.StartUnixMilli, 10))
 }
--- a/plugins/forward/request.go
+++ b/plugins/forward/request.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -57,6 +58,9 @@
 	fingerprint uint64
 	// sharedParts holds the IDs of the parts of the prompt that other requests share.
 	sharedParts []uint64
+	// parts holds sharedParts and, once the body is read, fingerprint: what may be found to
+	// crash servers.
+	parts []uint64
 	// sharedTokens is the number of tokens in the part of the prompt that other
 	// requests share.
 	sharedTokens int
@@ -151,18 +155,20 @@
 	r.setTimes()
 	r.promptKey, r.sharedTokens = promptKey(&r.call)
 	r.sharedParts = sharedParts(&r.call)
+	r.parts = slices.Clone(r.sharedParts)
 	r.log.Add("accepted", "route", r.route.Name, "kind", r.route.Kind.String(), "service", r.service.Name, "account", r.accountName(),
 		"config", r.view.Config.Version, "catalog_epoch", r.view.Epoch, "left", r.deadline.Sub(r.began))
 	if out := f.checkStop(time.Now(), r, r.route.Name); out.Kind != "" {
 		return out
 	}
-	if f.refusesParts(r) {
-		return partsRefused
-	}
 	if out := f.readBody(w, hr, r); out.Kind != "" {
 		return out
 	}
 	r.fingerprint = fingerprint(r)
+	r.parts = append(r.parts, r.fingerprint)
+	if f.refusesParts(r) {
+		return partsRefused
+	}
 	return kernel.Outcome{}
 }
 
--- a/test/passthrough/crashing_requests_test.go
+++ b/test/passthrough/crashing_requests_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -45,7 +46,8 @@
 		b.Do = func(w http.ResponseWriter, _ *http.Request, q platformtest.ReceivedRequest) {
 			guilty := strings.HasPrefix(q.Body, guiltyBody)
 			if guilty && events > 0 {
-				platformtest.Stream(w, 1, events)
+				last, _ := strconv.Atoi(q.LastEvent) // 0 for a stream that begins
+				platformtest.Stream(w, last+1, last+events)
 			}
 			switch {
 			case guilty:
@@ -142,12 +144,14 @@
 	cases := []struct {
 		name, service, path, prompt string
 		events                      int
+		interval                    time.Duration // between two requests at an instance
 	}{
-		{"a request that may run once", "app", "/once/x", "", 0},
-		{"an idempotent request", "app", "/again/x", "", 0},
-		{"a stream without a prompt, before its first event", "llm", "/stream/x", "", 0},
-		{"a stream whose prompt has no shared part, before its first event", "llm", "/resume/x", "c0ffee:100", 0},
-		{"a resumable stream, after its first events", "llm", "/resume/x", "a1:100,c0ffee:10", 2},
+		{"a request that may run once", "app", "/once/x", "", 0, 40 * time.Millisecond},
+		{"an idempotent request", "app", "/again/x", "", 0, 40 * time.Millisecond},
+		{"an idempotent request, very often", "app", "/again/x", "", 0, 8 * time.Millisecond},
+		{"a stream without a prompt, before its first event", "llm", "/stream/x", "", 0, 40 * time.Millisecond},
+		{"a stream whose prompt has no shared part, before its first event", "llm", "/resume/x", "c0ffee:100", 0, 40 * time.Millisecond},
+		{"a resumable stream, after its first events", "llm", "/resume/x", "a1:100,c0ffee:10", 2, 40 * time.Millisecond},
 	}
 	for _, q := range cases {
 		Convey("With "+q.name+" that crashes each server", t, func() {
@@ -157,7 +161,7 @@
 			var requests sync.WaitGroup
 			var guilty, sound *tally
 			requests.Go(func() {
-				guilty = c.everywhere(contactTime+3*time.Second, 40*time.Millisecond, func(n int64) platformtest.Request {
+				guilty = c.everywhere(contactTime+3*time.Second, q.interval, func(n int64) platformtest.Request {
 					return platformtest.Request{Path: q.path, Prompt: q.prompt, ID: fmt.Sprint("g", n), Body: guiltyBody}
 				})
 			})
