Try a refused request once now and then, so that it does not stay refused

A request that servers no longer crash on, or that was refused because servers crashed by themselves under it, stayed refused at all instances for ten minutes: no run could clear it.

One instance, which the members of the fleet agree on, lets a request through that is refused as a whole, a second after the last crash, and after each such run that crashes a server four times as long. The delays follow from the charges, which all instances share, so they hold across restarts. Parts of prompts are not tried: many requests share them, and those in progress clear them if they are sound.

TestCrashingRequestIsTried fails without this (nothing served 6 s after the servers were mended).

--- a/kernel/part_guard.go
+++ b/kernel/part_guard.go
@@ -7,6 +7,9 @@
 type PartGuard interface {
 	// RefuseParts reports whether a request with the parts must not run.
 	RefuseParts(parts []uint64) bool
+	// TryRequest reports whether a request that is refused as a whole, the last of its
+	// parts, runs nevertheless, once, to find out whether it still crashes servers.
+	TryRequest(now time.Time, parts []uint64) bool
 	// PartsCrashed records that the connection to a server broke while it ran a request
 	// with the parts, which was sent at a time. The parts of a prompt are not given if the
 	// server had begun to respond. The name of a server differs for each of its starts.
--- a/plugins/forward/crashes.go
+++ b/plugins/forward/crashes.go
@@ -41,10 +41,16 @@
 }
 
 // refusesParts reports whether the request must not run, because of a part of its prompt
-// or as a whole.
-func (f *Forward) refusesParts(r *request) bool {
+// or as a whole. One that may run as a trial does so until a server crashes.
+func (f *Forward) refusesParts(now time.Time, r *request) bool {
 	g := f.host.PartGuard
-	return g != nil && g.RefuseParts(r.parts)
+	if g == nil || r.trial || !g.RefuseParts(r.parts) {
+		return false
+	}
+	if r.trial = g.TryRequest(now, r.parts); r.trial {
+		r.log.Add("trial of a refused request", "fingerprint", r.fingerprint)
+	}
+	return !r.trial
 }
 
 // recordBegin records that a server began to respond to the request. It may still crash
@@ -71,6 +77,7 @@
 	if g == nil || !upstream.MaybeSent(err) || upstream.TimedOut(err) {
 		return
 	}
+	r.trial = false
 	parts := r.parts
 	if r.begun {
 		parts = []uint64{r.fingerprint}
--- a/plugins/forward/request.go
+++ b/plugins/forward/request.go
@@ -61,6 +61,8 @@
 	// parts holds sharedParts and, once the body is read, fingerprint: what may be found to
 	// crash servers.
 	parts []uint64
+	// trial is true while the request runs although it is refused.
+	trial bool
 	// sharedTokens is the number of tokens in the part of the prompt that other
 	// requests share.
 	sharedTokens int
@@ -166,7 +168,7 @@
 	}
 	r.fingerprint = fingerprint(r)
 	r.parts = append(r.parts, r.fingerprint)
-	if f.refusesParts(r) {
+	if f.refusesParts(time.Now(), r) {
 		return partsRefused
 	}
 	return kernel.Outcome{}
--- a/plugins/forward/send.go
+++ b/plugins/forward/send.go
@@ -63,7 +63,7 @@
 	for n := 0; n < maxSends; n++ {
 		now := time.Now()
 		// The part may have been found guilty during the stages or the last send.
-		if f.refusesParts(r) {
+		if f.refusesParts(now, r) {
 			return unknownIfRan(ran, partsRefused)
 		}
 		if out := f.checkStop(now, r, sendKind(r)); out.Kind != "" {
--- a/plugins/partguard/partguard.go
+++ b/plugins/partguard/partguard.go
@@ -8,6 +8,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -87,6 +88,33 @@
 // RefuseParts implements kernel.PartGuard.
 func (g *Guard) RefuseParts(parts []uint64) bool { return g.refusals.Load().Refuse(parts) }
 
+// TryRequest implements kernel.PartGuard.
+func (g *Guard) TryRequest(now time.Time, parts []uint64) bool {
+	if !g.refusals.Load().TrialDue(now, parts) {
+		return false
+	}
+	whole := parts[len(parts)-1]
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.owns(whole) || !g.ledger.Refusals(now).TrialDue(now, parts) {
+		return false
+	}
+	g.ledger.Tried(now, whole)
+	g.updateRefusals(now)
+	g.host.Counter("crash_trials").Inc(1)
+	g.host.Logger.Info("trying a refused request", "fingerprint", whole)
+	return true
+}
+
+// owns reports whether this instance is the one that tries a refused request.
+func (g *Guard) owns(whole uint64) bool {
+	if g.host.Fleet == nil {
+		return true
+	}
+	everyone := func(kernel.FleetMember) bool { return true }
+	return kernel.FleetOwner(strconv.FormatUint(whole, 16), g.host.Fleet.Members(), everyone).ID == g.host.ID()
+}
+
 // PartsCrashed implements kernel.PartGuard.
 func (g *Guard) PartsCrashed(now, sent time.Time, parts []uint64, server string) {
 	g.mu.Lock()
--- a/policy/crashparts.go
+++ b/policy/crashparts.go
@@ -24,6 +24,11 @@
 	MaxPartCharges = 5 * partCrashLimit
 	// maxPartSuccesses bounds the number of parts whose last success is kept.
 	maxPartSuccesses = 8192
+	// firstTrialDelay is the time after the newest charge at which a refused request is
+	// tried once. Each trial that crashes a server makes it trialBackoff times
+	// as long, up to crashChargeTTL.
+	firstTrialDelay = time.Second
+	trialBackoff    = 4
 	// MaxPartReports bounds the charged parts and the successes in a report.
 	MaxPartReports = 64
 )
@@ -81,6 +86,8 @@
 type partRecord struct {
 	charges []partCharge
 	success time.Time // last known success
+	// tried is when the request that is the part, and is refused, was last tried here.
+	tried time.Time
 	// reported is the newest success that any instance has reported, defended the one
 	// that this instance reports, zero if it reports none.
 	reported, defended time.Time
@@ -256,22 +263,48 @@
 type PartRefusals struct {
 	groups map[uint64]int // by part, the parts from which it cannot be told apart
 	sizes  []int          // number of parts by group
+	trials []time.Time    // by group, when a whole request in it may be tried
 }
 
 // Refuse reports whether a request with the parts must not run.
 func (r PartRefusals) Refuse(parts []uint64) bool {
-	found := -1
-	for _, part := range parts {
-		group, ok := r.groups[part]
-		if !ok {
-			continue
+	for range r.refusing(parts) {
+		return true
+	}
+	return false
+}
+
+// TrialDue reports whether a request that is refused as a whole, the last of its parts,
+// should be tried, so that one that is refused wrongly does not stay so. Of all instances,
+// the owner of the whole request should do it. Refused parts of prompts are not tried:
+// requests that are running clear those that are sound.
+func (r PartRefusals) TrialDue(now time.Time, parts []uint64) bool {
+	due := false
+	for part, group := range r.refusing(parts) {
+		if part != parts[len(parts)-1] || now.Before(r.trials[group]) {
+			return false
 		}
-		if r.sizes[group] == 1 || group == found {
-			return true
+		due = true
+	}
+	return due
+}
+
+// refusing yields the groups that refuse a request with the parts, each with the part that
+// completes it.
+func (r PartRefusals) refusing(parts []uint64) iter.Seq2[uint64, int] {
+	return func(yield func(part uint64, group int) bool) {
+		found := -1
+		for _, part := range parts {
+			group, ok := r.groups[part]
+			if !ok {
+				continue
+			}
+			if (r.sizes[group] == 1 || group == found) && !yield(part, group) {
+				return
+			}
+			found = group
 		}
-		found = group
 	}
-	return false
 }
 
 // Parts returns the suspect parts in ascending order.
@@ -316,6 +349,7 @@
 		case group < 0:
 			refusals.groups[s.part] = len(leaders)
 			refusals.sizes = append(refusals.sizes, 1)
+			refusals.trials = append(refusals.trials, l.trialAt(s))
 			leaders = append(leaders, s)
 		case len(leaders[group].charges) == len(s.charges) && leaders[group].success.Equal(s.success):
 			refusals.groups[s.part] = group
@@ -325,6 +359,30 @@
 	return refusals
 }
 
+// trialAt returns when a refused request may be tried. Charges that follow the
+// one that reached the limit after firstTrialDelay or more are due to earlier trials.
+func (l *PartLedger) trialAt(s suspectPart) time.Time {
+	delay, last := firstTrialDelay, time.Time{}
+	count, from := 0, 0 // incidents so far, and the first charge of the next one
+	for end := range incidents(s.charges) {
+		if count >= partCrashLimit && s.charges[from].At.Sub(last) >= firstTrialDelay {
+			delay = min(delay*trialBackoff, crashChargeTTL)
+		}
+		count, from, last = count+1, end, s.charges[end-1].At
+	}
+	if tried := l.parts[s.part].tried; tried.After(last) {
+		last = tried
+	}
+	return last.Add(delay)
+}
+
+// Tried records that a request that is refused as a whole is tried.
+func (l *PartLedger) Tried(now time.Time, whole uint64) {
+	if r := l.parts[whole]; r != nil {
+		r.tried = now
+	}
+}
+
 // Report returns what other instances should know: this instance's charges since the
 // last known success of each part, and the successes that it defends.
 func (l *PartLedger) Report(now time.Time) PartReport {
--- a/policy/crashparts_test.go
+++ b/policy/crashparts_test.go
@@ -116,6 +116,47 @@
 			exchange(at(300 * time.Millisecond))
 			So(refused(at(300*time.Millisecond), guilty), ShouldEqual, 3)
 		})
+		Convey("a request that is refused as a whole is tried after a time", func() {
+			parts := []uint64{50, guilty}
+			for server := range uint64(3) {
+				ledgers[0].Crashed(at(time.Duration(server)*time.Second), at(time.Duration(server)*time.Second), []uint64{guilty}, server)
+			}
+			exchange(at(2 * time.Second))
+			due := func(now time.Time) bool { return ledgers[1].Refusals(now).TrialDue(now, parts) }
+			So(due(at(2900*time.Millisecond)), ShouldBeFalse)
+			So(due(at(3*time.Second)), ShouldBeTrue)
+			ledgers[1].Tried(at(3*time.Second), guilty)
+			So(due(at(3100*time.Millisecond)), ShouldBeFalse)
+			So(refused(at(3100*time.Millisecond), guilty), ShouldEqual, 3)
+			Convey("once more, if nothing comes of it", func() {
+				So(due(at(4*time.Second)), ShouldBeTrue)
+			})
+			Convey("after a longer time, if it crashes a server", func() {
+				ledgers[1].Crashed(at(3200*time.Millisecond), at(3200*time.Millisecond), []uint64{guilty}, 8)
+				So(due(at(7*time.Second)), ShouldBeFalse)
+				So(due(at(7200*time.Millisecond)), ShouldBeTrue)
+				ledgers[1].Tried(at(7200*time.Millisecond), guilty)
+				ledgers[1].Crashed(at(7300*time.Millisecond), at(7300*time.Millisecond), []uint64{guilty}, 9)
+				So(due(at(23*time.Second)), ShouldBeFalse)
+				So(due(at(23300*time.Millisecond)), ShouldBeTrue)
+			})
+			Convey("and the part is refused by none, if it succeeds", func() {
+				ledgers[1].Succeeded(at(3200*time.Millisecond), []uint64{guilty})
+				exchange(at(3200 * time.Millisecond))
+				So(refused(at(3200*time.Millisecond), guilty), ShouldEqual, 0)
+			})
+		})
+		Convey("a request that is refused because of a part of its prompt is not tried", func() {
+			const whole = 60
+			for server := range uint64(3) {
+				ledgers[0].Crashed(at(time.Duration(server)*time.Second), at(time.Duration(server)*time.Second), []uint64{guilty}, server)
+				ledgers[0].Crashed(at(time.Duration(server)*time.Second+500*time.Millisecond), at(time.Duration(server)*time.Second+500*time.Millisecond), []uint64{whole}, 20+server)
+			}
+			refusals := ledgers[0].Refusals(at(time.Minute))
+			So(refusals.TrialDue(at(time.Minute), []uint64{guilty, whole}), ShouldBeFalse)
+			So(refusals.TrialDue(at(time.Minute), []uint64{guilty, popular}), ShouldBeFalse)
+			So(refusals.TrialDue(at(time.Minute), []uint64{popular, whole}), ShouldBeTrue)
+		})
 		Convey("charges expire", func() {
 			for server := range uint64(3) {
 				ledgers[0].Crashed(at(time.Duration(server)*time.Second), at(time.Duration(server)*time.Second), []uint64{guilty}, server)
@@ -188,3 +229,137 @@
 		}
 	}
 }
+
+// TestPartLedgerRepeatedRequests guards against a request that comes again unchanged and
+// crashes server after server, and against a sound one that is refused because servers
+// crash by themselves under it. Each instance learns of the others' reports after a
+// delay, requests take a time, and the clocks of the instances differ.
+func TestPartLedgerRepeatedRequests(t *testing.T) {
+	const (
+		guilty, sound           = 99, 7
+		instances, servers      = 6, 18
+		step, steps, seeds      = 5 * time.Millisecond, 4000, 40
+		contact, maxLate        = 3 * time.Second, 3
+		selfCrashes, multiCrash = 200, 3 // one in so many steps; one in so many of these hits several servers
+		multiServers            = 8
+		maxSkew                 = 200 // ms
+	)
+	type run struct {
+		instance, server int
+		sent, end        time.Time
+		fingerprint      uint64
+	}
+	type mail struct {
+		at     time.Time
+		from   int
+		report PartReport
+	}
+	for seed := range uint64(seeds) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		guiltyEvery, soundEvery := 1+random.IntN(40), 1+random.IntN(40)
+		slow := time.Duration(20+random.IntN(1500)) * time.Millisecond
+		start := time.Unix(1000, 0)
+		ledgers := make([]*PartLedger, instances)
+		for i := range ledgers {
+			ledgers[i] = NewPartLedger()
+		}
+		skew := make([]time.Duration, instances)
+		for i := range skew {
+			skew[i] = time.Duration(random.IntN(2*maxSkew)-maxSkew) * time.Millisecond
+		}
+		var running []run
+		var mails []mail
+		starts := make([]uint64, servers)
+		var crashes []time.Time
+		soundSent, soundRefused := 0, 0
+		crash := func(now time.Time, server int) {
+			rest := running[:0]
+			for _, r := range running {
+				if r.server == server {
+					ledgers[r.instance].Crashed(now.Add(skew[r.instance]), r.sent.Add(skew[r.instance]), []uint64{r.fingerprint}, starts[server]*servers+uint64(server))
+					continue
+				}
+				rest = append(rest, r)
+			}
+			running = rest
+			starts[server]++
+		}
+		send := func(now time.Time, fingerprint uint64, lasts time.Duration) (refused bool) {
+			i := random.IntN(instances)
+			parts, local := []uint64{fingerprint}, now.Add(skew[i])
+			if refusals := ledgers[i].Refusals(local); refusals.Refuse(parts) {
+				if int(fingerprint%instances) != i || !refusals.TrialDue(local, parts) {
+					return true
+				}
+				ledgers[i].Tried(local, fingerprint)
+			}
+			running = append(running, run{i, random.IntN(servers), now, now.Add(lasts), fingerprint})
+			return false
+		}
+		for n := range steps {
+			now := start.Add(time.Duration(n) * step)
+			if n%guiltyEvery == 0 {
+				send(now, guilty, 10*time.Millisecond)
+			}
+			if n%soundEvery == 0 {
+				soundSent++
+				if send(now, sound, slow) {
+					soundRefused++
+				}
+			}
+			if random.IntN(selfCrashes) == 0 {
+				crash(now, random.IntN(servers))
+				if random.IntN(multiCrash) == 0 {
+					for range multiServers - 1 {
+						crash(now, random.IntN(servers))
+					}
+				}
+			}
+			for again := true; again; {
+				again = false
+				for i, r := range running {
+					if now.Before(r.end) {
+						continue
+					}
+					if r.fingerprint == guilty {
+						crashes = append(crashes, now)
+						crash(now, r.server)
+					} else {
+						ledgers[r.instance].Succeeded(now.Add(skew[r.instance]), []uint64{sound})
+						running = slices.Delete(running, i, i+1)
+					}
+					again = true
+					break
+				}
+			}
+			if n%20 == 0 { // the interval of writes to the store
+				for i, l := range ledgers {
+					mails = append(mails, mail{now.Add(time.Duration(50+random.IntN(250)) * time.Millisecond), i, l.Report(now.Add(skew[i]))})
+				}
+			}
+			mails = slices.DeleteFunc(mails, func(m mail) bool {
+				if now.Before(m.at) {
+					return false
+				}
+				for i, l := range ledgers {
+					if i != m.from {
+						l.Merge(now.Add(skew[i]), m.report, false)
+					}
+				}
+				return true
+			})
+		}
+		late := 0
+		for i, at := range crashes {
+			if i > 2 && at.Sub(crashes[2]) > contact {
+				late++
+			}
+		}
+		if late > maxLate {
+			t.Errorf("seed %d: %d of %d runs of the guilty request are late", seed, late, len(crashes))
+		}
+		if share := float64(soundRefused) / float64(soundSent); share > 0.05 {
+			t.Errorf("seed %d: %.3f of %d sound requests refused (each %v, lasting %v)", seed, share, soundSent, time.Duration(soundEvery)*step, slow)
+		}
+	}
+}
--- a/test/passthrough/crashing_requests_test.go
+++ b/test/passthrough/crashing_requests_test.go
@@ -30,6 +30,8 @@
 	cluster  *Cluster
 	backends []*platformtest.Backend
 	starts   atomic.Int64
+	// mended is true if guilty requests no longer crash servers.
+	mended atomic.Bool
 
 	mu      sync.Mutex
 	crashes []time.Time // by guilty requests; guarded by mu
@@ -44,7 +46,7 @@
 		b := c.startBackend(fmt.Sprint(service, "-", i), service)
 		s.backends = append(s.backends, b)
 		b.Do = func(w http.ResponseWriter, _ *http.Request, q platformtest.ReceivedRequest) {
-			guilty := strings.HasPrefix(q.Body, guiltyBody)
+			guilty := strings.HasPrefix(q.Body, guiltyBody) && !s.mended.Load()
 			if guilty && events > 0 {
 				last, _ := strconv.Atoi(q.LastEvent) // 0 for a stream that begins
 				platformtest.Stream(w, last+1, last+events)
@@ -221,3 +223,22 @@
 		}
 	}
 }
+
+// TestCrashingRequestIsTried guards against a request that stays refused everywhere after
+// it has stopped to crash servers.
+func TestCrashingRequestIsTried(t *testing.T) {
+	const servers = 8
+	Convey("A request that crashed servers is served again some seconds after it no longer does", t, func() {
+		c := New(t)
+		s := c.startCrashingServers("app", servers, 0)
+		c.startFive("app", servers)
+		request := func(n int64) platformtest.Request {
+			return platformtest.Request{Path: "/again/x", ID: fmt.Sprint("g", n), Body: guiltyBody}
+		}
+		c.everywhere(time.Second, 100*time.Millisecond, request)
+		So(c.everywhere(100*time.Millisecond, 50*time.Millisecond, request).refused.Load(), ShouldBeGreaterThan, 0)
+		s.mended.Store(true)
+		c.everywhere(5*time.Second, 100*time.Millisecond, request)
+		So(c.everywhere(time.Second, 50*time.Millisecond, request).servedShare(), ShouldEqual, 1)
+	})
+}
