Take what instances with fast clocks report of crashes as of now

A charge with a time ahead of the reader's clock outlived each success that the reader saw meanwhile, so that a sound part stayed refused until the clocks met; a success ahead of it hid crashes. Clocks of machines may differ by seconds. Times in reports count as now if they are later. The new case of TestPartLedger failed before.

--- a/policy/crashparts.go
+++ b/policy/crashparts.go
@@ -407,23 +407,32 @@
 	return report
 }
 
-// Merge adds the report of an instance and reports whether this instance has
-// something to reply. own is set for a report that this instance itself made before
+// earlier returns the earlier of two times.
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// Merge adds the report of an instance, whose clock may be ahead, and reports whether this
+// instance has something to reply. own is set for a report that this instance itself made before
 // its process was restarted.
 func (l *PartLedger) Merge(now time.Time, report PartReport, own bool) (reply bool) {
 	for _, s := range report.Successes {
-		r := l.record(now, s.Part)
-		r.noteSuccess(s.At)
-		if s.At.After(r.reported) {
-			r.reported = s.At
+		r, at := l.record(now, s.Part), earlier(s.At, now)
+		r.noteSuccess(at)
+		if at.After(r.reported) {
+			r.reported = at
 		}
 		if own {
-			r.defended = s.At
+			r.defended = at
 		}
 	}
 	for _, record := range report.Charges {
 		for _, c := range record.Charges {
 			if now.Sub(c.At) <= crashChargeTTL {
+				c.At = earlier(c.At, now)
 				l.charge(now, record.Fingerprint, partCharge{c, own})
 			}
 		}
--- a/policy/crashparts_test.go
+++ b/policy/crashparts_test.go
@@ -157,6 +157,15 @@
 			So(refusals.TrialDue(at(time.Minute), []uint64{guilty, popular}), ShouldBeFalse)
 			So(refusals.TrialDue(at(time.Minute), []uint64{popular, whole}), ShouldBeTrue)
 		})
+		Convey("reports of an instance whose clock is ahead count as of now", func() {
+			for server := range uint64(3) {
+				ledgers[0].Crashed(at(time.Hour+time.Duration(server)*time.Second), at(time.Hour+time.Duration(server)*time.Second), []uint64{guilty}, server)
+				ledgers[1].Merge(at(time.Duration(server)*time.Second), ledgers[0].Report(at(time.Hour+time.Duration(server)*time.Second)), false)
+			}
+			So(ledgers[1].Refusals(at(2*time.Second)).Refuse([]uint64{guilty}), ShouldBeTrue)
+			ledgers[1].Succeeded(at(3*time.Second), []uint64{guilty})
+			So(ledgers[1].Refusals(at(3*time.Second)).Refuse([]uint64{guilty}), ShouldBeFalse)
+		})
 		Convey("charges expire", func() {
 			for server := range uint64(3) {
 				ledgers[0].Crashed(at(time.Duration(server)*time.Second), at(time.Duration(server)*time.Second), []uint64{guilty}, server)
