--- a/kernel/crash_guard.go
+++ b/kernel/crash_guard.go
@@ -13,8 +13,8 @@
 	// not share a server with another suspect request.
 	Suspect(now time.Time, fingerprint uint64) bool
 	// ConnectionBroken records that the connection to a server broke while the
-	// server ran the request.
-	ConnectionBroken(now time.Time, fingerprint uint64, server string)
+	// server ran the request, which was sent at a time.
+	ConnectionBroken(now, sent time.Time, fingerprint uint64, server string)
 	// Succeeded records that a server ran the request without a crash.
 	Succeeded(now time.Time, fingerprint uint64)
 }
--- a/kernel/serve_test.go
+++ b/kernel/serve_test.go
@@ -291,10 +291,10 @@
 // alwaysSuspect is a crash guard that suspects every request.
 type alwaysSuspect struct{}
 
-func (alwaysSuspect) Refuse(time.Time, uint64) bool              { return false }
-func (alwaysSuspect) Suspect(time.Time, uint64) bool             { return true }
-func (alwaysSuspect) ConnectionBroken(time.Time, uint64, string) {}
-func (alwaysSuspect) Succeeded(time.Time, uint64)                {}
+func (alwaysSuspect) Refuse(time.Time, uint64) bool                       { return false }
+func (alwaysSuspect) Suspect(time.Time, uint64) bool                      { return true }
+func (alwaysSuspect) ConnectionBroken(_, _ time.Time, _ uint64, _ string) {}
+func (alwaysSuspect) Succeeded(time.Time, uint64)                         {}
 
 func TestDeniedSuspectIsRemoved(t *testing.T) {
 	Convey("A suspect whose claim forbids dispatch is removed from the suspects", t, func() {
--- a/kernel/stage_result.go
+++ b/kernel/stage_result.go
@@ -83,7 +83,7 @@
 	server.observe(now, sample)
 	s.observeVersion(now, done)
 	if g := s.host.CrashGuard; g != nil && answer.Result == CallBroken {
-		g.ConnectionBroken(now, s.fingerprint, server.ID)
+		g.ConnectionBroken(now, now.Add(-sample.Latency), s.fingerprint, server.ID)
 	}
 }
 
--- a/plugins/crashguard/crashguard.go
+++ b/plugins/crashguard/crashguard.go
@@ -61,9 +61,9 @@
 }
 
 // ConnectionBroken implements kernel.CrashGuard.
-func (g *Guard) ConnectionBroken(now time.Time, fingerprint uint64, server string) {
+func (g *Guard) ConnectionBroken(now, sent time.Time, fingerprint uint64, server string) {
 	g.mu.Lock()
-	g.ledger.ConnectionBroken(now, fingerprint, xxhash.Sum64String(server))
+	g.ledger.ConnectionBroken(now, sent, fingerprint, xxhash.Sum64String(server))
 	refused := g.ledger.Refuse(now, fingerprint)
 	g.mu.Unlock()
 	g.host.Counter("crash_charges").Inc(1)
--- a/policy/crash.go
+++ b/policy/crash.go
@@ -60,10 +60,11 @@
 	return &CrashLedger{records: make(map[uint64]*CrashRecord), cleared: make(map[uint64]time.Time)}
 }
 
-// ConnectionBroken records that a connection broke while the server ran the request.
-func (l *CrashLedger) ConnectionBroken(now time.Time, fingerprint, server uint64) {
-	if l.breaks.commonCause(now, server) {
-		l.withdrawCommonCause(now)
+// ConnectionBroken records that a connection broke while the server ran the request,
+// which was sent at a time.
+func (l *CrashLedger) ConnectionBroken(now, sent time.Time, fingerprint, server uint64) {
+	if l.breaks.commonCause(now, sent, server) {
+		l.withdrawCommonCause(now, sent)
 		return
 	}
 	l.charge(now, fingerprint, CrashCharge{Server: server, At: now})
@@ -74,21 +75,28 @@
 type recentBreaks struct{ servers []CrashCharge }
 
 // commonCause records that a connection to a server broke, and reports whether it
-// broke together with those of other servers.
-func (b *recentBreaks) commonCause(now time.Time, server uint64) bool {
+// broke together with those of other servers. A break before the request was sent has
+// another cause.
+func (b *recentBreaks) commonCause(now, sent time.Time, server uint64) bool {
 	b.servers = slices.DeleteFunc(b.servers, func(c CrashCharge) bool {
 		return now.Sub(c.At) > commonCauseWindow || c.Server == server
 	})
 	b.servers = append(b.servers, CrashCharge{Server: server, At: now})
-	return len(b.servers) >= commonCauseServers
+	together := 0
+	for _, c := range b.servers {
+		if !c.At.Before(sent) {
+			together++
+		}
+	}
+	return together >= commonCauseServers
 }
 
-// withdrawCommonCause removes all charges of the last commonCauseWindow. Older
-// charges stay.
-func (l *CrashLedger) withdrawCommonCause(now time.Time) {
+// withdrawCommonCause removes all charges of the last commonCauseWindow since a request
+// was sent. Older charges stay.
+func (l *CrashLedger) withdrawCommonCause(now, sent time.Time) {
 	for fingerprint, r := range l.records {
 		r.Charges = slices.DeleteFunc(r.Charges, func(c CrashCharge) bool {
-			return now.Sub(c.At) <= commonCauseWindow
+			return now.Sub(c.At) <= commonCauseWindow && !c.At.Before(sent)
 		})
 		if len(r.Charges) == 0 {
 			delete(l.records, fingerprint)
