Try refused requests also if they cannot be told from the parts of their prompts

A refused request whose prompt has parts that no other request shares is in one group with them, so that it counted as refused because of its prompt, and was never tried. The whole request is tried if it belongs to each group that refuses it. The new case of TestPartLedger fails without this.

--- a/policy/crashparts.go
+++ b/policy/crashparts.go
@@ -8,7 +8,7 @@
 	"time"
 )
 
-// Parameters of the ledger of prompt parts.
+// Parameters of the ledger of parts.
 const (
 	// partCrashLimit is the number of incidents without a success in between at which
 	// requests with a part are refused. It is higher than that of a request: sound
@@ -25,8 +25,8 @@
 	// maxPartSuccesses bounds the number of parts whose last success is kept.
 	maxPartSuccesses = 8192
 	// firstTrialDelay is the time after the newest charge at which a refused request is
-	// tried once. Each trial that crashes a server makes it trialBackoff times
-	// as long, up to crashChargeTTL.
+	// tried once. Each trial that crashes a server makes it trialBackoff times as long,
+	// up to crashChargeTTL.
 	firstTrialDelay = time.Second
 	trialBackoff    = 4
 	// MaxPartReports bounds the charged parts and the successes in a report.
@@ -52,8 +52,9 @@
 //
 // When a server crashes, the parts of the requests that it was running are charged.
 // Charges before a success of the part do not count, nor do crashes that a part with
-// more charges explains. Crashes at the same moment count once: they may have a common
-// cause. A request that is sent after one crash and meets the next is no such case. Each instance sees only some of the crashes and some of the successes, so
+// more charges explains. Crashes at the same moment are one incident, since they may have
+// a common cause; a request that was sent after one crash and met the next has not met
+// one. Each instance sees only some of the crashes and some of the successes, so
 // instances exchange reports of the crashes, and of the successes of parts that come
 // close to being refused.
 //
@@ -280,8 +281,8 @@
 // requests that are running clear those that are sound.
 func (r PartRefusals) TrialDue(now time.Time, parts []uint64) bool {
 	due := false
-	for part, group := range r.refusing(parts) {
-		if part != parts[len(parts)-1] || now.Before(r.trials[group]) {
+	for group := range r.refusing(parts) {
+		if whole, ok := r.groups[parts[len(parts)-1]]; !ok || whole != group || now.Before(r.trials[group]) {
 			return false
 		}
 		due = true
@@ -289,17 +290,16 @@
 	return due
 }
 
-// refusing yields the groups that refuse a request with the parts, each with the part that
-// completes it.
-func (r PartRefusals) refusing(parts []uint64) iter.Seq2[uint64, int] {
-	return func(yield func(part uint64, group int) bool) {
+// refusing yields the groups that refuse a request with the parts.
+func (r PartRefusals) refusing(parts []uint64) iter.Seq[int] {
+	return func(yield func(group int) bool) {
 		found := -1
 		for _, part := range parts {
 			group, ok := r.groups[part]
 			if !ok {
 				continue
 			}
-			if (r.sizes[group] == 1 || group == found) && !yield(part, group) {
+			if (r.sizes[group] == 1 || group == found) && !yield(group) {
 				return
 			}
 			found = group
@@ -354,13 +354,16 @@
 		case len(leaders[group].charges) == len(s.charges) && leaders[group].success.Equal(s.success):
 			refusals.groups[s.part] = group
 			refusals.sizes[group]++
+			if at := l.trialAt(s); at.After(refusals.trials[group]) {
+				refusals.trials[group] = at
+			}
 		}
 	}
 	return refusals
 }
 
-// trialAt returns when a refused request may be tried. Charges that follow the
-// one that reached the limit after firstTrialDelay or more are due to earlier trials.
+// trialAt returns when a refused request may be tried. Charges that follow the one that
+// reached the limit after firstTrialDelay or more are due to earlier trials.
 func (l *PartLedger) trialAt(s suspectPart) time.Time {
 	delay, last := firstTrialDelay, time.Time{}
 	count, from := 0, 0 // incidents so far, and the first charge of the next one
@@ -416,8 +419,8 @@
 }
 
 // Merge adds the report of an instance, whose clock may be ahead, and reports whether this
-// instance has something to reply. own is set for a report that this instance itself made before
-// its process was restarted.
+// instance has something to reply. own is set for a report that this instance itself made
+// before its process was restarted.
 func (l *PartLedger) Merge(now time.Time, report PartReport, own bool) (reply bool) {
 	for _, s := range report.Successes {
 		r, at := l.record(now, s.Part), earlier(s.At, now)
--- a/policy/crashparts_test.go
+++ b/policy/crashparts_test.go
@@ -157,6 +157,19 @@
 			So(refusals.TrialDue(at(time.Minute), []uint64{guilty, popular}), ShouldBeFalse)
 			So(refusals.TrialDue(at(time.Minute), []uint64{popular, whole}), ShouldBeTrue)
 		})
+		Convey("a refused request that cannot be told from the parts of its prompt is tried", func() {
+			parts := []uint64{guilty, popular, 60}
+			for server := range uint64(3) {
+				ledgers[0].Crashed(at(time.Duration(server)*time.Second), at(0), parts, server)
+			}
+			refusals := ledgers[0].Refusals(at(2 * time.Second))
+			So(refusals.Refuse(parts), ShouldBeTrue)
+			So(refusals.Refuse([]uint64{guilty, 61}), ShouldBeFalse)
+			So(refusals.TrialDue(at(2*time.Second), parts), ShouldBeFalse)
+			So(refusals.TrialDue(at(3*time.Second), parts), ShouldBeTrue)
+			ledgers[0].Tried(at(3*time.Second), 60)
+			So(ledgers[0].Refusals(at(3*time.Second)).TrialDue(at(3100*time.Millisecond), parts), ShouldBeFalse)
+		})
 		Convey("reports of an instance whose clock is ahead count as of now", func() {
 			for server := range uint64(3) {
 				ledgers[0].Crashed(at(time.Hour+time.Duration(server)*time.Second), at(time.Hour+time.Duration(server)*time.Second), []uint64{guilty}, server)
