Do not count the bodies of refused requests as kept in memory

Since requests are refused by their fingerprint, that is after their body was read, the body of each refused one counted as kept in memory for good. After a quarter of the memory, every request with a body would have been refused: with 64 MiB, after 16 refused requests of 1 MiB (TestRefusedCrashingRequestsFreeMemory failed before). The check is made where the body is released at the end now.

--- a/plugins/forward/request.go
+++ b/plugins/forward/request.go
@@ -168,9 +168,6 @@
 	}
 	r.fingerprint = fingerprint(r)
 	r.parts = append(r.parts, r.fingerprint)
-	if f.refusesParts(time.Now(), r) {
-		return partsRefused
-	}
 	return kernel.Outcome{}
 }
 
@@ -302,6 +299,9 @@
 // inputs are gone before the request has run, the stages are run once more.
 func (f *Forward) run(ctx context.Context, w http.ResponseWriter, r *request) kernel.Outcome {
 	defer f.bodyBytes.Add(-int64(len(r.body)))
+	if f.refusesParts(time.Now(), r) {
+		return partsRefused
+	}
 	a := f.newResponseWriter(w, r)
 	for round := 0; ; round++ {
 		if out := f.runStages(ctx, r); out.Kind != "" {
--- a/test/passthrough/crashing_requests_test.go
+++ b/test/passthrough/crashing_requests_test.go
@@ -242,3 +242,29 @@
 		So(c.everywhere(time.Second, 50*time.Millisecond, request).servedShare(), ShouldEqual, 1)
 	})
 }
+
+// TestRefusedCrashingRequestsFreeMemory guards against bodies of refused requests that
+// count as kept in memory, until every request is refused.
+func TestRefusedCrashingRequestsFreeMemory(t *testing.T) {
+	Convey("After many refused requests with large bodies, others are served", t, func() {
+		c := New(t)
+		c.Store.PutConfig(config(1))
+		s := c.startCrashingServers("app", 8, 0)
+		in := c.Start("e1", "z1", true, "memory = 64MiB\n")
+		c.waitServers(in, "app", 8)
+		large := guiltyBody + strings.Repeat("x", 1<<20-len(guiltyBody))
+		refused := 0
+		for i := range 40 {
+			if send(in, "POST", "/once/x", fmt.Sprint("s", i)).status != http.StatusOK {
+				t.Fatalf("request refused after %d refused ones", refused)
+			}
+			a := sendRequest(platformtest.Request{Address: in.Address, Method: "POST", Host: host, Path: "/once/x", ID: fmt.Sprint("g", i), APIKey: "key-1", Timeout: 4 * time.Second, Body: large})
+			if a.status == http.StatusServiceUnavailable {
+				refused++
+			}
+		}
+		all, _ := s.lateRuns()
+		So(refused, ShouldBeGreaterThan, 30)
+		So(all, ShouldBeGreaterThanOrEqualTo, 3)
+	})
+}
