--- a/test/passthrough/cluster.go
+++ b/test/passthrough/cluster.go
@@ -62,6 +62,17 @@
 	return b.buf.String()
 }
 
+// lines returns the lines that contain one of the texts.
+func (b *LogBuffer) lines(texts ...string) string {
+	var found []string
+	for line := range strings.Lines(b.String()) {
+		if slices.ContainsFunc(texts, func(text string) bool { return strings.Contains(line, text) }) {
+			found = append(found, line)
+		}
+	}
+	return strings.Join(found, "")
+}
+
 // New starts a store. The store and the cluster's instances stop at the end of
 // the test.
 func New(t *testing.T) *Cluster {
--- a/test/passthrough/crashing_requests_test.go
+++ b/test/passthrough/crashing_requests_test.go
@@ -139,49 +139,66 @@
 	c.WaitMembers(5)
 }
 
+// crashingRequest is a kind of request that comes again unchanged and crashes each server
+// after a number of events of its stream.
+type crashingRequest struct {
+	name, service, path, prompt string
+	events                      int
+	interval                    time.Duration // between two requests at an instance
+}
+
 // TestCrashingRequest guards against a request that comes again unchanged, at all
 // instances, and crashes server after server.
 func TestCrashingRequest(t *testing.T) {
-	const servers = 8
-	cases := []struct {
-		name, service, path, prompt string
-		events                      int
-		interval                    time.Duration // between two requests at an instance
-	}{
+	for _, q := range []crashingRequest{
 		{"a request that may run once", "app", "/once/x", "", 0, 40 * time.Millisecond},
 		{"an idempotent request", "app", "/again/x", "", 0, 40 * time.Millisecond},
 		{"an idempotent request, very often", "app", "/again/x", "", 0, 8 * time.Millisecond},
 		{"a stream without a prompt, before its first event", "llm", "/stream/x", "", 0, 40 * time.Millisecond},
 		{"a stream whose prompt has no shared part, before its first event", "llm", "/resume/x", "c0ffee:100", 0, 40 * time.Millisecond},
-		{"a resumable stream, after its first events", "llm", "/resume/x", "a1:100,c0ffee:10", 2, 40 * time.Millisecond},
+	} {
+		testCrashingRequest(t, q)
 	}
-	for _, q := range cases {
-		Convey("With "+q.name+" that crashes each server", t, func() {
-			c := New(t)
-			s := c.startCrashingServers(q.service, servers, q.events)
-			c.startFive(q.service, servers)
-			var requests sync.WaitGroup
-			var guilty, sound *tally
-			requests.Go(func() {
-				guilty = c.everywhere(contactTime+3*time.Second, q.interval, func(n int64) platformtest.Request {
-					return platformtest.Request{Path: q.path, Prompt: q.prompt, ID: fmt.Sprint("g", n), Body: guiltyBody}
-				})
+}
+
+// TestCrashingResumableStream guards against a stream that crashes server after server
+// once it has begun.
+func TestCrashingResumableStream(t *testing.T) {
+	testCrashingRequest(t, crashingRequest{"a resumable stream, after its first events", "llm", "/resume/x", "a1:100,c0ffee:10", 2, 40 * time.Millisecond})
+}
+
+func testCrashingRequest(t *testing.T, q crashingRequest) {
+	const servers = 8
+	Convey("With "+q.name+" that crashes each server", t, func() {
+		c := New(t)
+		s := c.startCrashingServers(q.service, servers, q.events)
+		c.startFive(q.service, servers)
+		var requests sync.WaitGroup
+		var guilty, sound *tally
+		requests.Go(func() {
+			guilty = c.everywhere(contactTime+3*time.Second, q.interval, func(n int64) platformtest.Request {
+				return platformtest.Request{Path: q.path, Prompt: q.prompt, ID: fmt.Sprint("g", n), Body: guiltyBody}
 			})
-			time.Sleep(contactTime)
-			requests.Go(func() {
-				sound = c.everywhere(2*time.Second, 20*time.Millisecond, func(n int64) platformtest.Request {
-					return platformtest.Request{Path: q.path, Prompt: q.prompt, ID: fmt.Sprint("s", n), Body: fmt.Sprint("sound", n)}
-				})
+		})
+		time.Sleep(contactTime)
+		requests.Go(func() {
+			sound = c.everywhere(2*time.Second, 20*time.Millisecond, func(n int64) platformtest.Request {
+				return platformtest.Request{Path: q.path, Prompt: q.prompt, ID: fmt.Sprint("s", n), Body: fmt.Sprint("sound", n)}
 			})
-			requests.Wait()
-			all, late := s.lateRuns()
-			t.Logf("%s: %d runs, %d of them late; %d of %d refused; %d of %d other requests served",
-				q.name, all, late, guilty.refused.Load(), guilty.sent.Load(), sound.served.Load(), sound.sent.Load())
-			So(all, ShouldBeGreaterThanOrEqualTo, 3)
-			So(late, ShouldBeLessThanOrEqualTo, maxLateRuns)
-			So(sound.servedShare(), ShouldBeGreaterThan, 0.95)
 		})
-	}
+		requests.Wait()
+		all, late := s.lateRuns()
+		t.Logf("%s: %d runs, %d of them late; %d of %d refused; %d of %d other requests served",
+			q.name, all, late, guilty.refused.Load(), guilty.sent.Load(), sound.served.Load(), sound.sent.Load())
+		if late > 1 {
+			for _, in := range c.Instances {
+				t.Logf("%s: lines on crashes, trials and members:\n%s", in.ID, in.Log.lines("refused request", "server crashed while", "fleet members changed"))
+			}
+		}
+		So(all, ShouldBeGreaterThanOrEqualTo, 3)
+		So(late, ShouldBeLessThanOrEqualTo, maxLateRuns)
+		So(sound.servedShare(), ShouldBeGreaterThan, 0.95)
+	})
 }
 
 // TestRepeatedSoundRequests guards against a guard that refuses a request that is often
