Use ordinary terms for crashing requests

A comment on refusals between two sends named parts of prompts only, although whole requests are refused there too. No behaviour and no check changes; tests of the packages touched pass.

--- a/kernel/part_guard.go
+++ b/kernel/part_guard.go
@@ -12,7 +12,7 @@
 	TryRequest(now time.Time, parts []uint64) bool
 	// PartsCrashed records that the connection to a server broke while it ran a request
 	// with the parts, which was sent at a time. The parts of a prompt are not given if the
-	// server had begun to respond. The name of a server differs for each of its starts.
+	// server had started to respond. The name of a server differs for each of its starts.
 	PartsCrashed(now, sent time.Time, parts []uint64, server string)
 	// PartsSucceeded records that a server began to respond to a request with these parts
 	// of its prompt, or ran the request with this fingerprint to its end.
--- a/plugins/forward/send.go
+++ b/plugins/forward/send.go
@@ -62,7 +62,8 @@
 	last := noServer
 	for n := 0; n < maxSends; n++ {
 		now := time.Now()
-		// The part may have been found guilty during the stages or the last send.
+		// The request, or a part of its prompt, may have been found to crash servers during the
+		// stages or the last send.
 		if f.refusesParts(now, r) {
 			return unknownIfRan(ran, partsRefused)
 		}
@@ -238,7 +239,7 @@
 // the failure for outlier ejection.
 func (f *Forward) classifyError(ctx context.Context, r *request, c choice, began time.Time, err error) (sendResult, kernel.Outcome) {
 	now := time.Now()
-	r.log.Add("send failed", "server", c.server.ID, "sent", upstream.MaybeSent(err), "response_begun", r.begun,
+	r.log.Add("send failed", "server", c.server.ID, "sent", upstream.MaybeSent(err), "response_started", r.begun,
 		"fingerprint", r.fingerprint, "took", now.Sub(began), "error", err)
 	if errors.Is(err, upstream.ErrConnectionLimit) {
 		return sendNotSent, kernel.Outcome{Kind: kernel.NotRun, Reason: kernel.ReasonOverload, Detail: "the connections to the server are used up", RetryAfter: retryAfterBusy}
--- a/policy/crashparts_test.go
+++ b/policy/crashparts_test.go
@@ -157,7 +157,7 @@
 			So(refusals.TrialDue(at(time.Minute), []uint64{guilty, popular}), ShouldBeFalse)
 			So(refusals.TrialDue(at(time.Minute), []uint64{popular, whole}), ShouldBeTrue)
 		})
-		Convey("a refused request that cannot be told from the parts of its prompt is tried", func() {
+		Convey("a refused request with the same charges as the parts of its prompt is tried", func() {
 			parts := []uint64{guilty, popular, 60}
 			for server := range uint64(3) {
 				ledgers[0].Crashed(at(time.Duration(server)*time.Second), at(0), parts, server)
--- a/test/passthrough/crashing_requests_test.go
+++ b/test/passthrough/crashing_requests_test.go
@@ -162,7 +162,7 @@
 }
 
 // TestCrashingResumableStream guards against a stream that crashes server after server
-// once it has begun.
+// after its first events.
 func TestCrashingResumableStream(t *testing.T) {
 	testCrashingRequest(t, crashingRequest{"a resumable stream, after its first events", "llm", "/resume/x", "a1:100,c0ffee:10", 2, 40 * time.Millisecond})
 }
