--- a/policy/crashparts.go
+++ b/policy/crashparts.go
@@ -410,14 +410,6 @@
 	return report
 }
 
-// earlier returns the earlier of two times.
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
-
 // Merge adds the report of an instance, whose clock may be ahead, and reports whether this
 // instance has something to reply. own is set for a report that this instance itself made
 // before its process was restarted.
--- a/policy/memberview.go
+++ b/policy/memberview.go
@@ -163,13 +163,6 @@
 	}
 }
 
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // Revisions returns the sum of the active table revisions of all members, which
 // changes when one of them does.
 func (t *MemberTable) Revisions() uint64 {
