Count a crash once that an instance with a fast clock reports again

Each time the same report was read again, more than 3 s later, the crash got another time and counted as another one, so that three readings of one crash refused a sound request at all instances. A charge also keeps the time that its observer stated, and two with the same server and stated time are one. Found when the diff was read again; the new case of TestPartLedger failed before (five readings, ten seconds apart, of a report an hour ahead).

--- a/policy/crashparts.go
+++ b/policy/crashparts.go
@@ -97,11 +97,13 @@
 type partCharge struct {
 	CrashCharge
 	own bool // observed by this instance
+	// stated is the time of the crash by the clock of the instance that observed it.
+	stated time.Time
 }
 
 // sameCrash reports whether two charges are due to the same crash.
 func (c partCharge) sameCrash(o partCharge) bool {
-	return c.Server == o.Server && c.At.Sub(o.At).Abs() <= sameCrashWindow
+	return c.Server == o.Server && (c.At.Sub(o.At).Abs() <= sameCrashWindow || c.stated.Equal(o.stated))
 }
 
 // NewPartLedger returns an empty ledger.
@@ -118,7 +120,7 @@
 			own := r.ownCharges(now)
 			c.Independent = len(own) > 0 && sent.After(own[len(own)-1].At)
 		}
-		l.charge(now, part, partCharge{c, true})
+		l.charge(now, part, partCharge{c, true, now})
 	}
 }
 
@@ -427,8 +429,9 @@
 	for _, record := range report.Charges {
 		for _, c := range record.Charges {
 			if now.Sub(c.At) <= crashChargeTTL {
+				stated := c.At
 				c.At = earlier(c.At, now)
-				l.charge(now, record.Fingerprint, partCharge{c, own})
+				l.charge(now, record.Fingerprint, partCharge{c, own, stated})
 			}
 		}
 		if r := l.parts[record.Fingerprint]; r != nil {
--- a/policy/crashparts_test.go
+++ b/policy/crashparts_test.go
@@ -179,6 +179,15 @@
 			ledgers[1].Succeeded(at(3*time.Second), []uint64{guilty})
 			So(ledgers[1].Refusals(at(3*time.Second)).Refuse([]uint64{guilty}), ShouldBeFalse)
 		})
+		Convey("one crash that an instance whose clock is ahead reports again and again counts once", func() {
+			ledgers[0].Crashed(at(time.Hour), at(time.Hour), []uint64{popular}, 1)
+			for i := range 5 {
+				now := at(time.Duration(10*i) * time.Second)
+				ledgers[1].Merge(now, ledgers[0].Report(at(time.Hour)), false)
+				So(ledgers[1].Refusals(now).Refuse([]uint64{popular}), ShouldBeFalse)
+			}
+			So(len(ledgers[1].parts[popular].charges), ShouldEqual, 1)
+		})
 		Convey("charges expire", func() {
 			for server := range uint64(3) {
 				ledgers[0].Crashed(at(time.Duration(server)*time.Second), at(time.Duration(server)*time.Second), []uint64{guilty}, server)
