Keep the last successes of parts in the library's LRU cache

The bound of maxPartSuccesses is the same, and so is its check in TestPartLedger, which reads the length of the cache now. Tests of the ledgers pass.

--- a/policy/crashparts.go
+++ b/policy/crashparts.go
@@ -6,6 +6,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
 )
 
 // Parameters of the ledger of parts.
@@ -60,27 +62,9 @@
 //
 // PartLedger is not safe for concurrent use.
 type PartLedger struct {
-	parts     map[uint64]*partRecord
-	successes recentSuccesses
-}
-
-// recentSuccesses holds the time of the last success of each part: of the last
-// maxPartSuccesses/2 parts at least, and of maxPartSuccesses at most.
-type recentSuccesses struct{ current, previous map[uint64]time.Time }
-
-func (s *recentSuccesses) add(part uint64, at time.Time) {
-	if s.current == nil || len(s.current) >= maxPartSuccesses/2 {
-		s.current, s.previous = make(map[uint64]time.Time), s.current
-	}
-	s.current[part] = at
-}
-
-// last returns the time of the last success of a part, zero if it is not known.
-func (s *recentSuccesses) last(part uint64) time.Time {
-	if at, ok := s.current[part]; ok {
-		return at
-	}
-	return s.previous[part]
+	parts map[uint64]*partRecord
+	// successes holds the last success of each part here, of those that succeeded last.
+	successes *simplelru.LRU[uint64, time.Time]
 }
 
 // partRecord is what is known of a part that was charged.
@@ -108,7 +92,11 @@
 
 // NewPartLedger returns an empty ledger.
 func NewPartLedger() *PartLedger {
-	return &PartLedger{parts: make(map[uint64]*partRecord)}
+	successes, err := simplelru.NewLRU[uint64, time.Time](maxPartSuccesses, nil)
+	if err != nil {
+		panic("policy: successes of parts: " + err.Error())
+	}
+	return &PartLedger{parts: make(map[uint64]*partRecord), successes: successes}
 }
 
 // Crashed records that a server crashed while it ran a request with the parts, which was
@@ -194,7 +182,8 @@
 		}
 		delete(l.parts, p)
 	}
-	r := &partRecord{success: l.successes.last(part)}
+	success, _ := l.successes.Peek(part) // zero if there is none
+	r := &partRecord{success: success}
 	l.parts[part] = r
 	return r
 }
@@ -228,7 +217,7 @@
 // reports whether other instances should learn of it.
 func (l *PartLedger) Succeeded(now time.Time, parts []uint64) (report bool) {
 	for _, part := range parts {
-		l.successes.add(part, now)
+		l.successes.Add(part, now)
 		if r := l.parts[part]; r != nil {
 			r.noteSuccess(now)
 			report = r.defend(now) || report
--- a/policy/crashparts_test.go
+++ b/policy/crashparts_test.go
@@ -208,7 +208,7 @@
 				ledgers[0].Succeeded(at(time.Duration(p)*time.Second), []uint64{p + 1e6})
 			}
 			So(len(ledgers[0].parts), ShouldBeLessThanOrEqualTo, maxCrashRecords)
-			So(len(ledgers[0].successes.current)+len(ledgers[0].successes.previous), ShouldBeLessThanOrEqualTo, maxPartSuccesses)
+			So(ledgers[0].successes.Len(), ShouldBeLessThanOrEqualTo, maxPartSuccesses)
 			So(len(ledgers[0].Report(at(3*maxCrashRecords*time.Second)).Charges), ShouldBeLessThanOrEqualTo, MaxPartReports)
 		})
 	})
