--- a/policy/crashparts_test.go
+++ b/policy/crashparts_test.go
@@ -261,136 +261,182 @@
 	}
 }
 
+// The requests and the size of a crashSimulation.
+const (
+	guiltyRequest, soundRequest     = 99, 7
+	simulatedInstances              = 6
+	simulatedServers                = 18
+	simulationStep, simulationSteps = 5 * time.Millisecond, 4000
+	// One in selfCrashInterval steps servers crash by themselves, in one of
+	// multiCrashInterval cases multiCrashServers of them.
+	selfCrashInterval, multiCrashInterval, multiCrashServers = 200, 3, 8
+	// reportInterval is the number of steps between two reports of an instance.
+	reportInterval = 20
+	// maxClockSkew is the largest difference of an instance's clock, in milliseconds.
+	maxClockSkew = 200
+)
+
+// crashSimulation simulates instances that send a guilty and a sound request again and
+// again to servers that also crash by themselves. Each instance learns of the others'
+// reports after a delay, requests take a time, and the clocks of the instances differ.
+type crashSimulation struct {
+	random  *rand.Rand
+	now     time.Time
+	ledgers []*PartLedger
+	skew    []time.Duration // of the clock, by instance
+	starts  []uint64        // number of starts, by server
+	running []simulatedRun
+	sent    []sentReport
+	crashes []time.Time // by the guilty request
+}
+
+// simulatedRun is a request that a server runs until its end.
+type simulatedRun struct {
+	instance, server int
+	sent, end        time.Time
+	fingerprint      uint64
+}
+
+// sentReport is a report that reaches the other instances at a time.
+type sentReport struct {
+	at     time.Time
+	from   int
+	report PartReport
+}
+
+func newCrashSimulation(random *rand.Rand) *crashSimulation {
+	s := &crashSimulation{random: random, now: time.Unix(1000, 0), starts: make([]uint64, simulatedServers)}
+	for range simulatedInstances {
+		s.ledgers = append(s.ledgers, NewPartLedger())
+		s.skew = append(s.skew, time.Duration(random.IntN(2*maxClockSkew)-maxClockSkew)*time.Millisecond)
+	}
+	return s
+}
+
+// clock returns the time by the clock of an instance.
+func (s *crashSimulation) clock(instance int) time.Time { return s.now.Add(s.skew[instance]) }
+
+// send sends a request from an arbitrary instance to an arbitrary server, and reports
+// whether it was refused.
+func (s *crashSimulation) send(fingerprint uint64, lasts time.Duration) (refused bool) {
+	i := s.random.IntN(simulatedInstances)
+	parts, now := []uint64{fingerprint}, s.clock(i)
+	if refusals := s.ledgers[i].Refusals(now); refusals.Refuse(parts) {
+		if int(fingerprint%simulatedInstances) != i || !refusals.TrialDue(now, parts) {
+			return true
+		}
+		s.ledgers[i].Tried(now, fingerprint)
+	}
+	s.running = append(s.running, simulatedRun{i, s.random.IntN(simulatedServers), s.now, s.now.Add(lasts), fingerprint})
+	return false
+}
+
+// crash crashes a server, which starts again at once.
+func (s *crashSimulation) crash(server int) {
+	s.running = slices.DeleteFunc(s.running, func(r simulatedRun) bool {
+		if r.server != server {
+			return false
+		}
+		s.ledgers[r.instance].Crashed(s.clock(r.instance), r.sent.Add(s.skew[r.instance]), []uint64{r.fingerprint}, s.starts[server]*simulatedServers+uint64(server))
+		return true
+	})
+	s.starts[server]++
+}
+
+// crashByThemselves crashes servers without a request that causes it.
+func (s *crashSimulation) crashByThemselves() {
+	if s.random.IntN(selfCrashInterval) != 0 {
+		return
+	}
+	s.crash(s.random.IntN(simulatedServers))
+	if s.random.IntN(multiCrashInterval) == 0 {
+		for range multiCrashServers - 1 {
+			s.crash(s.random.IntN(simulatedServers))
+		}
+	}
+}
+
+// endRuns ends the runs whose time has come. The guilty request crashes its server.
+func (s *crashSimulation) endRuns() {
+	for {
+		i := slices.IndexFunc(s.running, func(r simulatedRun) bool { return !s.now.Before(r.end) })
+		if i < 0 {
+			return
+		}
+		r := s.running[i]
+		if r.fingerprint == guiltyRequest {
+			s.crashes = append(s.crashes, s.now)
+			s.crash(r.server)
+			continue
+		}
+		s.ledgers[r.instance].Succeeded(s.clock(r.instance), []uint64{r.fingerprint})
+		s.running = slices.Delete(s.running, i, i+1)
+	}
+}
+
+func (s *crashSimulation) sendReports() {
+	for i, l := range s.ledgers {
+		s.sent = append(s.sent, sentReport{s.now.Add(time.Duration(50+s.random.IntN(250)) * time.Millisecond), i, l.Report(s.clock(i))})
+	}
+}
+
+func (s *crashSimulation) deliverReports() {
+	s.sent = slices.DeleteFunc(s.sent, func(m sentReport) bool {
+		if s.now.Before(m.at) {
+			return false
+		}
+		for i, l := range s.ledgers {
+			if i != m.from {
+				l.Merge(s.clock(i), m.report, false)
+			}
+		}
+		return true
+	})
+}
+
 // TestPartLedgerRepeatedRequests guards against a request that comes again unchanged and
 // crashes server after server, and against a sound one that is refused because servers
-// crash by themselves under it. Each instance learns of the others' reports after a
-// delay, requests take a time, and the clocks of the instances differ.
+// crash by themselves while they run it.
 func TestPartLedgerRepeatedRequests(t *testing.T) {
 	const (
-		guilty, sound           = 99, 7
-		instances, servers      = 6, 18
-		step, steps, seeds      = 5 * time.Millisecond, 4000, 40
-		contact, maxLate        = 3 * time.Second, 3
-		selfCrashes, multiCrash = 200, 3 // one in so many steps; one in so many of these hits several servers
-		multiServers            = 8
-		maxSkew                 = 200 // ms
+		seeds            = 40
+		contact, maxLate = 3 * time.Second, 3
 	)
-	type run struct {
-		instance, server int
-		sent, end        time.Time
-		fingerprint      uint64
-	}
-	type mail struct {
-		at     time.Time
-		from   int
-		report PartReport
-	}
 	for seed := range uint64(seeds) {
 		random := rand.New(rand.NewPCG(seed, 1))
-		guiltyEvery, soundEvery := 1+random.IntN(40), 1+random.IntN(40)
-		slow := time.Duration(20+random.IntN(1500)) * time.Millisecond
-		start := time.Unix(1000, 0)
-		ledgers := make([]*PartLedger, instances)
-		for i := range ledgers {
-			ledgers[i] = NewPartLedger()
-		}
-		skew := make([]time.Duration, instances)
-		for i := range skew {
-			skew[i] = time.Duration(random.IntN(2*maxSkew)-maxSkew) * time.Millisecond
-		}
-		var running []run
-		var mails []mail
-		starts := make([]uint64, servers)
-		var crashes []time.Time
+		guiltyInterval, soundInterval := 1+random.IntN(40), 1+random.IntN(40) // steps
+		lasts := time.Duration(20+random.IntN(1500)) * time.Millisecond
+		s := newCrashSimulation(random)
 		soundSent, soundRefused := 0, 0
-		crash := func(now time.Time, server int) {
-			rest := running[:0]
-			for _, r := range running {
-				if r.server == server {
-					ledgers[r.instance].Crashed(now.Add(skew[r.instance]), r.sent.Add(skew[r.instance]), []uint64{r.fingerprint}, starts[server]*servers+uint64(server))
-					continue
-				}
-				rest = append(rest, r)
-			}
-			running = rest
-			starts[server]++
-		}
-		send := func(now time.Time, fingerprint uint64, lasts time.Duration) (refused bool) {
-			i := random.IntN(instances)
-			parts, local := []uint64{fingerprint}, now.Add(skew[i])
-			if refusals := ledgers[i].Refusals(local); refusals.Refuse(parts) {
-				if int(fingerprint%instances) != i || !refusals.TrialDue(local, parts) {
-					return true
-				}
-				ledgers[i].Tried(local, fingerprint)
+		for n := range simulationSteps {
+			if n%guiltyInterval == 0 {
+				s.send(guiltyRequest, 10*time.Millisecond)
 			}
-			running = append(running, run{i, random.IntN(servers), now, now.Add(lasts), fingerprint})
-			return false
-		}
-		for n := range steps {
-			now := start.Add(time.Duration(n) * step)
-			if n%guiltyEvery == 0 {
-				send(now, guilty, 10*time.Millisecond)
-			}
-			if n%soundEvery == 0 {
+			if n%soundInterval == 0 {
 				soundSent++
-				if send(now, sound, slow) {
+				if s.send(soundRequest, lasts) {
 					soundRefused++
 				}
 			}
-			if random.IntN(selfCrashes) == 0 {
-				crash(now, random.IntN(servers))
-				if random.IntN(multiCrash) == 0 {
-					for range multiServers - 1 {
-						crash(now, random.IntN(servers))
-					}
-				}
+			s.crashByThemselves()
+			s.endRuns()
+			if n%reportInterval == 0 {
+				s.sendReports()
 			}
-			for again := true; again; {
-				again = false
-				for i, r := range running {
-					if now.Before(r.end) {
-						continue
-					}
-					if r.fingerprint == guilty {
-						crashes = append(crashes, now)
-						crash(now, r.server)
-					} else {
-						ledgers[r.instance].Succeeded(now.Add(skew[r.instance]), []uint64{sound})
-						running = slices.Delete(running, i, i+1)
-					}
-					again = true
-					break
-				}
-			}
-			if n%20 == 0 { // the interval of writes to the store
-				for i, l := range ledgers {
-					mails = append(mails, mail{now.Add(time.Duration(50+random.IntN(250)) * time.Millisecond), i, l.Report(now.Add(skew[i]))})
-				}
-			}
-			mails = slices.DeleteFunc(mails, func(m mail) bool {
-				if now.Before(m.at) {
-					return false
-				}
-				for i, l := range ledgers {
-					if i != m.from {
-						l.Merge(now.Add(skew[i]), m.report, false)
-					}
-				}
-				return true
-			})
+			s.deliverReports()
+			s.now = s.now.Add(simulationStep)
 		}
 		late := 0
-		for i, at := range crashes {
-			if i > 2 && at.Sub(crashes[2]) > contact {
+		for i, at := range s.crashes {
+			if i > 2 && at.Sub(s.crashes[2]) > contact {
 				late++
 			}
 		}
 		if late > maxLate {
-			t.Errorf("seed %d: %d of %d runs of the guilty request are late", seed, late, len(crashes))
+			t.Errorf("seed %d: %d of %d runs of the guilty request are late", seed, late, len(s.crashes))
 		}
 		if share := float64(soundRefused) / float64(soundSent); share > 0.05 {
-			t.Errorf("seed %d: %.3f of %d sound requests refused (each %v, lasting %v)", seed, share, soundSent, time.Duration(soundEvery)*step, slow)
+			t.Errorf("seed %d: %.3f of %d sound requests refused (each %v, lasting %v)", seed, share, soundSent, time.Duration(soundInterval)*simulationStep, lasts)
 		}
 	}
 }
