Refuse requests whose pieces crash stage servers

A call that broke was charged to nothing, and its pieces were queued for the next server.

The dispatcher charges the stage parts of all requests in a call whose connection broke, and clears those whose pieces succeed. What cannot be told from the others by its charges is refused only together with them, so that requests that shared a call with the guilty one go on. A refused part is refused before the stages begin, and its pieces get no further call; it is tried like a whole request.

--- a/catalog/types.go
+++ b/catalog/types.go
@@ -1,6 +1,9 @@
 package catalog
 
-import "time"
+import (
+	"strconv"
+	"time"
+)
 
 // RouteKind determines whether the requests of a route may be retried.
 type RouteKind int
@@ -136,6 +139,9 @@
 	FirstSeen time.Time
 }
 
+// StartName returns a name that differs for each start of each server.
+func (s *Server) StartName() string { return s.ID + "/" + strconv.FormatInt(s.StartUnixMilli, 10) }
+
 // Cold reports whether the server is cold at the given time.
 func (s *Server) Cold(now time.Time) bool { return now.Before(s.WarmAt) }
 
--- a/kernel/catalogs.go
+++ b/kernel/catalogs.go
@@ -89,6 +89,8 @@
 	// handles of the results that the pieces of a later stage need.
 	Key    string
 	Inputs []string
+	// Part identifies the stage of a request that comes again unchanged, for PartGuard.
+	Part uint64
 	// Goal is the time by which the result should be ready, Deadline the time
 	// after which it is useless.
 	Goal, Deadline time.Time
--- a/plugins/forward/crashes.go
+++ b/plugins/forward/crashes.go
@@ -15,7 +15,7 @@
 // prompt.
 const retryAfterCrashes = time.Minute
 
-var partsRefused = kernel.Outcome{Kind: kernel.NotRun, Reason: kernel.ReasonCrashes, Detail: "backend servers crashed when they ran this request, or began to respond to a part of its prompt", RetryAfter: retryAfterCrashes}
+var partsRefused = kernel.Outcome{Kind: kernel.NotRun, Reason: kernel.ReasonCrashes, Detail: "servers crashed when they ran this request or its pieces, or began to respond to a part of its prompt", RetryAfter: retryAfterCrashes}
 
 // fingerprint returns a hash of what a caller repeats unchanged when it sends a request
 // again.
@@ -40,6 +40,29 @@
 	return d.Sum64()
 }
 
+// stagePart returns what identifies the pieces of one stage service of a request and its
+// repeats.
+func stagePart(r *request, service string) uint64 {
+	return xxhash.Sum64String(strconv.FormatUint(r.fingerprint, 16) + "/" + service)
+}
+
+// refusesStages reports whether the request must not run because its pieces crash the
+// servers of a stage.
+func (f *Forward) refusesStages(now time.Time, r *request) bool {
+	g := f.host.PartGuard
+	if g == nil {
+		return false
+	}
+	for i, s := range r.route.Stages {
+		part := []uint64{stagePart(r, s.Service)}
+		if r.stagePieces(i) > 0 && g.RefuseParts(part) && !g.TryRequest(now, part) {
+			r.log.Add("pieces of the request crash servers", "service", s.Service, "fingerprint", r.fingerprint, "part", part[0])
+			return true
+		}
+	}
+	return false
+}
+
 // refusesParts reports whether the request must not run, because of a part of its prompt
 // or as a whole. One that may run as a trial does so until a server crashes.
 func (f *Forward) refusesParts(now time.Time, r *request) bool {
@@ -82,5 +105,5 @@
 	if r.begun {
 		parts = []uint64{r.fingerprint}
 	}
-	g.PartsCrashed(now, sent, parts, c.server.ID+"/"+strconv.FormatInt(c.server.StartUnixMilli, 10))
+	g.PartsCrashed(now, sent, parts, c.server.StartName())
 }
--- a/plugins/forward/stages.go
+++ b/plugins/forward/stages.go
@@ -71,6 +71,9 @@
 		return noServer
 	}
 	now := time.Now()
+	if f.refusesStages(now, r) {
+		return partsRefused
+	}
 	forecast := f.forecast(now, r, -1)
 	r.log.Add("admission", "forecast_in_time", forecast.InTime, "forecast_late", forecast.Late, "to_goal", r.goal.Sub(now), "left", r.deadline.Sub(now))
 	if now.Add(forecast.InTime).After(r.goal) && now.Add(forecast.Late).After(r.deadline) {
@@ -177,6 +180,7 @@
 	q := kernel.StageRequest{
 		Request: r.call.ID, Service: s.Service, Stage: i, Pieces: r.stagePieces(i), ResultBytes: s.ResultBytes,
 		Goal: r.goal.Add(-remaining), Deadline: r.deadline.Add(-remaining), Priority: r.priority(),
+		Part: stagePart(r, s.Service),
 	}
 	for _, dep := range s.After {
 		q.Inputs = append(q.Inputs, p.results[dep].Handles...)
--- a/plugins/stages/call.go
+++ b/plugins/stages/call.go
@@ -11,6 +11,7 @@
 	"github.com/savoryfold/savoryfold/internal/upstream"
 	"github.com/savoryfold/savoryfold/kernel"
 	"github.com/savoryfold/savoryfold/platform"
+	"github.com/savoryfold/savoryfold/policy"
 )
 
 const (
@@ -175,6 +176,9 @@
 	c.server.cooldownUntil = now.Add(cooldown)
 	g.stages.host.Logger.Warn("stage call failed", "service", g.key.service, "server", c.server.server.ID, "pieces", len(c.pieces),
 		"took", now.Sub(c.began), "rest", cooldown, "error", err)
+	if sent {
+		g.recordBreak(now, c, err)
+	}
 	for _, j := range c.jobs {
 		if !sent {
 			j.attempts-- // nothing was sent; the deadline bounds the retries
@@ -183,6 +187,20 @@
 	}
 }
 
+// recordBreak charges the jobs of a call whose connection broke with the crash of the
+// server. The caller holds mu.
+func (g *group) recordBreak(now time.Time, c *call, err error) {
+	guard := g.stages.host.PartGuard
+	if cause := upstream.EndCause(err); guard == nil || cause != policy.EndReset && cause != policy.EndClosed {
+		return
+	}
+	var parts []uint64
+	for _, j := range c.jobs {
+		parts = append(parts, j.part)
+	}
+	guard.PartsCrashed(now, c.began, parts, c.server.server.StartName())
+}
+
 // distribute gives the results of a call to its jobs. The caller holds mu.
 func (g *group) distribute(now time.Time, c *call, results []platform.PieceResult) {
 	for _, j := range c.jobs {
@@ -192,6 +210,9 @@
 		c.server.memory.add(handles, j.Bytes, now.Add(g.service.ResultTTL))
 		switch failure {
 		case platform.PieceOK:
+			if guard := g.stages.host.PartGuard; guard != nil {
+				guard.PartsSucceeded(now, []uint64{j.part})
+			}
 			if !g.settle(j, jobResult{handles: handles, zone: c.server.server.Zone}) {
 				g.stages.Release(handles)
 			}
--- a/plugins/stages/group.go
+++ b/plugins/stages/group.go
@@ -53,6 +53,7 @@
 type job struct {
 	policy.PieceJob
 	pieces []platform.Piece
+	part   uint64         // kernel.StageRequest.Part
 	done   chan jobResult // receives one result
 	// settled is true once done has its result or the request has ended.
 	settled  bool
@@ -215,7 +216,7 @@
 
 // newJob returns a job of the pieces from first up to, but not including, last.
 func (g *group) newJob(now time.Time, r kernel.StageRequest, first, last int) *job {
-	j := &job{done: make(chan jobResult, 1)}
+	j := &job{done: make(chan jobResult, 1), part: r.Part}
 	j.PieceJob = policy.PieceJob{
 		ID: g.stages.nextID.Add(1), Pieces: last - first, Bytes: int64(r.ResultBytes), Goal: r.Goal, Deadline: r.Deadline, Priority: r.Priority, Zone: r.Zone, QueuedAt: now,
 	}
@@ -419,7 +420,8 @@
 }
 
 // requeue queues a job for another call, on a server other than avoid if there
-// is one. After maxAttempts calls the job fails. The caller holds mu.
+// is one. After maxAttempts calls the job fails, and sooner if its part was found to crash
+// servers. The caller holds mu.
 func (g *group) requeue(j *job, avoid string) {
 	if j.settled || g.jobs[j.ID] != nil {
 		return
@@ -428,6 +430,10 @@
 		g.settle(j, jobResult{failure: &kernel.StageFailure{Reason: kernel.ReasonStageFailed, Detail: "stage service " + g.key.service + " failed again and again"}})
 		return
 	}
+	if guard := g.stages.host.PartGuard; guard != nil && guard.RefuseParts([]uint64{j.part}) {
+		g.settle(j, jobResult{failure: &kernel.StageFailure{Reason: kernel.ReasonCrashes, Detail: "servers of stage service " + g.key.service + " crashed when they ran pieces of this request"}})
+		return
+	}
 	j.Avoid = avoid
 	if g.usableExcept(avoid) == 0 {
 		j.Avoid = ""
--- a/plugins/stages/peer.go
+++ b/plugins/stages/peer.go
@@ -53,6 +53,8 @@
 	// Final makes the receiver run the stage even if it considers another
 	// instance to be the dispatcher.
 	Final bool `cbor:"16,keyasint,omitempty"`
+	// Part is kernel.StageRequest.Part.
+	Part uint64 `cbor:"17,keyasint,omitempty"`
 }
 
 // dispatchResponse is the response to a dispatchRequest.
@@ -100,7 +102,7 @@
 	body, err := cbor.Marshal(dispatchRequest{
 		Service: key.service, Zone: key.zone, Request: r.Request, Stage: r.Stage, Pieces: r.Pieces, Key: r.Key, Inputs: r.Inputs,
 		Goal: r.Goal.Sub(now), Deadline: r.Deadline.Sub(now), Priority: r.Priority, PreferredZone: r.Zone, ResultBytes: r.ResultBytes,
-		Position: s.host.Catalogs.Position(), Final: final,
+		Position: s.host.Catalogs.Position(), Final: final, Part: r.Part,
 	})
 	if err != nil {
 		panic("stages: encode dispatch request: " + err.Error())
@@ -166,7 +168,7 @@
 	}
 	result, err := g.run(r.Context(), kernel.StageRequest{
 		Request: d.Request, Service: d.Service, Stage: d.Stage, Pieces: d.Pieces, Key: d.Key, Inputs: d.Inputs,
-		Goal: now.Add(d.Goal), Deadline: now.Add(d.Deadline), Priority: d.Priority, Zone: d.PreferredZone, ResultBytes: d.ResultBytes,
+		Goal: now.Add(d.Goal), Deadline: now.Add(d.Deadline), Priority: d.Priority, Zone: d.PreferredZone, ResultBytes: d.ResultBytes, Part: d.Part,
 	})
 	waits := g.forecast(time.Now())
 	response := dispatchResponse{Handles: result.Handles, Zone: result.Zone, InTime: waits.InTime, Late: waits.Late}
--- a/test/passthrough/crashing_requests_test.go
+++ b/test/passthrough/crashing_requests_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -29,7 +30,7 @@
 type crashingServers struct {
 	cluster  *Cluster
 	backends []*platformtest.Backend
-	starts   atomic.Int64
+	starts   atomic.Int64 // of all servers
 	// mended is true if guilty requests no longer crash servers.
 	mended atomic.Bool
 
@@ -54,9 +55,7 @@
 			switch {
 			case guilty:
 				time.Sleep(10 * time.Millisecond)
-				s.mu.Lock()
-				s.crashes = append(s.crashes, time.Now())
-				s.mu.Unlock()
+				s.recordCrash()
 				s.crash(i)
 				platformtest.AbortConnection()
 			case service == "llm":
@@ -70,6 +69,12 @@
 	return s
 }
 
+func (s *crashingServers) recordCrash() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.crashes = append(s.crashes, time.Now())
+}
+
 // crash breaks all connections of a server and registers its new start.
 func (s *crashingServers) crash(i int) {
 	b := s.backends[i]
@@ -167,6 +172,55 @@
 	testCrashingRequest(t, crashingRequest{"a resumable stream, after its first events", "llm", "/resume/x", "a1:100,c0ffee:10", 2, 40 * time.Millisecond})
 }
 
+// TestCrashingPieces guards against a request that comes again unchanged and whose pieces
+// crash stage server after stage server.
+func TestCrashingPieces(t *testing.T) {
+	const servers, guiltyKey = 6, "guilty-key"
+	Convey("With a request whose pieces crash each stage server", t, func() {
+		c := New(t)
+		s := &crashingServers{cluster: c}
+		s.starts.Store(1)
+		for i := range servers {
+			id := fmt.Sprint("first-", i)
+			server := c.startStageServer(id, "first")
+			server.Crashes = func(keys []string) bool {
+				if !slices.Contains(keys, guiltyKey) {
+					return false
+				}
+				s.recordCrash()
+				c.Store.PutServer(platformtest.Entry{ID: id, Service: "first", Address: server.Address(), Zone: "z1", Version: "v1", Slots: 1, Born: s.starts.Add(1), Sequence: 1})
+				return true
+			}
+		}
+		c.startCrashingServers("llm", 4, 0)
+		c.startFive("first", servers)
+		request := func(n int64, body, key string) platformtest.Request {
+			return platformtest.Request{Path: "/restage/x", Prompt: fmt.Sprintf("a1:100,c%x:10", n), Pieces: "2", PieceKey: key, ID: fmt.Sprint(key, n), Body: body}
+		}
+		var requests sync.WaitGroup
+		var guilty, sound *tally
+		requests.Go(func() {
+			guilty = c.everywhere(contactTime+3*time.Second, 100*time.Millisecond, func(n int64) platformtest.Request {
+				q := request(0, "unchanged", guiltyKey)
+				q.ID = fmt.Sprint("g", n)
+				return q
+			})
+		})
+		time.Sleep(contactTime)
+		requests.Go(func() {
+			sound = c.everywhere(2*time.Second, 100*time.Millisecond, func(n int64) platformtest.Request {
+				return request(n, fmt.Sprint("sound", n), fmt.Sprint("key", n))
+			})
+		})
+		requests.Wait()
+		all, late := s.lateRuns()
+		t.Logf("%d runs, %d of them late; %d of %d refused; %d of %d other requests served", all, late, guilty.refused.Load(), guilty.sent.Load(), sound.served.Load(), sound.sent.Load())
+		So(all, ShouldBeGreaterThanOrEqualTo, 3)
+		So(late, ShouldBeLessThanOrEqualTo, maxLateRuns)
+		So(sound.servedShare(), ShouldBeGreaterThan, 0.95)
+	})
+}
+
 func testCrashingRequest(t *testing.T, q crashingRequest) {
 	const servers = 8
 	Convey("With "+q.name+" that crashes each server", t, func() {
