Refuse whole requests that further crashes do not tell apart

What callers saw, in a simulation of instances in front of two or three servers: a request that crashes servers and a sound one that lasts long are in all crashes together, and both are sent on without end.

Cause: parts with the same charges are refused only together, which tells the parts of a prompt apart, since a request with just one of them runs. Two whole requests are never in one request, so nothing refused them, and both ran and crashed together again.

They are refused after one crash more than the limit, and tried one after the other, so that each runs without the others: one that succeeds is cleared, one that crashes a server has more charges, which explain those of the others.

--- a/policy/crashparts.go
+++ b/policy/crashparts.go
@@ -249,16 +249,26 @@
 
 // PartRefusals tells which requests must not run.
 //
-// Crashes may not tell which of several parts causes them, if all requests that
-// crashed a server had the same ones. A request with just one of these parts runs:
-// it tells them apart.
+// Crashes may not tell which of several parts causes them, if the same crashes are charged
+// to all. A request with just one of these parts runs: it tells them apart. Whole requests
+// that further crashes have not told apart are refused, and tried one after the other.
 type PartRefusals struct {
-	groups map[uint64]int // by part, the parts from which it cannot be told apart
-	sizes  []int          // number of parts by group
-	trials []time.Time    // by group, when a whole request in it may be tried
+	groups map[uint64]*partGroup // by part
 }
 
-// Refuse reports whether a request with the parts must not run.
+// partGroup is a number of parts that cannot be told apart.
+type partGroup struct {
+	members   []uint64
+	incidents int
+	// last is the time of the last crash, trialDelay the time after it in which no request
+	// is tried, and after which the first member is, then the second one, and so on.
+	last       time.Time
+	trialDelay time.Duration
+	tried      map[uint64]time.Time // by member, where it was tried after last
+}
+
+// Refuse reports whether a request with the parts, of which the last one is the whole
+// request, must not run.
 func (r PartRefusals) Refuse(parts []uint64) bool {
 	for range r.refusing(parts) {
 		return true
@@ -273,7 +283,7 @@
 func (r PartRefusals) TrialDue(now time.Time, parts []uint64) bool {
 	due := false
 	for group := range r.refusing(parts) {
-		if whole, ok := r.groups[parts[len(parts)-1]]; !ok || whole != group || now.Before(r.trials[group]) {
+		if !group.trialDue(now, parts) {
 			return false
 		}
 		due = true
@@ -281,16 +291,29 @@
 	return due
 }
 
+// trialDue reports whether it is the turn of a whole request, the last of the parts. The
+// parts of its prompt have no turn.
+func (g *partGroup) trialDue(now time.Time, parts []uint64) bool {
+	prompt, whole := parts[:len(parts)-1], parts[len(parts)-1]
+	if now.Before(later(g.last, g.tried[whole]).Add(g.trialDelay)) {
+		return false
+	}
+	tried := slices.DeleteFunc(slices.Clone(g.members), func(m uint64) bool { return slices.Contains(prompt, m) })
+	i := slices.Index(tried, whole)
+	return i >= 0 && int(now.Sub(g.last)/g.trialDelay-1)%len(tried) == i
+}
+
 // refusing yields the groups that refuse a request with the parts.
-func (r PartRefusals) refusing(parts []uint64) iter.Seq[int] {
-	return func(yield func(group int) bool) {
-		found := -1
-		for _, part := range parts {
-			group, ok := r.groups[part]
-			if !ok {
+func (r PartRefusals) refusing(parts []uint64) iter.Seq[*partGroup] {
+	return func(yield func(group *partGroup) bool) {
+		var found *partGroup
+		for i, part := range parts {
+			group := r.groups[part]
+			if group == nil {
 				continue
 			}
-			if (r.sizes[group] == 1 || group == found) && !yield(group) {
+			whole := i == len(parts)-1
+			if (len(group.members) == 1 || group == found || whole && group.incidents > partCrashLimit) && !yield(group) {
 				return
 			}
 			found = group
@@ -332,31 +355,36 @@
 	slices.SortFunc(suspects, func(a, b suspectPart) int {
 		return cmp.Or(b.incidents-a.incidents, len(b.charges)-len(a.charges), a.success.Compare(b.success), cmp.Compare(a.part, b.part))
 	})
-	refusals := PartRefusals{groups: make(map[uint64]int)}
+	refusals := PartRefusals{groups: make(map[uint64]*partGroup)}
 	var leaders []suspectPart // the first part of each group
 	for _, s := range suspects {
-		group := slices.IndexFunc(leaders, func(leader suspectPart) bool { return s.explainedBy(leader.charges) })
+		i := slices.IndexFunc(leaders, func(leader suspectPart) bool { return s.explainedBy(leader.charges) })
 		switch {
-		case group < 0:
-			refusals.groups[s.part] = len(leaders)
-			refusals.sizes = append(refusals.sizes, 1)
-			refusals.trials = append(refusals.trials, l.trialAt(s))
+		case i < 0:
+			group := &partGroup{incidents: s.incidents, tried: make(map[uint64]time.Time)}
+			group.last, group.trialDelay = s.trials()
 			leaders = append(leaders, s)
-		case len(leaders[group].charges) == len(s.charges) && leaders[group].success.Equal(s.success):
-			refusals.groups[s.part] = group
-			refusals.sizes[group]++
-			if at := l.trialAt(s); at.After(refusals.trials[group]) {
-				refusals.trials[group] = at
-			}
+			l.addMember(refusals, group, s.part)
+		case len(leaders[i].charges) == len(s.charges) && leaders[i].success.Equal(s.success):
+			l.addMember(refusals, refusals.groups[leaders[i].part], s.part)
 		}
 	}
 	return refusals
 }
 
-// trialAt returns when a refused request may be tried. Charges that follow the one that
-// reached the limit after firstTrialDelay or more are due to earlier trials.
-func (l *PartLedger) trialAt(s suspectPart) time.Time {
-	delay, last := firstTrialDelay, time.Time{}
+func (l *PartLedger) addMember(refusals PartRefusals, group *partGroup, part uint64) {
+	refusals.groups[part] = group
+	group.members = append(group.members, part)
+	if tried := l.parts[part].tried; tried.After(group.last) {
+		group.tried[part] = tried
+	}
+}
+
+// trials returns the time of the last crash of a suspect, and the time from it to the next
+// trial. Charges that follow the one that reached the limit after firstTrialDelay or more
+// are due to earlier trials.
+func (s suspectPart) trials() (last time.Time, delay time.Duration) {
+	delay = firstTrialDelay
 	count, from := 0, 0 // incidents so far, and the first charge of the next one
 	for end := range incidents(s.charges) {
 		if count >= partCrashLimit && s.charges[from].At.Sub(last) >= firstTrialDelay {
@@ -364,10 +392,7 @@
 		}
 		count, from, last = count+1, end, s.charges[end-1].At
 	}
-	if tried := l.parts[s.part].tried; tried.After(last) {
-		last = tried
-	}
-	return last.Add(delay)
+	return last, delay
 }
 
 // Tried records that a request that is refused as a whole is tried.
--- a/policy/crashparts_test.go
+++ b/policy/crashparts_test.go
@@ -88,6 +88,49 @@
 				So(both(at(4*time.Second)), ShouldBeTrue)
 			})
 		})
+		Convey("whole requests that are in all crashes together", func() {
+			whole := []uint64{60, 61}
+			crash := func(n int) time.Time {
+				now := at(time.Duration(n) * 200 * time.Millisecond)
+				ledgers[n%3].Crashed(now, now.Add(-time.Second), whole, uint64(n))
+				exchange(now)
+				return now
+			}
+			var last time.Time
+			for n := range 3 {
+				last = crash(n)
+			}
+			So(refused(last, 60), ShouldEqual, 0)
+			So(refused(last, 61), ShouldEqual, 0)
+			last = crash(3)
+			Convey("are refused after one crash more, and tried one after the other", func() {
+				So(refused(last, 60), ShouldEqual, 3)
+				So(refused(last, 61), ShouldEqual, 3)
+				due := func(part uint64, after time.Duration) bool {
+					return ledgers[0].Refusals(last.Add(after)).TrialDue(last.Add(after), []uint64{part})
+				}
+				So(due(60, 900*time.Millisecond), ShouldBeFalse)
+				So(due(60, 1100*time.Millisecond), ShouldBeTrue)
+				So(due(61, 1100*time.Millisecond), ShouldBeFalse)
+				So(due(60, 2100*time.Millisecond), ShouldBeFalse)
+				So(due(61, 2100*time.Millisecond), ShouldBeTrue)
+			})
+			Convey("are told apart by the trial that crashes a server", func() {
+				now := last.Add(1100 * time.Millisecond)
+				ledgers[0].Tried(now, 60)
+				ledgers[0].Crashed(now, now, []uint64{60}, 9)
+				exchange(now)
+				So(refused(now, 60), ShouldEqual, 3)
+				So(refused(now, 61), ShouldEqual, 0)
+			})
+			Convey("are told apart by the trial that succeeds", func() {
+				now := last.Add(1100 * time.Millisecond)
+				ledgers[0].Succeeded(now, []uint64{60})
+				exchange(now)
+				So(refused(now, 60), ShouldEqual, 0)
+				So(refused(now, 61), ShouldEqual, 3)
+			})
+		})
 		Convey("one crash that all instances saw counts once", func() {
 			for i, l := range ledgers {
 				l.Crashed(at(time.Duration(i)*300*time.Millisecond), at(time.Duration(i)*300*time.Millisecond), []uint64{popular}, 7)
