Count crashes of a server that is known late to have started again

What callers saw: a request that comes again unchanged and crashes the servers that run it was sent on, and other requests with it, for as long as the instances knew the servers under the names of their earlier starts.

Cause: crashes of one server within 3 s were taken for one crash that several instances saw, whichever request met them. With few servers the charges ran out.

A request that is sent after its instance knew of a crash of a server, and meets one, has met another one. Charges carry how many crashes of the server were known, and only those with the same number are one crash. Reports of other instances count from their arrival by the own clock.

--- a/policy/crash.go
+++ b/policy/crash.go
@@ -28,6 +28,9 @@
 	// Independent is true if the request was sent after the charge before this one was
 	// observed, so that both cannot have one common cause. Only PartLedger sets it.
 	Independent bool `cbor:"3,keyasint,omitempty" json:"independent,omitempty"`
+	// Repeat is the number of crashes of a server under the same identity that were
+	// known shortly before the request was sent. Only PartLedger sets it.
+	Repeat int `cbor:"4,keyasint,omitempty" json:"repeat,omitempty"`
 }
 
 // CrashRecord holds the charges against one request.
--- a/policy/crashparts.go
+++ b/policy/crashparts.go
@@ -20,7 +20,8 @@
 	// reported to other instances.
 	partDefenseLimit = partCrashLimit - 1
 	// sameCrashWindow is the time within which charges with the same server are taken
-	// for one crash that several instances saw. Their clocks may differ.
+	// for one crash that several instances saw, unless one of them saw it crash again.
+	// Their clocks may differ.
 	sameCrashWindow = 3 * time.Second
 	// MaxPartCharges bounds the charges that are kept of a part.
 	MaxPartCharges = 5 * partCrashLimit
@@ -56,7 +57,9 @@
 // Charges before a success of the part do not count, nor do crashes that a part with
 // more charges explains. Crashes at the same moment are one incident, since they may have
 // a common cause; a request that was sent after one crash and met the next has not met
-// one. Each instance sees only some of the crashes and some of the successes, so
+// one. A server that starts again may be known under its former name for some time, so a
+// request that was sent after a crash of a server and meets another one of it has met
+// two. Each instance sees only some of the crashes and some of the successes, so
 // instances exchange reports of the crashes, and of the successes of parts that come
 // close to being refused.
 //
@@ -81,15 +84,22 @@
 type partCharge struct {
 	CrashCharge
 	own bool // observed by this instance
+	// observed is when this instance last saw a connection break in the crash, or learned of
+	// it from another one.
+	observed time.Time
 	// stated is the time of the crash by the clock of the instance that observed it.
 	stated time.Time
 }
 
-// sameCrash reports whether two charges are due to the same crash.
-func (c partCharge) sameCrash(o partCharge) bool {
+// nearCrash reports whether two charges are due to the same crash, or to crashes of the
+// same server shortly after each other.
+func (c partCharge) nearCrash(o partCharge) bool {
 	return c.Server == o.Server && (c.At.Sub(o.At).Abs() <= sameCrashWindow || c.stated.Equal(o.stated))
 }
 
+// sameCrash reports whether two charges of a part are due to the same crash.
+func (c partCharge) sameCrash(o partCharge) bool { return c.Repeat == o.Repeat && c.nearCrash(o) }
+
 // NewPartLedger returns an empty ledger.
 func NewPartLedger() *PartLedger {
 	successes, err := simplelru.NewLRU[uint64, time.Time](maxPartSuccesses, nil)
@@ -105,18 +115,48 @@
 	for _, part := range parts {
 		c := CrashCharge{Server: server, At: now}
 		if r := l.parts[part]; r != nil {
-			own := r.ownCharges(now)
-			c.Independent = len(own) > 0 && sent.After(own[len(own)-1].At)
+			c.Independent = r.independent(now, sent)
+			c.Repeat = r.repeat(now, sent, server)
+		}
+		l.charge(now, part, partCharge{CrashCharge: c, own: true, observed: now, stated: now})
+	}
+}
+
+// independent reports whether a request was sent after all crashes since the last success
+// that this instance observed, if there are any.
+func (r *partRecord) independent(now, sent time.Time) bool {
+	var last time.Time
+	for _, c := range r.since(now, r.success) {
+		if c.own && c.observed.After(last) {
+			last = c.observed
 		}
-		l.charge(now, part, partCharge{c, true, now})
 	}
+	return !last.IsZero() && sent.After(last)
+}
+
+// repeat returns how many crashes of a server this instance knew of shortly before a request
+// was sent that has met a crash of the server now.
+func (r *partRecord) repeat(now, sent time.Time, server uint64) (n int) {
+	for _, c := range r.charges {
+		if c.Server != server || now.Sub(c.observed) > sameCrashWindow {
+			continue
+		}
+		if sent.After(c.observed) {
+			n = max(n, c.Repeat+1)
+		} else {
+			n = max(n, c.Repeat)
+		}
+	}
+	return n
 }
 
 func (l *PartLedger) charge(now time.Time, part uint64, c partCharge) {
 	r := l.record(now, part)
 	for i, o := range r.charges {
 		if o.sameCrash(c) {
-			r.charges[i].own = o.own || c.own
+			if c.own {
+				r.charges[i].own, r.charges[i].observed = true, c.observed
+			}
 			return
 		}
 	}
@@ -334,7 +374,7 @@
 
 // explainedBy reports whether the charges of other parts leave fewer than the limit.
 func (s suspectPart) explainedBy(charges []partCharge) bool {
-	left := slices.DeleteFunc(slices.Clone(s.charges), func(c partCharge) bool { return slices.ContainsFunc(charges, c.sameCrash) })
+	left := slices.DeleteFunc(slices.Clone(s.charges), func(c partCharge) bool { return slices.ContainsFunc(charges, c.nearCrash) })
 	return countIncidents(left) < partCrashLimit
 }
 
@@ -443,9 +483,9 @@
 	for _, record := range report.Charges {
 		for _, c := range record.Charges {
 			if now.Sub(c.At) <= crashChargeTTL {
-				stated := c.At
-				c.At = earlier(c.At, now)
-				l.charge(now, record.Fingerprint, partCharge{c, own, stated})
+				charge := partCharge{CrashCharge: c, own: own, observed: now, stated: c.At}
+				charge.At = earlier(c.At, now)
+				l.charge(now, record.Fingerprint, charge)
 			}
 		}
 		if r := l.parts[record.Fingerprint]; r != nil {
