Let an instance try a refused request only after it has owned it for a second

Cause: each instance computes the owner from its own view of the fleet. The log shows that the instances had lost others from their views 0.15 to 0.7 s before the trials, and that each of the three took itself for the owner. The first crash would have told the others to wait.

An instance acts as the owner only after it has been so for a second in its own view, and while the others count it as a member. By then the crash of the real owner's trial has been reported, and the next trial is due later.

--- a/plugins/partguard/partguard.go
+++ b/plugins/partguard/partguard.go
@@ -52,6 +52,7 @@
 	mu        sync.Mutex
 	ledger    *policy.PartLedger // guarded by mu
 	suspects  []uint64           // parts of refusals; guarded by mu
+	owned     policy.Ownership   // of suspects; guarded by mu
 	published []byte             // the last published report; guarded by mu
 }
 
@@ -96,7 +97,7 @@
 	whole := parts[len(parts)-1]
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !g.owns(whole) || !g.ledger.Refusals(now).TrialDue(now, parts) {
+	if !g.owns(whole) || !g.owned.Settled(now, whole) || !g.ledger.Refusals(now).TrialDue(now, parts) {
 		return false
 	}
 	g.ledger.Tried(now, whole)
@@ -108,11 +109,15 @@
 
 // owns reports whether this instance is the one that tries a refused request.
 func (g *Guard) owns(whole uint64) bool {
-	if g.host.Fleet == nil {
-		return true
-	}
+	fleet := g.host.Fleet
+	return fleet == nil || fleet.Confirmed() && partOwner(whole, fleet.Members()) == g.host.ID()
+}
+
+// partOwner returns the ID of the member that tries requests that are refused because of a
+// part.
+func partOwner(part uint64, members []kernel.FleetMember) string {
 	everyone := func(kernel.FleetMember) bool { return true }
-	return kernel.FleetOwner(strconv.FormatUint(whole, 16), g.host.Fleet.Members(), everyone).ID == g.host.ID()
+	return kernel.FleetOwner(strconv.FormatUint(part, 16), members, everyone).ID
 }
 
 // PartsCrashed implements kernel.PartGuard.
@@ -157,6 +162,7 @@
 		g.host.Gauge("crash_parts_refused").Update(int64(len(suspects)))
 	}
 	g.suspects = suspects
+	g.owned = g.owned.Next(now, slices.DeleteFunc(slices.Clone(suspects), func(part uint64) bool { return !g.owns(part) }))
 	g.refusals.Store(&refusals)
 }
 
