--- a/test/passthrough/crashing_requests_test.go
+++ b/test/passthrough/crashing_requests_test.go
@@ -105,6 +105,20 @@
 	return len(s.crashes), late
 }
 
+// runTimes lists the first runs of guilty requests, and the later ones from a second after
+// the first one on, which are trials or faults.
+func (s *crashingServers) runTimes() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var times []string
+	for i, at := range s.crashes {
+		if i < 3 || at.Sub(s.crashes[0]) > time.Second {
+			times = append(times, at.UTC().Format("15:04:05.000"))
+		}
+	}
+	return strings.Join(times, " ")
+}
+
 // tally counts the responses to a kind of request.
 type tally struct {
 	sent, served, refused atomic.Int64
@@ -262,8 +276,9 @@
 		t.Logf("%s: %d runs, %d of them late; %d of %d refused; %d of %d other requests served",
 			q.name, all, late, guilty.refused.Load(), guilty.sent.Load(), sound.served.Load(), sound.sent.Load())
 		if late > 1 {
+			t.Logf("times of the runs: %s", s.runTimes())
 			for _, in := range c.Instances {
-				t.Logf("%s: lines on crashes, trials and members:\n%s", in.ID, in.Log.lines("refused request", "server crashed while", "fleet members changed"))
+				t.Logf("%s: lines on refusals, trials and members:\n%s", in.ID, in.Log.lines("refused request", "refused parts", "fleet members changed"))
 			}
 		}
 		So(all, ShouldBeGreaterThanOrEqualTo, 3)
