--- a/plugins/partguard/partguard.go
+++ b/plugins/partguard/partguard.go
@@ -205,6 +205,7 @@
 	Server      uint64 `cbor:"2,keyasint"`
 	AtUnixMilli int64  `cbor:"3,keyasint"`
 	Independent bool   `cbor:"4,keyasint,omitempty"`
+	Repeat      int    `cbor:"5,keyasint,omitempty"`
 }
 
 type wireSuccess struct {
@@ -216,7 +217,7 @@
 	var w wireReport
 	for _, record := range r.Charges {
 		for _, c := range record.Charges {
-			w.Charges = append(w.Charges, wireCharge{record.Fingerprint, c.Server, c.At.UnixMilli(), c.Independent})
+			w.Charges = append(w.Charges, wireCharge{record.Fingerprint, c.Server, c.At.UnixMilli(), c.Independent, c.Repeat})
 		}
 	}
 	for _, s := range r.Successes {
@@ -243,7 +244,7 @@
 	}
 	var r policy.PartReport
 	for _, c := range w.Charges {
-		r.Charges = append(r.Charges, policy.CrashRecord{Fingerprint: c.Part, Charges: []policy.CrashCharge{{Server: c.Server, At: time.UnixMilli(c.AtUnixMilli), Independent: c.Independent}}})
+		r.Charges = append(r.Charges, policy.CrashRecord{Fingerprint: c.Part, Charges: []policy.CrashCharge{{Server: c.Server, At: time.UnixMilli(c.AtUnixMilli), Independent: c.Independent, Repeat: c.Repeat}}})
 	}
 	for _, s := range w.Successes {
 		r.Successes = append(r.Successes, policy.PartSuccess{Part: s.Part, At: time.UnixMilli(s.AtUnixMilli)})
--- a/plugins/partguard/partguard_test.go
+++ b/plugins/partguard/partguard_test.go
@@ -17,7 +17,7 @@
 	Convey("A decoded report holds what was encoded", t, func() {
 		at := time.UnixMilli(1773767424221)
 		r := policy.PartReport{
-			Charges:   []policy.CrashRecord{{Fingerprint: 7, Charges: []policy.CrashCharge{{Server: 1, At: at}}}},
+			Charges:   []policy.CrashRecord{{Fingerprint: 7, Charges: []policy.CrashCharge{{Server: 1, At: at, Independent: true, Repeat: 2}}}},
 			Successes: []policy.PartSuccess{{Part: 8, At: at.Add(time.Second)}},
 		}
 		decoded, err := decodeReport(encodeReport(r))
