--- a/policy/crashparts.go
+++ b/policy/crashparts.go
@@ -287,16 +287,16 @@
 	return true
 }
 
-// PartRefusals tells which requests must not run.
+// PartRefusals states which requests must not run.
 //
-// Crashes may not tell which of several parts causes them, if the same crashes are charged
-// to all. A request with just one of these parts runs: it tells them apart. Whole requests
+// Crashes may not show which of several parts causes them, if the same crashes are charged
+// to all. A request with just one of these parts runs: it distinguishes them. Whole requests
 // that further crashes have not told apart are refused, and tried one after the other.
 type PartRefusals struct {
 	groups map[uint64]*partGroup // by part
 }
 
-// partGroup is a number of parts that cannot be told apart.
+// partGroup is a number of parts that cannot be distinguished.
 type partGroup struct {
 	members   []uint64
 	incidents int
--- a/policy/crashparts_test.go
+++ b/policy/crashparts_test.go
@@ -74,7 +74,7 @@
 				So(refused(at(3*time.Second), guilty), ShouldEqual, 0)
 				So(refused(at(3*time.Second), popular), ShouldEqual, 0)
 			})
-			Convey("are told apart by a success of one of them", func() {
+			Convey("are distinguished by a success of one of them", func() {
 				ledgers[2].Succeeded(at(4*time.Second), []uint64{popular})
 				exchange(at(4 * time.Second))
 				So(refused(at(4*time.Second), guilty), ShouldEqual, 3)
@@ -115,7 +115,7 @@
 				So(due(60, 2100*time.Millisecond), ShouldBeFalse)
 				So(due(61, 2100*time.Millisecond), ShouldBeTrue)
 			})
-			Convey("are told apart by the trial that crashes a server", func() {
+			Convey("are distinguished by the trial that crashes a server", func() {
 				now := last.Add(1100 * time.Millisecond)
 				ledgers[0].Tried(now, 60)
 				ledgers[0].Crashed(now, now, []uint64{60}, 9)
@@ -123,7 +123,7 @@
 				So(refused(now, 60), ShouldEqual, 3)
 				So(refused(now, 61), ShouldEqual, 0)
 			})
-			Convey("are told apart by the trial that succeeds", func() {
+			Convey("are distinguished by the trial that succeeds", func() {
 				now := last.Add(1100 * time.Millisecond)
 				ledgers[0].Succeeded(now, []uint64{60})
 				exchange(now)
