--- a/plugins/discovery/discovery.go
+++ b/plugins/discovery/discovery.go
@@ -119,6 +119,9 @@
 	if d.client != nil && d.host.Settings.Duration(section, "member_ttl") < time.Second {
 		return errors.New("[store] member_ttl: want 1s or more")
 	}
+	if c := d.host.Settings.Float(section, "capacity"); d.client != nil && !validCapacity(c) {
+		return errors.Errorf("[store] capacity: %g, want a number from 0 to %g", c, maxCapacity)
+	}
 	return nil
 }
 
--- a/plugins/discovery/fleet.go
+++ b/plugins/discovery/fleet.go
@@ -307,11 +307,18 @@
 	return strings.Join([]string{m.ID, m.Zone, m.Address, strconv.FormatFloat(m.Capacity, 'g', -1, 64)}, memberSeparator)
 }
 
+// maxCapacity bounds the capacity of a member.
+const maxCapacity = 1e9
+
+// validCapacity reports whether a member may have the capacity. One that is not a number
+// would leave its zone without a reader, an infinite one would own everything.
+func validCapacity(c float64) bool { return c >= 0 && c <= maxCapacity }
+
 func decodeMember(name string) (kernel.FleetMember, bool) {
 	fields := strings.Split(name, memberSeparator)
 	if len(fields) != 4 || fields[0] == "" {
 		return kernel.FleetMember{}, false
 	}
 	capacity, err := strconv.ParseFloat(fields[3], 64)
-	return kernel.FleetMember{ID: fields[0], Zone: fields[1], Address: fields[2], Capacity: capacity}, err == nil
+	return kernel.FleetMember{ID: fields[0], Zone: fields[1], Address: fields[2], Capacity: capacity}, err == nil && validCapacity(capacity)
 }
--- a/plugins/discovery/state_test.go
+++ b/plugins/discovery/state_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -88,6 +89,41 @@
 	})
 }
 
+// TestOddMembers guards against a member's name of another writer that leaves a zone without
+// a reader, or makes one member the owner of everything.
+func TestOddMembers(t *testing.T) {
+	self := kernel.FleetMember{ID: "b", Zone: "z", Address: "10.0.0.2:1", Capacity: 1}
+	for _, name := range []string{
+		"", "|", "|||", "|z|10.0.0.9:1|1", "odd|z|10.0.0.9:1", "odd|z|10.0.0.9:1|", "odd|z|10.0.0.9:1|many", "odd|z|10.0.0.9:1|1|1",
+		"odd|z|10.0.0.9:1|NaN", "odd|z|10.0.0.9:1|Inf", "odd|z|10.0.0.9:1|-Inf", "odd|z|10.0.0.9:1|1e400", "odd|z|10.0.0.9:1|1e300", "odd|z|10.0.0.9:1|-1",
+		strings.Repeat("|", 100_000), "odd\x00\xff|" + strings.Repeat("z", 100_000),
+	} {
+		Convey("A name that is no member's has no effect: "+name[:min(len(name), 40)], t, func() {
+			members := membersOf([]platform.GroupPartition{{Member: name}}, self)
+			So(members, ShouldResemble, []kernel.FleetMember{self})
+			So(zoneReadersOf("z", members), ShouldResemble, []kernel.FleetMember{self})
+		})
+	}
+}
+
+// TestInvalidCapacity guards against an instance that starts with a capacity with which the
+// others do not count it as a member.
+func TestInvalidCapacity(t *testing.T) {
+	for capacity, valid := range map[string]bool{"1": true, "0": true, "0.5": true, "1e9": true, "NaN": false, "Inf": false, "-1": false, "1e10": false} {
+		Convey("An instance with a capacity of "+capacity, t, func() {
+			settings, err := kernel.Schema().Load("t.ini", []byte("[instance]\nid = a\nzone = z\n[store]\naddress = 127.0.0.1:1\ncapacity = "+capacity+"\n"))
+			So(err, ShouldBeNil)
+			d := &Discovery{}
+			So(d.Provision(&kernel.Host{Settings: settings}), ShouldBeNil)
+			if valid {
+				So(d.Validate(), ShouldBeNil)
+			} else {
+				So(d.Validate(), ShouldNotBeNil)
+			}
+		})
+	}
+}
+
 // TestStateAfterRestore checks what an instance makes of records that a restored store has,
 // and of those that it has forgotten.
 func TestStateAfterRestore(t *testing.T) {
