Refuse requests that one server breaks off only after five incidents

Cause: each break of one server counted like the crash of another one. Under one name, three breaks show a faulty server as well as a request that crashes servers.

Three incidents refuse a part as before if they are of servers that had started again as far as was known; otherwise five do.

--- a/policy/crashparts.go
+++ b/policy/crashparts.go
@@ -16,6 +16,10 @@
 	// requests with a part are refused. It is higher than that of a request: sound
 	// parts that share requests or servers with the guilty one are charged as well.
 	partCrashLimit = 3
+	// repeatCrashLimit is the number of incidents at which requests with a part are
+	// refused if they include several crashes of one server under one name: it may break
+	// off responses without having crashed.
+	repeatCrashLimit = 5
 	// partDefenseLimit is the number of charges from which on a success of the part is
 	// reported to other instances.
 	partDefenseLimit = partCrashLimit - 1
@@ -59,7 +63,7 @@
 // a common cause; a request that was sent after one crash and met the next has not met
 // one. A server that starts again may be known under its former name for some time, so a
 // request that was sent after a crash of a server and meets another one of it has met
-// two. Each instance sees only some of the crashes and some of the successes, so
+// two; more crashes are needed then, since the server may be faulty instead. Each instance sees only some of the crashes and some of the successes, so
 // instances exchange reports of the crashes, and of the successes of parts that come
 // close to being refused.
 //
@@ -203,6 +207,15 @@
 	return n
 }
 
+// incidentLimit returns the number of incidents at which a part with the charges is suspect.
+func incidentLimit(charges []partCharge) int {
+	firsts := slices.DeleteFunc(slices.Clone(charges), func(c partCharge) bool { return c.Repeat > 0 })
+	if countIncidents(firsts) >= partCrashLimit {
+		return partCrashLimit
+	}
+	return repeatCrashLimit
+}
+
 // record returns the record of a part, which it creates if there is none. A full
 // ledger first drops the records without charges, then arbitrary ones.
 func (l *PartLedger) record(now time.Time, part uint64) *partRecord {
@@ -375,7 +388,7 @@
 // explainedBy reports whether the charges of other parts leave fewer than the limit.
 func (s suspectPart) explainedBy(charges []partCharge) bool {
 	left := slices.DeleteFunc(slices.Clone(s.charges), func(c partCharge) bool { return slices.ContainsFunc(charges, c.nearCrash) })
-	return countIncidents(left) < partCrashLimit
+	return countIncidents(left) < incidentLimit(left)
 }
 
 // Refusals returns which requests must not run.
@@ -386,7 +399,7 @@
 			continue
 		}
 		charges := r.since(now, r.success)
-		if n := countIncidents(charges); n >= partCrashLimit {
+		if n := countIncidents(charges); n >= incidentLimit(charges) {
 			suspects = append(suspects, suspectPart{part, charges, n, r.success})
 		}
 	}
@@ -425,9 +438,10 @@
 // are due to earlier trials.
 func (s suspectPart) trials() (last time.Time, delay time.Duration) {
 	delay = firstTrialDelay
+	limit := incidentLimit(s.charges)
 	count, from := 0, 0 // incidents so far, and the first charge of the next one
 	for end := range incidents(s.charges) {
-		if count >= partCrashLimit && s.charges[from].At.Sub(last) >= firstTrialDelay {
+		if count >= limit && s.charges[from].At.Sub(last) >= firstTrialDelay {
 			delay = min(delay*trialBackoff, crashChargeTTL)
 		}
 		count, from, last = count+1, end, s.charges[end-1].At
--- a/policy/crashparts_test.go
+++ b/policy/crashparts_test.go
@@ -138,6 +138,14 @@
 			exchange(at(time.Second))
 			So(refused(at(time.Second), popular), ShouldEqual, 0)
 		})
+		Convey("a request that one server breaks off three times is not refused", func() {
+			for i := range 3 {
+				now := at(time.Duration(i) * 500 * time.Millisecond)
+				ledgers[i].Crashed(now, now.Add(-10*time.Millisecond), []uint64{popular}, 7)
+				exchange(now)
+			}
+			So(refused(at(1500*time.Millisecond), popular), ShouldEqual, 0)
+		})
 		Convey("a request that crashes a server again and again is refused, under one name of it", func() {
 			for i := range 20 {
 				now := at(time.Duration(i) * 100 * time.Millisecond)
