--- a/test/passthrough/crashing_requests_test.go
+++ b/test/passthrough/crashing_requests_test.go
@@ -327,6 +327,26 @@
 	}
 }
 
+// TestRepeatedRequestsAtFaultyServer guards against a guard that refuses requests because one
+// server breaks off each of its responses without crashing.
+func TestRepeatedRequestsAtFaultyServer(t *testing.T) {
+	Convey("Unchanged requests stay served while one of three servers breaks off all its responses", t, func() {
+		c := New(t)
+		s := c.startCrashingServers("app", 3, 0)
+		s.backends[0].Do = func(http.ResponseWriter, *http.Request, platformtest.ReceivedRequest) {
+			platformtest.AbortConnection()
+		}
+		c.startFive("app", 3)
+		sound := c.everywhere(4*time.Second, 20*time.Millisecond, func(n int64) platformtest.Request {
+			return platformtest.Request{Path: "/again/x", ID: fmt.Sprint("s", n), Body: "sound"}
+		})
+		t.Logf("%d of %d served, %d refused; %d reached the faulty server", sound.served.Load(), sound.sent.Load(), sound.refused.Load(), len(s.backends[0].Arrivals()))
+		So(len(s.backends[0].Arrivals()), ShouldBeGreaterThanOrEqualTo, 3)
+		So(sound.refused.Load(), ShouldEqual, 0)
+		So(sound.servedShare(), ShouldBeGreaterThan, 0.95)
+	})
+}
+
 // TestCrashingRequestIsTried guards against a request that stays refused everywhere after
 // it has stopped to crash servers.
 func TestCrashingRequestIsTried(t *testing.T) {
