--- a/plugins/discovery/state_test.go
+++ b/plugins/discovery/state_test.go
@@ -106,6 +106,20 @@
 	}
 }
 
+func FuzzDecodeMember(f *testing.F) {
+	f.Add("a|z|10.0.0.1:1|0.5")
+	f.Add("odd|z|10.0.0.9:1|NaN")
+	f.Fuzz(func(t *testing.T, name string) {
+		m, ok := decodeMember(name)
+		if ok && (m.ID == "" || !validCapacity(m.Capacity)) {
+			t.Fatalf("unusable member %+v", m)
+		}
+		if again, ok2 := decodeMember(encodeMember(m)); ok && (!ok2 || again != m) {
+			t.Fatalf("member %+v, encoded and decoded %+v", m, again)
+		}
+	})
+}
+
 // TestInvalidCapacity guards against an instance that starts with a capacity with which the
 // others do not count it as a member.
 func TestInvalidCapacity(t *testing.T) {
