--- a/policy/crashparts.go
+++ b/policy/crashparts.go
@@ -304,7 +304,7 @@
 //
 // Crashes may not show which of several parts causes them, if the same crashes are charged
 // to all. A request with just one of these parts runs: it distinguishes them. Whole requests
-// that further crashes have not told apart are refused, and tried one after the other.
+// that further crashes have not distinguished are refused, and tried one after the other.
 type PartRefusals struct {
 	groups map[uint64]*partGroup // by part
 }
--- a/test/passthrough/odd_entries_test.go
+++ b/test/passthrough/odd_entries_test.go
@@ -14,20 +14,6 @@
 	"github.com/savoryfold/savoryfold/platform/platformtest"
 )
 
-// oddEntries are server entries that another writer might leave.
-var oddEntries = []string{
-	"{}", "null", "[]", "no JSON", "\x00\xff\xfe", "{" + strings.Repeat(" ", 100_000) + "}",
-	strings.Repeat("[", 200_000), `{"service":` + strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000) + "}",
-	`{"service":"app","address":"127.0.0.1:65536","zone":"z1","slots":1,"state":"ready"}`,
-	`{"service":"app","address":"127.0.0.1:-1","zone":"z1","slots":1,"state":"ready"}`,
-	`{"service":"app","address":"127.0.0.1:1","zone":"z1","slots":99999999999999999999,"state":"ready"}`,
-	`{"service":"app","address":"127.0.0.1:1","zone":"z1","slots":1,"sequence":1e400,"state":"ready"}`,
-	`{"service":"app","address":"127.0.0.1:1","zone":"z1","slots":-4,"state":"ready"}`,
-	`{"service":"app","address":"127.0.0.1:1","zone":"z1","slots":1,"born":1e30,"state":"ready"}`,
-	`{"service":"app","address":"127.0.0.1:1","zone":"z1","slots":1,"cold_remaining_ms":1e300,"state":"ready"}`,
-	`{"service":"app","address":"127.0.0.1:1","zone":"z1","slots":1,"state":"elsewhere"}`,
-}
-
 const invalidEntry = "invalid server entry"
 
 // TestManyOddServerEntries guards against odd entries of another writer that end an
@@ -44,7 +30,7 @@
 		running := c.Start("e0", "z1", true, "")
 		c.waitServers(running, "app", 1)
 		for i := range odd {
-			c.Store.Put(platform.ServersTopic, fmt.Sprint("odd-", i), []byte(oddEntries[i%len(oddEntries)]))
+			c.Store.Put(platform.ServersTopic, fmt.Sprint("odd-", i), []byte(platformtest.OddEntries[i%len(platformtest.OddEntries)]))
 		}
 		c.startBackend("app-1", "app").Do = answer
 		starting := c.Start("e1", "z1", true, "")
@@ -86,7 +72,7 @@
 		in := c.Start("e0", "z1", true, "")
 		c.waitServers(in, "app", 1)
 		invalid := func() int { return strings.Count(in.Log.lines(invalidEntry), invalidEntry) }
-		for i, value := range oddEntries {
+		for i, value := range platformtest.OddEntries {
 			var long sync.WaitGroup
 			var answer response
 			before := len(b.Arrivals())
@@ -101,6 +87,6 @@
 			c.Store.PutServer(platformtest.Entry{ID: b.ID, Service: "app", Address: b.Address(), Zone: "z1", Version: "v1", Slots: 8, Born: 1, Sequence: int64(2 + i)})
 			c.Eventually("the server gets requests", func() bool { return send(in, "POST", "/again/x", fmt.Sprint("r", i)).status == http.StatusOK })
 		}
-		So(invalid(), ShouldEqual, len(oddEntries))
+		So(invalid(), ShouldEqual, len(platformtest.OddEntries))
 	})
 }
