--- a/policy/crashparts.go
+++ b/policy/crashparts.go
@@ -63,9 +63,11 @@
 // a common cause; a request that was sent after one crash and met the next has not met
 // one. A server that starts again may be known under its former name for some time, so a
 // request that was sent after a crash of a server and meets another one of it has met
-// two; more crashes are needed then, since the server may be faulty instead. Each instance sees only some of the crashes and some of the successes, so
-// instances exchange reports of the crashes, and of the successes of parts that come
-// close to being refused.
+// two; more crashes are needed then, since the server may be faulty instead.
+//
+// Each instance sees only some of the crashes and some of the successes, so instances
+// exchange reports of the crashes, and of the successes of parts that come close to being
+// refused.
 //
 // PartLedger is not safe for concurrent use.
 type PartLedger struct {
