--- a/review/stand/exposure.go
+++ b/review/stand/exposure.go
@@ -31,12 +31,6 @@
 	rosterWork      = 60 * time.Millisecond
 )
 
-// sent is a client attempt and when it was sent.
-type sentRequest struct {
-	id string
-	at time.Time
-}
-
 // rollout plays a rollout of a version of the roster, whose engines fail as fail says, with
 // the traffic of the sheet, and returns what breaks EXPOSURE. split is the part of the
 // traffic that the routes give to the roster; another service gets the rest.
--- a/review/stand/stand.go
+++ b/review/stand/stand.go
@@ -253,18 +253,6 @@
 	time.Sleep(settle)
 }
 
-// logLines returns the lines of an instance's log that contain a text.
-func (in *instance) logLines(text string) []string {
-	data, _ := os.ReadFile(filepath.Join(in.stand.dir, in.name+".log"))
-	var found []string
-	for line := range strings.Lines(string(data)) {
-		if strings.Contains(line, text) {
-			found = append(found, strings.TrimSpace(line))
-		}
-	}
-	return found
-}
-
 // put writes a value to the store as the operator or an engine does.
 func (s *stand) put(topic, key string, value any) {
 	data, err := json.Marshal(value)
