Interfaces of singleton duties: holder, reports to it, usage meter, scaling bounds

The platform leaves some calls to one instance at a time: usage reports and orders of servers. The interfaces let their election, the reports and the orders be built apart. Nothing implements them yet, so no behavior changes.

--- a/catalog/types.go
+++ b/catalog/types.go
@@ -86,12 +86,22 @@
 	// all instances.
 	ColdStart time.Duration
 	ColdRate  float64
+	// Scaling is set for services whose number of servers this system orders, nil otherwise.
+	Scaling *Scaling
 	// Engine is set for services of model engines, Batch for those of stage
 	// servers; each is nil otherwise.
 	Engine *Engine
 	Batch  *Batch
 }
 
+// Scaling bounds the number of servers of a service that may be ordered.
+type Scaling struct {
+	// Min and Max bound the number of servers in each availability zone.
+	Min, Max int
+	// Boot is the time from an order until a new server can serve.
+	Boot time.Duration
+}
+
 // Engine describes the model engines of a service.
 type Engine struct {
 	// Slots is the number of requests that an engine runs concurrently.
--- a/kernel/host.go
+++ b/kernel/host.go
@@ -69,6 +69,8 @@
 	Stages        StageRunner
 	VersionPicker VersionPicker
 	ServerRates   ServerRates
+	Duties        Duties
+	UsageMeter    UsageMeter
 	// ClaimsOperator and Moves are for operators.
 	ClaimsOperator ClaimsOperator
 	Moves          Moves
@@ -133,6 +135,8 @@
 	setIfImplements(&h.Stages, m)
 	setIfImplements(&h.VersionPicker, m)
 	setIfImplements(&h.ServerRates, m)
+	setIfImplements(&h.Duties, m)
+	setIfImplements(&h.UsageMeter, m)
 	setIfImplements(&h.ClaimsOperator, m)
 	setIfImplements(&h.Moves, m)
 }
