--- a/cmd/savoryfoldd/main.go
+++ b/cmd/savoryfoldd/main.go
@@ -49,6 +49,7 @@
 
 func command() *cobra.Command {
 	var path string
+	var set []string
 	var check, list bool
 	cmd := &cobra.Command{
 		Use:           "savoryfoldd --settings FILE",
@@ -64,11 +65,12 @@
 				printSettings()
 				return nil
 			}
-			return run(path, check)
+			return run(path, set, check)
 		},
 	}
 	cmd.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return settingsError{err} })
 	cmd.Flags().StringVar(&path, "settings", os.Getenv(settingsEnv), "settings file (INI); the default is the value of "+settingsEnv)
+	cmd.Flags().StringArrayVar(&set, "set", nil, "SECTION.NAME=VALUE: use the value in place of that of the settings file, unless it is empty; may be repeated")
 	cmd.Flags().BoolVar(&check, "check", false, "check the settings and exit")
 	cmd.Flags().BoolVar(&list, "list-settings", false, "list every setting with its default and exit")
 	return cmd
@@ -84,10 +86,28 @@
 	}
 }
 
-func run(path string, check bool) error {
+// parseOverrides parses the values of --set.
+func parseOverrides(texts []string) ([]config.Override, error) {
+	overrides := make([]config.Override, 0, len(texts))
+	for _, text := range texts {
+		o, err := config.ParseOverride(text)
+		if err != nil {
+			return nil, settingsError{errors.Wrap(err, "--set")}
+		}
+		overrides = append(overrides, o)
+	}
+	return overrides, nil
+}
+
+func run(path string, set []string, check bool) error {
 	if path == "" {
 		return settingsError{errors.New("no settings file: want --settings FILE, or its path in " + settingsEnv)}
 	}
+	overrides, err := parseOverrides(set)
+	if err != nil {
+		return err
+	}
+	load := func() (*config.Settings, error) { return kernel.Schema().LoadFile(path, overrides...) }
 	// Signals are handled from here on, also while the settings are read. Their
 	// default action would terminate the process.
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
@@ -95,7 +115,7 @@
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	defer signal.Stop(hangups)
-	settings, err := kernel.Schema().LoadFile(path)
+	settings, err := load()
 	if err != nil {
 		return settingsError{err}
 	}
@@ -115,7 +135,7 @@
 		return nil
 	}
 	go dumpOnSignal(ctx, in)
-	go reloadOnSignal(ctx, hangups, path, settings, level, logger)
+	go reloadOnSignal(ctx, hangups, load, settings, level, logger)
 	logger.Info("starting", "version", version.Version, "settings", path, "pid", os.Getpid())
 	err = in.Run(ctx)
 	var faults config.Faults
@@ -128,19 +148,19 @@
 // reloadOnSignal reloads the settings on every SIGHUP. A changed log level takes
 // effect immediately, all other changes at the next start. Invalid settings are
 // logged and ignored.
-func reloadOnSignal(ctx context.Context, hangups <-chan os.Signal, path string, active *config.Settings, level *slog.LevelVar, logger *slog.Logger) {
+func reloadOnSignal(ctx context.Context, hangups <-chan os.Signal, load func() (*config.Settings, error), active *config.Settings, level *slog.LevelVar, logger *slog.Logger) {
 	for {
 		select {
 		case <-hangups:
-			reloaded, err := kernel.Schema().LoadFile(path)
+			reloaded, err := load()
 			if err != nil {
-				logger.Error("settings are invalid, keeping the active ones", "settings", path, "error", err)
+				logger.Error("settings are invalid, keeping the active ones", "error", err)
 				continue
 			}
 			if err := level.UnmarshalText([]byte(reloaded.String("log", "level"))); err != nil {
 				logger.Error("log level is invalid, keeping the active one", "error", err)
 			}
-			logger.Info("settings reloaded", "settings", path, "with_next_start", config.Changed(active, reloaded))
+			logger.Info("settings reloaded", "with_next_start", config.Changed(active, reloaded))
 		case <-ctx.Done():
 			return
 		}
--- a/config/settings.go
+++ b/config/settings.go
@@ -113,20 +113,34 @@
 	sections []string
 }
 
+// Override replaces one setting of a file.
+type Override struct{ Section, Name, Value string }
+
+// ParseOverride parses an override of the form SECTION.NAME=VALUE.
+func ParseOverride(text string) (Override, error) {
+	key, value, ok := strings.Cut(text, "=")
+	section, name, dotted := strings.Cut(key, ".")
+	if !ok || !dotted || section == "" || name == "" {
+		return Override{}, errors.Errorf("%q is not of the form SECTION.NAME=VALUE", text)
+	}
+	return Override{section, name, strings.TrimSpace(value)}, nil
+}
+
 // LoadFile reads and validates a settings file. The error is Faults if the file
-// was read and its content is invalid.
-func (s *Schema) LoadFile(path string) (*Settings, error) {
+// was read and its content, or an override, is invalid. An override without a value
+// has no effect.
+func (s *Schema) LoadFile(path string, overrides ...Override) (*Settings, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return nil, errors.Wrap(err, "settings")
 	}
-	return s.Load(path, text)
+	return s.Load(path, text, overrides...)
 }
 
 // Load validates the text of a settings file and returns its settings. Settings
 // that the file lacks have their defaults. All problems are reported at once as
 // Faults.
-func (s *Schema) Load(name string, text []byte) (*Settings, error) {
+func (s *Schema) Load(name string, text []byte, overrides ...Override) (*Settings, error) {
 	src, err := parseSource(name, text)
 	if err != nil {
 		return nil, err
@@ -146,6 +160,11 @@
 			faults = append(faults, set.setValue(src, section.Name(), k.Name(), k.Value())...)
 		}
 	}
+	for _, o := range overrides {
+		if o.Value != "" {
+			faults = append(faults, set.setValue(src, o.Section, o.Name, o.Value)...)
+		}
+	}
 	faults = append(faults, set.missingRequired(src)...)
 	return set, faults.Err()
 }
