Order servers by the load of all instances

Services whose configuration bounds the number of their servers kept the number that they started with. Each instance now reports its demand for them to the holder of the duties, which decides the number for each zone and orders it when it changes (module autoscale). Without such services or a module of duties nothing is sent. Not measured: no module implements the duties yet; tests run on a fake.

--- a/kernel/host.go
+++ b/kernel/host.go
@@ -71,6 +71,7 @@
 	ServerRates   ServerRates
 	Duties        Duties
 	UsageMeter    UsageMeter
+	Demand        DemandSource
 	// ClaimsOperator and Moves are for operators.
 	ClaimsOperator ClaimsOperator
 	Moves          Moves
@@ -137,6 +138,7 @@
 	setIfImplements(&h.ServerRates, m)
 	setIfImplements(&h.Duties, m)
 	setIfImplements(&h.UsageMeter, m)
+	setIfImplements(&h.Demand, m)
 	setIfImplements(&h.ClaimsOperator, m)
 	setIfImplements(&h.Moves, m)
 }
--- a/plugins/forward/forward.go
+++ b/plugins/forward/forward.go
@@ -66,6 +66,7 @@
 	servers      serverStates
 	retryBudgets retryBudgets
 	latencies    serviceLatencies
+	demand       demandTotals
 
 	entry     *callerserver.Server
 	readiness *http.Server
--- a/plugins/forward/request.go
+++ b/plugins/forward/request.go
@@ -321,6 +321,7 @@
 			return out
 		}
 		out := f.send(ctx, a, r)
+		f.demand.refused(r.service, out)
 		out.Truncated = out.Truncated || a.started && out.Kind != kernel.Served
 		f.host.ReleaseResults(r.inputs)
 		// Once a server may have run the request, another round could end in a
--- a/plugins/forward/send.go
+++ b/plugins/forward/send.go
@@ -93,7 +93,9 @@
 			"entry_age", now.Sub(c.server.FirstSeen), "left", r.deadline.Sub(now))
 		result, out := f.sendOnce(ctx, a, r, c)
 		if out.Kind == kernel.Served {
-			f.stop.Observe(sendKind(r), time.Since(now))
+			took := time.Since(now)
+			f.stop.Observe(sendKind(r), took)
+			f.demand.served(r.service, took)
 		}
 		f.host.CountSend(r.service.Name, result.String())
 		r.tried[c.server.ID] = true
--- a/plugins/standard/standard.go
+++ b/plugins/standard/standard.go
@@ -4,6 +4,7 @@
 
 import (
 	_ "github.com/savoryfold/savoryfold/plugins/admin"        // administration API
+	_ "github.com/savoryfold/savoryfold/plugins/autoscale"    // orders of servers
 	_ "github.com/savoryfold/savoryfold/plugins/backendhttp"  // calls to backend servers
 	_ "github.com/savoryfold/savoryfold/plugins/claims"       // at-most-once requests
 	_ "github.com/savoryfold/savoryfold/plugins/configsource" // sources of the configuration tables
