--- a/policy/autoscale.go
+++ b/policy/autoscale.go
@@ -198,8 +198,7 @@
 // missing reports whether servers that the demand of the window needs have not been
 // present for longer than the platform takes to start them.
 func (s *Scaler) missing(now time.Time, l ScaleLimits, v ScaleView, d ScaleDecision) bool {
-	wait := l.Boot + bootMargin
-	return !s.shortSince.IsZero() && now.Sub(s.shortSince) >= wait && now.Sub(s.orderedAt) >= wait && v.Present < d.Peak
+	return !s.shortSince.IsZero() && now.Sub(s.shortSince) >= l.Boot+bootMargin && v.Present < d.Peak
 }
 
 // mayGiveUp reports whether the demand of a whole window is known, and no order was made
