Singleton duties: one holder by a lease in the metadata store, and usage reports

The platform leaves usage reports and orders of servers to one instance at a time; nothing elected one. The module duties keeps a lease in a topic of its own, whose records are appended on condition of the topic's end, collects the reports of all instances at the holder, fixes each usage report in the store before the first call, and makes the calls with the holder's token. It does nothing unless its settings name duties.

--- /dev/null
+++ b/plugins/duties/usage.go
@@ -0,0 +1,189 @@
+package duties
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/savoryfold/savoryfold/internal/backoff"
+	"github.com/savoryfold/savoryfold/kernel"
+	"github.com/savoryfold/savoryfold/platform"
+	"github.com/savoryfold/savoryfold/policy"
+)
+
+const (
+	// usageInterval is the time between two checks whether a usage report is due, at the
+	// holder and at others.
+	usageInterval, usageIdleInterval = 200 * time.Millisecond, time.Second
+	// callRetryMin and callRetryMax bound the wait before a call to the platform is repeated.
+	callRetryMin, callRetryMax = 250 * time.Millisecond, 2 * time.Second
+	// defaultPause is the wait after a call that the platform's rate limit refused, if it
+	// states none.
+	defaultPause = time.Second
+)
+
+// usageReport is a usage report whose content is fixed: it is in the store before the first
+// call, so that every holder repeats it exactly.
+type usageReport struct {
+	Window int64              `cbor:"1,keyasint"`
+	Counts policy.UsageCounts `cbor:"2,keyasint"`
+}
+
+// adopt takes the newest fixed report that the store holds, nil if it holds none. The caller
+// holds mu.
+func (m *Duties) adopt(r *usageReport) {
+	if r == nil || r.Window < m.collector.Fixed() || r.Window <= m.accepted {
+		return
+	}
+	m.collector.Fix(r.Window)
+	m.pending = r
+}
+
+// runUsage reports the usage while this instance holds the duties, until the context ends.
+func (m *Duties) runUsage(ctx context.Context) {
+	retry := backoff.Backoff{Min: callRetryMin, Max: callRetryMax}
+	interval := usageIdleInterval
+	for backoff.Sleep(ctx, interval) {
+		interval = usageIdleInterval
+		if !m.Holds(time.Now()) {
+			continue
+		}
+		interval = usageInterval
+		m.fixNext(ctx)
+		m.mu.Lock()
+		pending := m.pending
+		m.mu.Unlock()
+		if pending == nil {
+			continue
+		}
+		if m.reportUsage(ctx, pending) {
+			retry.Reset()
+			continue
+		}
+		retry.Wait(ctx)
+	}
+}
+
+// fixNext fixes the report of the next window that is complete, unless one is pending.
+func (m *Duties) fixNext(ctx context.Context) {
+	now := time.Now()
+	members := m.members()
+	m.mu.Lock()
+	due, ok := m.collector.Next(now, members)
+	ok = ok && m.pending == nil && m.lease.Holds(now)
+	m.mu.Unlock()
+	if !ok {
+		return
+	}
+	r := &usageReport{due.Window, due.Counts}
+	if err := m.appendRecord(ctx, platform.ReportKey, r); err != nil {
+		m.host.Logger.Warn("usage report not fixed, trying again", "window", r.Window, "error", err)
+		return
+	}
+	m.mu.Lock()
+	m.collector.Fix(r.Window)
+	m.pending = r
+	m.mu.Unlock()
+	if len(due.Missing) > 0 || due.Skipped > 0 {
+		m.host.Counter("duty_usage_incomplete").Inc(1)
+		m.host.Logger.Warn("usage report is incomplete", "window", r.Window, "missing_instances", due.Missing, "skipped_windows", due.Skipped)
+	}
+}
+
+// members returns the names of the instances.
+func (m *Duties) members() []string {
+	if m.host.Fleet == nil {
+		return []string{m.host.ID()}
+	}
+	var names []string
+	for _, member := range m.host.Fleet.Members() {
+		names = append(names, member.ID)
+	}
+	return names
+}
+
+// reportUsage makes the call for a fixed report. It reports whether the report needs no other
+// call.
+func (m *Duties) reportUsage(ctx context.Context, r *usageReport) bool {
+	began := time.Now()
+	err := m.call(ctx, "usage", func(h platform.DutyHolder) error {
+		return m.platform.ReportUsage(ctx, h, r.Window, r.Counts)
+	})
+	log := []any{"window", r.Window, "requests", r.Counts.Total(), "accounts", len(r.Counts), "took", time.Since(began)}
+	switch {
+	case err == nil:
+		m.host.Logger.Info("usage reported", log...)
+	case errors.Is(err, platform.ErrDutyRefused):
+		m.host.Logger.Error("usage report refused for good", append(log, "error", err)...)
+	default:
+		m.host.Logger.Warn("usage report failed, trying again", append(log, "error", err)...)
+		return false
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.accepted = max(m.accepted, r.Window)
+	if m.pending == r {
+		m.pending = nil
+	}
+	return true
+}
+
+// call makes a duty call once, if this instance holds the duties.
+func (m *Duties) call(ctx context.Context, duty string, f func(h platform.DutyHolder) error) error {
+	m.mu.Lock()
+	paused := time.Until(m.pausedTill)
+	m.mu.Unlock()
+	if paused > 0 {
+		return errors.WithStack(&platform.DutyRateError{RetryAfter: paused})
+	}
+	if err := m.limiter.Wait(ctx); err != nil {
+		return errors.Wrap(err, "duty call")
+	}
+	m.calls.RLock()
+	defer m.calls.RUnlock()
+	h, err := m.confirm(ctx)
+	if err == nil {
+		err = f(h)
+	}
+	m.noteCall(duty, err)
+	return err
+}
+
+// noteCall counts the result of a duty call.
+func (m *Duties) noteCall(duty string, err error) {
+	var limited *platform.DutyRateError
+	result := "ok"
+	switch {
+	case err == nil:
+	case errors.As(err, &limited):
+		result = "rate-limited"
+		wait := limited.RetryAfter
+		if wait == 0 {
+			wait = defaultPause
+		}
+		m.mu.Lock()
+		m.pausedTill = time.Now().Add(wait)
+		m.mu.Unlock()
+	case errors.Is(err, kernel.ErrNotHolder):
+		result = "not-holder"
+	case errors.Is(err, platform.ErrDutyRefused):
+		result = "refused"
+	default:
+		result = "failed"
+	}
+	m.host.Counter(`duty_calls{duty="` + duty + `",result="` + result + `"}`).Inc(1)
+}
+
+// OrderServers implements kernel.Duties.
+func (m *Duties) OrderServers(ctx context.Context, service, zone string, count int) error {
+	if !m.active || !m.assigned.Scaling {
+		return kernel.ErrNotHolder
+	}
+	began := time.Now()
+	err := m.call(ctx, "scaling", func(h platform.DutyHolder) error {
+		return m.platform.OrderServers(ctx, h, service, zone, count)
+	})
+	m.host.Logger.Info("servers ordered", "service", service, "zone", zone, "count", count, "took", time.Since(began), "error", err)
+	return err
+}
--- a/plugins/forward/answer.go
+++ b/plugins/forward/answer.go
@@ -260,6 +260,7 @@
 	now := time.Now()
 	f.host.ReleaseResults(r.inputs)
 	r.inputs = nil
+	f.countRun(now, r)
 	f.recordBegin(now, r)
 	c.state.recordFirstByte(now, took)
 	f.latencies.add(r.service.Name, took)
--- a/plugins/forward/send.go
+++ b/plugins/forward/send.go
@@ -276,6 +276,9 @@
 func (f *Forward) handleResponse(ctx context.Context, a *responseWriter, r *request, c choice, x *upstream.Exchange, hold *membudget.Hold, answer platform.ResponseInfo, began time.Time) (sendResult, kernel.Outcome) {
 	now := time.Now()
 	status := x.Response.StatusCode
+	if answer.IDMatches && !answer.NotRun && !answer.Misdirected && !policy.PromisesNotRun(status) && r.route.Kind != catalog.Streaming {
+		f.countRun(now, r)
+	}
 	switch {
 	case answer.NotRun && answer.IDMatches && !r.refusal(c, answer).Credible():
 		f.observe(now, c.server, c.state, policy.CallSample{Refused: true})
@@ -323,6 +326,14 @@
 	return f.forwardResponse(ctx, a, r, c, x, hold, answer, began)
 }
 
+// countRun counts a request that a server has begun to run. A stream counts with its first
+// event, any other response with its head.
+func (f *Forward) countRun(now time.Time, r *request) {
+	if f.host.UsageMeter != nil {
+		f.host.UsageMeter.CountRun(now, r.accountName())
+	}
+}
+
 var invalidAnswer = kernel.Outcome{Kind: kernel.Unknown, Reason: kernel.ReasonStageFailed, Detail: "the server's answer is no answer to the request"}
 
 // refusal returns what is known of a refusal of the request by a server.
--- a/plugins/standard/standard.go
+++ b/plugins/standard/standard.go
@@ -9,6 +9,7 @@
 	_ "github.com/savoryfold/savoryfold/plugins/configsource" // sources of the configuration tables
 	_ "github.com/savoryfold/savoryfold/plugins/crashguard"   // refusal of requests that crash servers
 	_ "github.com/savoryfold/savoryfold/plugins/discovery"    // catalog from the platform's metadata store
+	_ "github.com/savoryfold/savoryfold/plugins/duties"       // singleton duties and usage reports
 	_ "github.com/savoryfold/savoryfold/plugins/entryhttp"    // requests from callers
 	_ "github.com/savoryfold/savoryfold/plugins/forward"      // pass-through requests to backend servers
 	_ "github.com/savoryfold/savoryfold/plugins/loadreport"   // load reports of backend servers
