--- a/review/stand/stand.go
+++ b/review/stand/stand.go
@@ -140,10 +140,6 @@
 
 var placeholder = regexp.MustCompile(`\{\{([a-z0-9_.]+)\}\}`)
 
-// optional matches the part of the template that is filled in only where the platform assigns
-// duties, which this stand does not.
-var optional = regexp.MustCompile(`(?s)\{\{#cloud\.address\}\}.*\{\{/cloud\.address\}\}\n`)
-
 // newInstance returns an instance that is not started yet.
 func (s *stand) newInstance(name, zone string) *instance {
 	address := func() string { return "127.0.0.1:" + freePort() }
@@ -159,7 +155,7 @@
 		panic(notRun(err.Error()))
 	}
 	fields := in.settings()
-	text := placeholder.ReplaceAllStringFunc(optional.ReplaceAllString(string(template), ""), func(p string) string {
+	text := placeholder.ReplaceAllStringFunc(string(template), func(p string) string {
 		value, ok := fields[strings.Trim(p, "{}")]
 		if !ok {
 			panic(notRun("the template has an unknown field " + p))
