Duties: sections registered before the module is provisioned are kept

Modules of a phase are provisioned in the order of their IDs, so the demand of autoscale was registered first and lost: no servers were ordered.

--- a/plugins/duties/duties.go
+++ b/plugins/duties/duties.go
@@ -129,7 +129,6 @@
 	}
 	m.incarnation = uuid.NewString()
 	m.peerAddress = h.Settings.String(section, "peer_address")
-	m.sections = make(map[string]reportSection)
 	m.wake = make(chan struct{}, 1)
 	m.times = policy.NewLeaseTimes(h.Settings.Duration(section, "lease"), h.Settings.Duration(section, "thaw"))
 	m.lease = policy.NewLease(policy.LeaseRecord{Instance: h.ID(), Address: m.peerAddress, Incarnation: m.incarnation}, m.times)
--- a/plugins/duties/reports.go
+++ b/plugins/duties/reports.go
@@ -49,11 +49,12 @@
 	Fixed int64 `cbor:"2,keyasint"`
 }
 
-// OnReport implements kernel.Duties.
+// OnReport implements kernel.Duties. It may be called before this module is provisioned.
 func (m *Duties) OnReport(section string, collect func(now time.Time) []byte, receive func(now time.Time, instance string, data []byte)) {
-	if m.active {
-		m.sections[section] = reportSection{collect, receive}
+	if m.sections == nil {
+		m.sections = make(map[string]reportSection)
 	}
+	m.sections[section] = reportSection{collect, receive}
 }
 
 // CountRun implements kernel.UsageMeter.
