--- a/plugins/duties/duties.go
+++ b/plugins/duties/duties.go
@@ -40,7 +40,7 @@
 	rateShare = 0.8
 	// collectShare is the share of the time until a usage report is due for which a window
 	// waits for instances that have not reported.
-	collectShare = 0.4
+	collectShare = 0.6
 )
 
 func init() {
@@ -101,6 +101,7 @@
 	pending    *usageReport           // fixed, not yet accepted by the platform; guarded by mu
 	accepted   int64                  // the last window that the platform has accepted; guarded by mu
 	pausedTill time.Time              // the platform has asked to wait; guarded by mu
+	late       lateUsage              // not logged yet; guarded by mu
 
 	ledgerMu sync.Mutex
 	ledger   *policy.UsageLedger // guarded by ledgerMu
@@ -201,7 +202,7 @@
 	if m.cancel == nil {
 		return nil
 	}
-	m.sendReport(ctx, time.Now())
+	m.sendReport(ctx, time.Now(), true)
 	m.cancel()
 	m.running.Wait()
 	m.store.Close()
--- a/plugins/duties/lease.go
+++ b/plugins/duties/lease.go
@@ -250,7 +250,7 @@
 		return h, nil
 	}
 	m.mu.Lock()
-	holds := m.lease.Mine() && !time.Now().Before(m.lease.NotBefore())
+	holds := m.lease.Known() && m.lease.Mine() && !time.Now().Before(m.lease.NotBefore())
 	m.mu.Unlock()
 	if !holds {
 		return platform.DutyHolder{}, kernel.ErrNotHolder
--- a/plugins/duties/reports.go
+++ b/plugins/duties/reports.go
@@ -77,12 +77,13 @@
 // runReports sends reports to the holder until the context ends.
 func (m *Duties) runReports(ctx context.Context) {
 	for backoff.Sleep(ctx, reportInterval-backoff.Jitter(reportJitter)) {
-		m.sendReport(ctx, time.Now())
+		m.sendReport(ctx, time.Now(), false)
+		m.logLate()
 	}
 }
 
-// sendReport sends a report to the holder, if one is known.
-func (m *Duties) sendReport(ctx context.Context, now time.Time) {
+// sendReport sends a report to the holder, if one is known. final is true if it is the last one.
+func (m *Duties) sendReport(ctx context.Context, now time.Time, final bool) {
 	m.mu.Lock()
 	to, mine := m.holder, m.lease.Mine()
 	m.mu.Unlock()
@@ -90,6 +91,7 @@
 		return
 	}
 	r := m.collect(now, to.Token)
+	r.Usage.Final = final
 	if mine {
 		m.fix(m.receive(now, r).Fixed)
 		return
@@ -138,11 +140,12 @@
 	m.lease.LearnToken(now, r.Token)
 	late := m.collector.Merge(now, r.Instance, r.Incarnation, r.Usage)
 	reply := reportReply{Token: m.lease.Highest(), Fixed: m.collector.Fixed()}
-	m.mu.Unlock()
 	if late > 0 {
-		m.host.Counter("duty_usage_late").Inc(late)
-		m.host.Logger.Warn("usage arrived after the report of its window was fixed", "from", r.Instance, "requests", late)
+		m.late.requests += late
+		m.late.reports++
 	}
+	m.mu.Unlock()
+	m.host.Counter("duty_usage_late").Inc(late)
 	for name, data := range r.Sections {
 		if s, ok := m.sections[name]; ok {
 			s.receive(now, r.Instance, data)
@@ -151,6 +154,20 @@
 	return reply
 }
 
+// lateUsage sums the counts that came after the report of their window was fixed.
+type lateUsage struct{ requests, reports int64 }
+
+// logLate logs the counts that came too late since the last call.
+func (m *Duties) logLate() {
+	m.mu.Lock()
+	late := m.late
+	m.late = lateUsage{}
+	m.mu.Unlock()
+	if late.reports > 0 {
+		m.host.Logger.Warn("usage arrived after the report of its window was fixed", "requests", late.requests, "reports", late.reports)
+	}
+}
+
 // serveReport receives a report of another instance.
 func (m *Duties) serveReport(w http.ResponseWriter, hr *http.Request) {
 	r, err := readReport(hr)
--- a/plugins/duties/usage.go
+++ b/plugins/duties/usage.go
@@ -50,7 +50,10 @@
 			continue
 		}
 		interval = usageInterval
-		m.fixNext(ctx)
+		if !m.fixNext(ctx) {
+			retry.Wait(ctx)
+			continue
+		}
 		m.mu.Lock()
 		pending := m.pending
 		m.mu.Unlock()
@@ -65,8 +68,9 @@
 	}
 }
 
-// fixNext fixes the report of the next window that is complete, unless one is pending.
-func (m *Duties) fixNext(ctx context.Context) {
+// fixNext fixes the report of the next window that is complete, unless one is pending. It reports
+// whether nothing has failed.
+func (m *Duties) fixNext(ctx context.Context) bool {
 	now := time.Now()
 	members := m.members()
 	m.mu.Lock()
@@ -74,12 +78,12 @@
 	ok = ok && m.pending == nil && m.lease.Holds(now)
 	m.mu.Unlock()
 	if !ok {
-		return
+		return true
 	}
 	r := &usageReport{due.Window, due.Counts}
 	if err := m.appendRecord(ctx, platform.ReportKey, r); err != nil {
 		m.host.Logger.Warn("usage report not fixed, trying again", "window", r.Window, "error", err)
-		return
+		return false
 	}
 	m.mu.Lock()
 	m.collector.Fix(r.Window)
@@ -89,6 +93,7 @@
 		m.host.Counter("duty_usage_incomplete").Inc(1)
 		m.host.Logger.Warn("usage report is incomplete", "window", r.Window, "missing_instances", due.Missing, "skipped_windows", due.Skipped)
 	}
+	return true
 }
 
 // members returns the names of the instances.
--- a/policy/lease.go
+++ b/policy/lease.go
@@ -41,9 +41,6 @@
 	}
 }
 
-// lastCall is the time from sending a record until the last call that relies on it has ended.
-func (t LeaseTimes) lastCall() time.Duration { return t.CallBegin + t.CallEnd }
-
 // LeaseRecord is a record of the lease's log. The latest one states who holds the lease.
 type LeaseRecord struct {
 	Instance, Address string
@@ -83,12 +80,12 @@
 // Lease is one instance's view of a lease that is kept in a log whose appends are conditional
 // on its end. It performs no I/O and has no clock. It is not safe for concurrent use.
 //
-// The log orders holders, not clocks: a holder calls only after a record of its own was
+// The log orders holders, not clocks. A holder calls only after a record of its own was
 // appended at the end that it knows, within LeaseTimes.CallBegin of sending the record, and
-// each call ends within CallEnd. A successor appends first and calls when Term has passed since
-// the last possible call of its predecessor. So the calls of holders neither overlap nor do
-// those of two holders alternate within Term, whatever the time at which the successor took
-// the lease.
+// each call ends within CallEnd. Together they are shorter than Term. A successor appends a
+// record, too, and calls once Term has passed since it received the last record of its
+// predecessor, which then can no longer append. So no call of a holder comes after one of its
+// successor, and if the predecessor follows again, its calls are Term apart: it waits as well.
 type Lease struct {
 	self  LeaseRecord
 	times LeaseTimes
@@ -103,8 +100,8 @@
 	seen time.Time
 	// highest is the highest token that is known.
 	highest uint64
-	// notBefore is when this instance may make its first call. It is Term after the last
-	// possible call of any other incarnation.
+	// notBefore is when this instance may make its first call: Term after it has received the
+	// latest record of another incarnation.
 	notBefore time.Time
 	// sent and confirmed are when this incarnation's last appended record was sent, and when
 	// the store's confirmation arrived.
@@ -120,7 +117,7 @@
 	l.known, l.era, l.end = true, era, end
 	if newest == nil {
 		l.last, l.seen = LeaseRecord{}, now
-		l.waitFor(now, l.times.lastCall())
+		l.waitTerm(now)
 		return
 	}
 	l.observe(now, *newest)
@@ -137,21 +134,14 @@
 func (l *Lease) observe(now time.Time, r LeaseRecord) {
 	l.last, l.seen = r, now
 	l.highest = max(l.highest, min(r.Token, MaxLeaseToken))
-	switch {
-	case r.Era != l.era:
-		l.waitFor(now, l.times.lastCall())
-	case r.Incarnation == l.self.Incarnation:
-	case r.Released:
-		l.waitFor(now, 0)
-	default:
-		l.waitFor(now, l.times.lastCall())
+	if r.Era != l.era || r.Incarnation != l.self.Incarnation {
+		l.waitTerm(now)
 	}
 }
 
-// waitFor lets this instance make no call until Term after the calls of others that may still
-// come within calls.
-func (l *Lease) waitFor(now time.Time, calls time.Duration) {
-	if t := now.Add(calls + l.times.Term); t.After(l.notBefore) {
+// waitTerm lets this instance make no call until Term has passed.
+func (l *Lease) waitTerm(now time.Time) {
+	if t := now.Add(l.times.Term); t.After(l.notBefore) {
 		l.notBefore = t
 	}
 }
@@ -164,13 +154,17 @@
 		return
 	}
 	l.highest = token
-	l.waitFor(now, l.times.lastCall())
+	l.waitTerm(now)
 }
 
 // Forget drops the view, so that the log is listed: an append has failed or its result is
 // unknown, or the log no longer has the records after the end that this instance knows.
 func (l *Lease) Forget() { l.known = false }
 
+// Known reports whether the view is the log's as far as this instance knows, so that an append
+// may succeed.
+func (l *Lease) Known() bool { return l.known }
+
 // Mine reports whether the latest record is this incarnation's and it has not released the
 // lease.
 func (l *Lease) Mine() bool {
--- a/policy/usage.go
+++ b/policy/usage.go
@@ -26,6 +26,8 @@
 	Windows map[int64]UsageCounts
 	// Fixed is the last window whose report is known to be fixed, 0 if none is.
 	Fixed int64
+	// Final is true in the last report of a process.
+	Final bool
 }
 
 // maxLedgerWindows bounds the windows that an instance keeps until their report is fixed.
@@ -100,6 +102,9 @@
 const (
 	// reportCurrent is the time for which the window that an instance has stated counts.
 	reportCurrent = 5 * time.Second
+	// awaitSources is the time since its last report for which an instance is awaited although
+	// it is no member: one that is cut off is no member any more, but has counts.
+	awaitSources = 10 * time.Second
 	// sourceTTL is the time after which an instance that reports no more is forgotten.
 	sourceTTL = time.Minute
 	// maxUsageBacklog is the number of windows behind the present one that are still reported.
@@ -129,6 +134,7 @@
 	current  int64
 	received time.Time
 	windows  map[int64]UsageCounts
+	final    bool
 }
 
 // NewUsageCollector returns a collector without counts.
@@ -144,7 +150,7 @@
 		s = &usageSource{instance: instance, windows: make(map[int64]UsageCounts)}
 		c.sources[incarnation] = s
 	}
-	s.current, s.received = r.Current, now
+	s.current, s.received, s.final = r.Current, now, s.final || r.Final
 	for k, counts := range r.Windows {
 		before := s.windows[k].Total()
 		// An earlier report may arrive after a later one: counts only grow.
@@ -190,22 +196,6 @@
 	return stated[(len(stated)-1)/2], true
 }
 
-// Heard returns how many of the members have reported lately.
-func (c *UsageCollector) Heard(now time.Time, members []string) (n int) {
-	recent := make(map[string]bool)
-	for _, s := range c.sources {
-		if now.Sub(s.received) <= reportCurrent {
-			recent[s.instance] = true
-		}
-	}
-	for _, m := range members {
-		if recent[m] {
-			n++
-		}
-	}
-	return n
-}
-
 // UsageDue is a window whose counts are to be reported.
 type UsageDue struct {
 	Window int64
@@ -236,7 +226,7 @@
 			c.ended[k] = now
 		}
 	}
-	due.Missing = c.missing(due.Window, members)
+	due.Missing = c.missing(now, due.Window, members)
 	if len(due.Missing) > 0 && now.Sub(c.ended[due.Window]) < c.wait {
 		return UsageDue{}, false
 	}
@@ -267,15 +257,22 @@
 	return first
 }
 
-// missing returns the members of which no process has reported past a window.
-func (c *UsageCollector) missing(window int64, members []string) []string {
+// missing returns the instances, members and those that were until lately, of which no process
+// has reported past a window.
+func (c *UsageCollector) missing(now time.Time, window int64, members []string) []string {
 	past := make(map[string]bool)
+	awaited := slices.Clone(members)
 	for _, s := range c.sources {
-		if s.current > window {
+		switch {
+		case s.current > window || s.final:
 			past[s.instance] = true
+		case now.Sub(s.received) <= awaitSources:
+			awaited = append(awaited, s.instance)
 		}
 	}
-	return slices.DeleteFunc(slices.Clone(members), func(m string) bool { return past[m] })
+	awaited = slices.DeleteFunc(awaited, func(m string) bool { return past[m] })
+	slices.Sort(awaited)
+	return slices.Compact(awaited)
 }
 
 // forget drops what is too old, and what a clock that is far ahead has counted.
