--- a/plugins/duties/duties.go
+++ b/plugins/duties/duties.go
@@ -271,7 +271,7 @@
 	}
 	m.host.Gauge("duties_held").Update(1)
 	m.host.Counter(`duty_lease_changes{change="acquired"}`).Inc(1)
-	m.host.Logger.Info("this instance holds the duties", "token", latest.Token, "calls_in", m.lease.NotBefore().Sub(now), "reason", reason)
+	m.host.Logger.Info("this instance holds the duties", "token", latest.Token, "calls_in", max(0, m.lease.NotBefore().Sub(now)), "reason", reason)
 	if m.host.SharedState != nil {
 		m.host.SharedState.PublishState(stateKind, encode(m.holder))
 	}
--- a/plugins/duties/reports.go
+++ b/plugins/duties/reports.go
@@ -17,8 +17,8 @@
 const (
 	// reportPath is the path of reports to the holder.
 	reportPath = "/duties-report"
-	// reportInterval is the maximum time between two reports of an instance. Each is up to
-	// reportJitter earlier, so that reports of instances that start together spread.
+	// reportInterval is the maximum time between two reports of an instance, and reportJitter
+	// the time over which reports of different instances spread.
 	reportInterval, reportJitter = time.Second, 200 * time.Millisecond
 	// reportTimeout bounds a report.
 	reportTimeout = 700 * time.Millisecond
@@ -76,12 +76,23 @@
 
 // runReports sends reports to the holder until the context ends.
 func (m *Duties) runReports(ctx context.Context) {
-	for backoff.Sleep(ctx, reportInterval-backoff.Jitter(reportJitter)) {
+	for backoff.Sleep(ctx, m.reportIn(time.Now())) {
 		m.sendReport(ctx, time.Now(), false)
 		m.logLate()
 	}
 }
 
+// reportIn returns the time until the next report: soon after the end of a usage window, so that
+// the window is complete at the holder early.
+func (m *Duties) reportIn(now time.Time) time.Duration {
+	next := reportInterval - backoff.Jitter(reportJitter)
+	if window := m.host.Settings.Duration(section, "window"); m.assigned.Usage {
+		ends := window - time.Duration(now.UnixNano()%int64(window))
+		next = min(next, ends+backoff.Jitter(reportJitter))
+	}
+	return next
+}
+
 // sendReport sends a report to the holder, if one is known. final is true if it is the last one.
 func (m *Duties) sendReport(ctx context.Context, now time.Time, final bool) {
 	m.mu.Lock()
--- a/plugins/duties/usage.go
+++ b/plugins/duties/usage.go
@@ -46,6 +46,7 @@
 	interval := usageIdleInterval
 	for backoff.Sleep(ctx, interval) {
 		interval = usageIdleInterval
+		m.setMembers(time.Now())
 		if !m.Holds(time.Now()) {
 			continue
 		}
@@ -72,9 +73,8 @@
 // whether nothing has failed.
 func (m *Duties) fixNext(ctx context.Context) bool {
 	now := time.Now()
-	members := m.members()
 	m.mu.Lock()
-	due, ok := m.collector.Next(now, members)
+	due, ok := m.collector.Next(now)
 	ok = ok && m.pending == nil && m.lease.Holds(now)
 	m.mu.Unlock()
 	if !ok {
@@ -86,26 +86,27 @@
 		return false
 	}
 	m.mu.Lock()
-	m.collector.Fix(r.Window)
+	m.collector.Include(r.Window)
 	m.pending = r
 	m.mu.Unlock()
-	if len(due.Missing) > 0 || due.Skipped > 0 {
+	if len(due.Missing) > 0 || due.Skipped > 0 || due.Before {
 		m.host.Counter("duty_usage_incomplete").Inc(1)
-		m.host.Logger.Warn("usage report is incomplete", "window", r.Window, "missing_instances", due.Missing, "skipped_windows", due.Skipped)
+		m.host.Logger.Warn("usage report may be incomplete", "window", r.Window, "missing_instances", due.Missing, "skipped_windows", due.Skipped, "began_before_collection", due.Before)
 	}
 	return true
 }
 
-// members returns the names of the instances.
-func (m *Duties) members() []string {
-	if m.host.Fleet == nil {
-		return []string{m.host.ID()}
-	}
-	var names []string
-	for _, member := range m.host.Fleet.Members() {
-		names = append(names, member.ID)
+// setMembers records the instances that have counts.
+func (m *Duties) setMembers(now time.Time) {
+	names := []string{m.host.ID()}
+	if m.host.Fleet != nil {
+		for _, member := range m.host.Fleet.Members() {
+			names = append(names, member.ID)
+		}
 	}
-	return names
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.collector.SetMembers(now, names)
 }
 
 // reportUsage makes the call for a fixed report. It reports whether the report needs no other
--- a/policy/lease.go
+++ b/policy/lease.go
@@ -171,9 +171,10 @@
 	return l.last.Incarnation == l.self.Incarnation && !l.last.Released && l.last.Era == l.era && l.last.Token == l.highest
 }
 
-// Holds reports whether this instance holds the lease and its term has not passed.
+// Holds reports whether this instance holds the lease, as far as it knows, and its term has not
+// passed since its last record.
 func (l *Lease) Holds(now time.Time) bool {
-	return l.Mine() && !now.Before(l.notBefore) && elapsed(l.sent, now) < l.times.Term
+	return l.known && l.Mine() && !now.Before(l.notBefore) && elapsed(l.sent, now) < l.times.Term
 }
 
 // MayCall reports whether a call may begin now.
--- a/policy/usage.go
+++ b/policy/usage.go
@@ -102,9 +102,9 @@
 const (
 	// reportCurrent is the time for which the window that an instance has stated counts.
 	reportCurrent = 5 * time.Second
-	// awaitSources is the time since its last report for which an instance is awaited although
-	// it is no member: one that is cut off is no member any more, but has counts.
-	awaitSources = 10 * time.Second
+	// awaitInstances is the time since an instance was last a member for which it is awaited:
+	// one that is cut off is no member any more, but has counts.
+	awaitInstances = 10 * time.Second
 	// sourceTTL is the time after which an instance that reports no more is forgotten.
 	sourceTTL = time.Minute
 	// maxUsageBacklog is the number of windows behind the present one that are still reported.
@@ -126,6 +126,12 @@
 	fixed int64
 	// ended is when windows were first known to have ended.
 	ended map[int64]time.Time
+	// included holds the windows that this collector has counted itself.
+	included map[int64]bool
+	// members is when instances were last members.
+	members map[string]time.Time
+	// begun is the earliest window that was the present one of a report, 0 without a report.
+	begun int64
 }
 
 // usageSource is what one process has reported.
@@ -139,23 +145,34 @@
 
 // NewUsageCollector returns a collector without counts.
 func NewUsageCollector(wait time.Duration) *UsageCollector {
-	return &UsageCollector{wait: wait, sources: make(map[string]*usageSource), ended: make(map[int64]time.Time)}
+	return &UsageCollector{wait: wait, sources: make(map[string]*usageSource), ended: make(map[int64]time.Time), included: make(map[int64]bool), members: make(map[string]time.Time)}
+}
+
+// SetMembers records the present members of the fleet, by name.
+func (c *UsageCollector) SetMembers(now time.Time, members []string) {
+	for _, m := range members {
+		c.members[m] = now
+	}
+	maps.DeleteFunc(c.members, func(_ string, seen time.Time) bool { return now.Sub(seen) > awaitInstances })
 }
 
 // Merge takes the report of a process of an instance. It returns the number of requests in
-// windows whose report is already fixed without them.
+// windows that this collector has already reported without them.
 func (c *UsageCollector) Merge(now time.Time, instance, incarnation string, r UsageReport) (late int64) {
 	s := c.sources[incarnation]
 	if s == nil {
 		s = &usageSource{instance: instance, windows: make(map[int64]UsageCounts)}
 		c.sources[incarnation] = s
 	}
+	if c.begun == 0 || r.Current < c.begun {
+		c.begun = r.Current
+	}
 	s.current, s.received, s.final = r.Current, now, s.final || r.Final
 	for k, counts := range r.Windows {
 		before := s.windows[k].Total()
 		// An earlier report may arrive after a later one: counts only grow.
 		if total := counts.Total(); total > before {
-			if k <= c.fixed {
+			if c.included[k] {
 				late += total - before
 			}
 			s.windows[k] = counts
@@ -165,6 +182,12 @@
 	return late
 }
 
+// Include records that a due window is fixed with the counts that Next has returned.
+func (c *UsageCollector) Include(window int64) {
+	c.included[window] = true
+	c.Fix(window)
+}
+
 // Fix records that the reports of the windows through a number are fixed.
 func (c *UsageCollector) Fix(through int64) {
 	if through <= c.fixed {
@@ -172,6 +195,7 @@
 	}
 	c.fixed = through
 	maps.DeleteFunc(c.ended, func(k int64, _ time.Time) bool { return k <= c.fixed })
+	maps.DeleteFunc(c.included, func(k int64, _ bool) bool { return k <= c.fixed-lateWindows })
 	for _, s := range c.sources {
 		maps.DeleteFunc(s.windows, func(k int64, _ UsageCounts) bool { return k <= c.fixed-lateWindows })
 	}
@@ -200,15 +224,18 @@
 type UsageDue struct {
 	Window int64
 	Counts UsageCounts
-	// Missing holds the members that have not reported past the window.
+	// Missing holds the instances that have not reported past the window.
 	Missing []string
+	// Before is true if the window began before the first report to this collector, so that
+	// counts of processes that have ended may lack.
+	Before bool
 	// Skipped is the number of windows before it that are too old to be reported.
 	Skipped int64
 }
 
-// Next returns the next window to report, if it has ended and either all members have reported
+// Next returns the next window to report, if it has ended and either all instances have reported
 // past it or the wait for them is over.
-func (c *UsageCollector) Next(now time.Time, members []string) (due UsageDue, ok bool) {
+func (c *UsageCollector) Next(now time.Time) (due UsageDue, ok bool) {
 	current, ok := c.Current(now)
 	if !ok {
 		return UsageDue{}, false
@@ -226,7 +253,7 @@
 			c.ended[k] = now
 		}
 	}
-	due.Missing = c.missing(now, due.Window, members)
+	due.Missing, due.Before = c.missing(due.Window), due.Window < c.begun
 	if len(due.Missing) > 0 && now.Sub(c.ended[due.Window]) < c.wait {
 		return UsageDue{}, false
 	}
@@ -257,22 +284,16 @@
 	return first
 }
 
-// missing returns the instances, members and those that were until lately, of which no process
-// has reported past a window.
-func (c *UsageCollector) missing(now time.Time, window int64, members []string) []string {
+// missing returns the members, and those that were until lately, of which no process has
+// reported past a window.
+func (c *UsageCollector) missing(window int64) []string {
 	past := make(map[string]bool)
-	awaited := slices.Clone(members)
 	for _, s := range c.sources {
-		switch {
-		case s.current > window || s.final:
+		if s.current > window || s.final {
 			past[s.instance] = true
-		case now.Sub(s.received) <= awaitSources:
-			awaited = append(awaited, s.instance)
 		}
 	}
-	awaited = slices.DeleteFunc(awaited, func(m string) bool { return past[m] })
-	slices.Sort(awaited)
-	return slices.Compact(awaited)
+	return slices.DeleteFunc(slices.Sorted(maps.Keys(c.members)), func(m string) bool { return past[m] })
 }
 
 // forget drops what is too old, and what a clock that is far ahead has counted.
