--- a/plugins/duties/duties.go
+++ b/plugins/duties/duties.go
@@ -95,8 +95,6 @@
 	reason  string    // of that change; guarded by mu
 	holder  holder    // the latest known one; guarded by mu
 	stopped bool      // the lease is not taken again; guarded by mu
-	// deferUntil is until when this instance leaves the lease to others; guarded by mu.
-	deferUntil time.Time
 	collector  *policy.UsageCollector // guarded by mu
 	pending    *usageReport           // fixed, not yet accepted by the platform; guarded by mu
 	accepted   int64                  // the last window that the platform has accepted; guarded by mu
--- a/plugins/duties/lease.go
+++ b/plugins/duties/lease.go
@@ -54,7 +54,7 @@
 			return
 		}
 		now := time.Now()
-		rank := m.rank(now)
+		rank := m.rank()
 		m.mu.Lock()
 		step, wait := m.lease.Next(now, rank), m.lease.Wait(now, max(0, rank))
 		m.mu.Unlock()
@@ -102,13 +102,7 @@
 }
 
 // rank returns the position of this instance among the candidates, or -1 if it is none.
-func (m *Duties) rank(now time.Time) int {
-	m.mu.Lock()
-	deferred := now.Before(m.deferUntil)
-	m.mu.Unlock()
-	if deferred {
-		return -1
-	}
+func (m *Duties) rank() int {
 	if m.host.Fleet == nil {
 		return 0
 	}
--- a/plugins/duties/reports.go
+++ b/plugins/duties/reports.go
@@ -10,7 +10,6 @@
 	"github.com/pkg/errors"
 
 	"github.com/savoryfold/savoryfold/internal/backoff"
-	"github.com/savoryfold/savoryfold/kernel"
 	"github.com/savoryfold/savoryfold/policy"
 )
 
@@ -42,11 +41,14 @@
 	Sections map[string][]byte  `cbor:"5,keyasint,omitempty"`
 }
 
-// reportReply is the holder's response.
+// reportReply is the response to a report.
 type reportReply struct {
-	Token uint64 `cbor:"1,keyasint"`
+	// Accepted is false if the instance does not hold the duties. Holder is then the one that it
+	// knows.
+	Accepted bool   `cbor:"1,keyasint"`
+	Holder   holder `cbor:"2,keyasint"`
 	// Fixed is the last window whose usage report is fixed.
-	Fixed int64 `cbor:"2,keyasint"`
+	Fixed int64 `cbor:"3,keyasint"`
 }
 
 // OnReport implements kernel.Duties.
@@ -115,10 +117,13 @@
 	body, err := m.host.PeerCalls.CallPeer(ctx, to.Address, reportPath, encode(r))
 	if err == nil {
 		var reply reportReply
-		if err = cbor.Unmarshal(body, &reply); err == nil {
+		if err = cbor.Unmarshal(body, &reply); err == nil && reply.Accepted {
 			m.fix(reply.Fixed)
 			return
 		}
+		m.mu.Lock()
+		m.noteHolder(time.Now(), reply.Holder, "stated by "+to.Instance)
+		m.mu.Unlock()
 	}
 	m.host.Counter("duty_reports_failed").Inc(1)
 	m.host.Logger.Debug("report to the holder of the duties failed", "holder", to.Instance, "token", to.Token, "error", err)
@@ -150,7 +155,7 @@
 	m.mu.Lock()
 	m.lease.LearnToken(now, r.Token)
 	late := m.collector.Merge(now, r.Instance, r.Incarnation, r.Usage)
-	reply := reportReply{Token: m.lease.Highest(), Fixed: m.collector.Fixed()}
+	reply := reportReply{Accepted: true, Holder: m.holder, Fixed: m.collector.Fixed()}
 	if late > 0 {
 		m.late.requests += late
 		m.late.reports++
@@ -190,13 +195,12 @@
 	m.mu.Lock()
 	m.lease.LearnToken(now, r.Token)
 	m.noteLease(now, "another instance knows a later holder")
-	mine := m.lease.Mine()
+	mine, reply := m.lease.Mine(), reportReply{Holder: m.holder}
 	m.mu.Unlock()
-	if !mine {
-		http.Error(w, kernel.ErrNotHolder.Error(), http.StatusServiceUnavailable)
-		return
+	if mine {
+		reply = m.receive(now, r)
 	}
-	_, _ = w.Write(encode(m.receive(now, r))) // a peer that has disconnected needs no response
+	_, _ = w.Write(encode(reply)) // a peer that has disconnected needs no response
 }
 
 func readReport(hr *http.Request) (r report, err error) {
