--- a/plugins/duties/duties.go
+++ b/plugins/duties/duties.go
@@ -90,13 +90,11 @@
 	mu    sync.Mutex
 	lease *policy.Lease // guarded by mu
 	// held is what the logs last stated; guarded by mu.
-	held    bool
-	since   time.Time // of the last change of the holder; guarded by mu
-	reason  string    // of that change; guarded by mu
-	holder  holder    // the latest known one; guarded by mu
-	stopped bool      // the lease is not taken again; guarded by mu
-	// deferUntil is until when this instance leaves the lease to others; guarded by mu.
-	deferUntil time.Time
+	held       bool
+	since      time.Time              // of the last change of the holder; guarded by mu
+	reason     string                 // of that change; guarded by mu
+	holder     holder                 // the latest known one; guarded by mu
+	stopped    bool                   // the lease is not taken again; guarded by mu
 	collector  *policy.UsageCollector // guarded by mu
 	pending    *usageReport           // fixed, not yet accepted by the platform; guarded by mu
 	accepted   int64                  // the last window that the platform has accepted; guarded by mu
@@ -270,7 +268,7 @@
 	}
 	m.host.Gauge("duties_held").Update(1)
 	m.host.Counter(`duty_lease_changes{change="acquired"}`).Inc(1)
-	m.host.Logger.Info("this instance holds the duties", "token", latest.Token, "calls_in", m.lease.NotBefore().Sub(now), "reason", reason)
+	m.host.Logger.Info("this instance holds the duties", "token", latest.Token, "calls_in", max(0, m.lease.NotBefore().Sub(now)), "reason", reason)
 	if m.host.SharedState != nil {
 		m.host.SharedState.PublishState(stateKind, encode(m.holder))
 	}
