Requests avoid zones that are out of reach, and unsent tries are no retries

Cause: while an availability zone is cut off, an instance kept choosing servers behind the cut. Change: two servers of a zone that cannot be connected to within 2 s make the zone unreachable for this instance (policy.ZoneReach, as for dispatchers); its servers are no candidates while another zone has some. Only what reached a server before makes the next send a retry, since only that arrives at a second server.

--- a/plugins/forward/choose.go
+++ b/plugins/forward/choose.go
@@ -202,7 +202,7 @@
 			snapshots = append(snapshots, l)
 		}
 	}
-	return usable, snapshots
+	return f.withinReach(now, usable, snapshots)
 }
 
 // pick chooses among usable servers. Servers in the zone of the inputs, or in that
--- a/plugins/forward/forward.go
+++ b/plugins/forward/forward.go
@@ -66,6 +66,7 @@
 	servers      serverStates
 	retryBudgets retryBudgets
 	latencies    serviceLatencies
+	reach        zoneReach
 
 	entry     *callerserver.Server
 	readiness *http.Server
--- a/plugins/forward/send.go
+++ b/plugins/forward/send.go
@@ -25,6 +25,8 @@
 	maxIdleRetryable = 5 * time.Second
 	// maxSends bounds how often one request is sent.
 	maxSends = 4
+	// maxUnsent bounds the servers to which no byte of one request could be sent.
+	maxUnsent = 6
 	// maxStaleResponses bounds the responses to earlier requests that are skipped
 	// on one connection.
 	maxStaleResponses = 2
@@ -61,7 +63,8 @@
 	r.tried = maps.Clone(r.sentTo)
 	ran := false
 	last := noServer
-	for n := 0; n < maxSends; n++ {
+	// Only what reached a server before makes the next send a retry.
+	for n, unsent := 0, 0; n-unsent < maxSends && unsent < maxUnsent; n++ {
 		now := time.Now()
 		// The request, or a part of its prompt, may have been found to crash servers during the
 		// stages or the last send.
@@ -83,7 +86,7 @@
 			r.log.Add("no server available", "service", r.service.Name, "tried", len(r.tried))
 			return unknownIfRan(ran, last)
 		}
-		if n > 0 && !f.retryBudgets.allowRetry(now, r.service.Name, f.fleetSize()) {
+		if n > unsent && !f.retryBudgets.allowRetry(now, r.service.Name, f.fleetSize()) {
 			r.log.Add("request not retried", "reason", "retry budget of the service exhausted")
 			f.host.Counter(`repeats_refused{service="` + r.service.Name + `"}`).Inc(1)
 			return unknownIfRan(ran, last)
@@ -103,6 +106,8 @@
 		switch result {
 		case sendDone:
 			return out
+		case sendNotSent:
+			unsent++
 		case sendInputGone:
 			if ran {
 				return unknownIfRan(ran, out)
@@ -174,6 +179,7 @@
 		return f.classifyError(ctx, r, c, began, err)
 	}
 	defer x.Close()
+	f.zoneReached(time.Now(), c.server)
 	abandonable(hold, x)
 	answer := f.decodeResponse(r, c, x)
 	for skipped := 0; !answer.IDMatches && x.Reused && skipped < maxStaleResponses; skipped++ {
@@ -263,6 +269,9 @@
 		}
 		return sendNotSent, out
 	}
+	if !upstream.MaybeSent(err) {
+		f.zoneFailed(now, c.server)
+	}
 	f.recordBreak(now, began, r, c, err)
 	f.observe(now, c.server, c.state, policy.CallSample{Unresponsive: !upstream.MaybeSent(err) || upstream.TimedOut(err), Broken: true})
 	if !upstream.MaybeSent(err) {
--- a/policy/zonereach.go
+++ b/policy/zonereach.go
@@ -1,6 +1,9 @@
 package policy
 
-import "time"
+import (
+	"iter"
+	"time"
+)
 
 const (
 	// zoneFailureWindow is the time for which a failure to reach an instance of an
@@ -45,3 +48,24 @@
 	}
 	return n >= minZoneFailures
 }
+
+// Avoid returns those of the given zones that seem to be unreachable. It returns none if
+// all of them do: a failed link of the instance itself looks the same, and the failures may
+// be out of date.
+func (z *ZoneReach) Avoid(now time.Time, zones iter.Seq[string]) map[string]bool {
+	if len(z.failed) == 0 {
+		return nil
+	}
+	avoid := make(map[string]bool)
+	reachable := false
+	for zone := range zones {
+		if _, known := avoid[zone]; !known {
+			avoid[zone] = z.Unreachable(now, zone)
+			reachable = reachable || !avoid[zone]
+		}
+	}
+	if !reachable {
+		return nil
+	}
+	return avoid
+}
