Release the results that the next stage has fetched during its call

They are kept until the call of the third stage is done, 0.3 s after its server has fetched them. Change: the dispatcher of the consuming stage releases them once its server must have fetched them (policy.InputFetch, from the rate of the servers' links, now decoded), if no other stage needs them and nothing shows that another dispatcher calls the same servers (policy.SoleCaller): then a call waits at the server and would find its inputs gone. A request that can still meet its goal runs its stages once more if a result is gone.

--- a/catalog/types.go
+++ b/catalog/types.go
@@ -124,6 +124,8 @@
 	// result that nobody fetches is kept.
 	ResultMemory int64
 	ResultTTL    time.Duration
+	// LinkRate is the rate of a server's link in bytes per second, 0 if it is unknown.
+	LinkRate int64
 }
 
 // Server is a backend server as of one start of its process. After a restart it
--- a/kernel/catalogs.go
+++ b/kernel/catalogs.go
@@ -89,6 +89,11 @@
 	// handles of the results that the pieces of a later stage need.
 	Key    string
 	Inputs []string
+	// InputBytes is the expected size of all inputs together. Every piece fetches all of
+	// them.
+	InputBytes int
+	// LastUse is true if nothing but this stage needs the inputs.
+	LastUse bool
 	// Part identifies the stage of a request that comes again unchanged, for PartGuard.
 	Part uint64
 	// Goal is the time by which the result should be ready, Deadline the time
@@ -113,6 +118,8 @@
 	Handles []string
 	// Zone is the availability zone that holds most of the results.
 	Zone string
+	// InputsReleased is true if the inputs were released when the stage had fetched them.
+	InputsReleased bool
 }
 
 // StageFailure is the error of a stage that could not be completed.
--- a/plugins/forward/request.go
+++ b/plugins/forward/request.go
@@ -318,6 +318,10 @@
 	a := f.newResponseWriter(w, r)
 	for round := 0; ; round++ {
 		if out := f.runStages(ctx, r); out.Kind != "" {
+			if out.Reason == kernel.ReasonStageInputLost && round == 0 && f.canMeetGoal(time.Now(), r) {
+				r.log.Add("inputs of a stage gone, running the stages again")
+				continue
+			}
 			return out
 		}
 		out := f.send(ctx, a, r)
@@ -332,6 +336,11 @@
 	}
 }
 
+// canMeetGoal reports whether a request whose stages begin now is expected to meet its goal.
+func (f *Forward) canMeetGoal(now time.Time, r *request) bool {
+	return !now.Add(f.forecast(now, r, -1).InTime).After(r.goal)
+}
+
 // finish logs the outcome of a request and writes the response unless a
 // server's response was forwarded.
 func (f *Forward) finish(w http.ResponseWriter, r *request, out kernel.Outcome) {
--- a/plugins/forward/stages.go
+++ b/plugins/forward/stages.go
@@ -135,6 +135,11 @@
 			continue
 		}
 		p.results[d.stage] = d.result
+		if d.result.InputsReleased {
+			for _, dep := range p.request.route.Stages[d.stage].After {
+				p.results[dep].Handles = nil
+			}
+		}
 		p.releaseConsumed()
 		if failure == nil {
 			running += p.start(ctx)
@@ -188,6 +193,8 @@
 	if len(q.Inputs) == 0 {
 		q.Key = r.call.PieceKey
 	}
+	_, q.InputBytes = p.inputLocation(s.After)
+	q.LastUse = p.onlyUse(i)
 	q.Zone = p.preferredZone(now, i)
 	result, err := p.forward.host.Stages.Run(ctx, q)
 	r.log.Add("stage", "stage", i, "service", s.Service, "pieces", q.Pieces, "preferred_zone", q.Zone, "zone", result.Zone, "rest", remaining, "took", time.Since(now), "error", err)
@@ -195,6 +202,17 @@
 	p.done <- stageDone{i, result, err}
 }
 
+// onlyUse reports whether no stage but stage i uses the results of those that it depends on.
+func (p *stagePlan) onlyUse(i int) bool {
+	stages := p.request.route.Stages
+	for j, s := range stages {
+		if j != i && p.request.stagePieces(j) > 0 && slices.ContainsFunc(s.After, func(dep int) bool { return slices.Contains(stages[i].After, dep) }) {
+			return false
+		}
+	}
+	return true
+}
+
 // preferredZone returns the zone in which stage i is best run. Every piece
 // fetches all inputs.
 func (p *stagePlan) preferredZone(now time.Time, i int) string {
--- a/plugins/stages/call.go
+++ b/plugins/stages/call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -45,6 +46,9 @@
 	expectedEnd time.Time
 	overdueAt   time.Time
 	hedged      bool
+	// inputsFetchedAt is the time from which on the server has fetched the inputs of the
+	// call; zero if that is not known before the call ends.
+	inputsFetchedAt time.Time
 	// reserved is the memory for the results of the call, in bytes.
 	reserved int64
 }
@@ -68,6 +72,9 @@
 	c.baseline = g.baseline().Duration(len(c.pieces))
 	c.expectedEnd = now.Add(g.policyServer(now, s).Duration(len(c.pieces)))
 	c.overdueAt = now.Add(overdueFactor*c.baseline + overdueSlack)
+	if t, ok := g.inputFetch(now, s, c).Time(); ok {
+		c.inputsFetchedAt = now.Add(t)
+	}
 	s.memory.used += c.reserved
 	s.inFlight++
 	s.lastCall, s.turnAt = now, time.Time{}
@@ -80,6 +87,48 @@
 	})
 }
 
+// inputFetch describes how the server of a call that starts now fetches the call's inputs.
+// The caller holds mu.
+func (g *group) inputFetch(now time.Time, s *stageServer, c *call) policy.InputFetch {
+	f := policy.InputFetch{Alone: s.inFlight == 0 && g.sole.Sole(now), Slowness: g.policyServer(now, s).Slowness, LinkRate: g.service.LinkRate}
+	for _, j := range c.jobs {
+		f.Bytes += j.inputBytes * int64(j.Pieces)
+	}
+	return f
+}
+
+// releaseInputs releases the inputs that the server of a call has fetched and that nothing
+// else needs. Their makers have little memory, and a call takes long. If the call fails, its
+// jobs fail with it. The caller holds mu.
+func (g *group) releaseInputs(now time.Time, c *call) {
+	if c.inputsFetchedAt.IsZero() || now.Before(c.inputsFetchedAt) {
+		return
+	}
+	c.inputsFetchedAt = time.Time{}
+	for _, j := range c.jobs {
+		if len(j.inputs) > 0 && !j.settled && !j.inputsReleased && g.jobs[j.ID] == nil && j.running == 1 {
+			j.inputsReleased = true
+			g.stages.Release(j.inputs)
+			g.stages.host.Counter(`stage_inputs_released_early{service="` + g.key.service + `"}`).Inc(1)
+		}
+	}
+}
+
+// releasedGone reports whether a server did not find inputs that were released during the
+// call.
+func (c *call) releasedGone(results []platform.PieceResult) bool {
+	for _, j := range c.jobs {
+		if len(results) < len(j.pieces) {
+			return false
+		}
+		if j.inputsReleased && slices.ContainsFunc(results[:len(j.pieces)], func(r platform.PieceResult) bool { return r.Failure == platform.PieceInputGone }) {
+			return true
+		}
+		results = results[len(j.pieces):]
+	}
+	return false
+}
+
 // errRefused means that a stage server did not run a call.
 var errRefused = errors.New("stage server refused the call")
 
@@ -151,6 +200,7 @@
 	}
 	took := now.Sub(c.began)
 	g.observeVersion(now, c, results, err)
+	g.sole.Observe(now, policy.StageCall{Refused: errors.Is(err, errRefused), InputGone: c.releasedGone(results)})
 	if err != nil {
 		g.failCall(now, c, err)
 	} else {
@@ -216,7 +266,7 @@
 			if guard := g.stages.host.PartGuard; guard != nil {
 				guard.PartsSucceeded(now, []uint64{j.part})
 			}
-			if !g.settle(j, jobResult{handles: handles, zone: c.server.server.Zone}) {
+			if !g.settle(j, jobResult{handles: handles, zone: c.server.server.Zone, inputsReleased: j.inputsReleased}) {
 				g.stages.Release(handles)
 			}
 			continue
--- a/plugins/stages/group.go
+++ b/plugins/stages/group.go
@@ -51,6 +51,7 @@
 	jobs    map[uint64]*job         // those in the queue; guarded by mu
 	servers map[string]*stageServer // by ID; guarded by mu
 	calls   map[*call]bool          // in progress; guarded by mu
+	sole    policy.SoleCaller       // guarded by mu
 	// versionDraw decides which version gets the next call during a rollout of the service,
 	// in [0, 1); guarded by mu.
 	versionDraw float64
@@ -60,8 +61,15 @@
 type job struct {
 	policy.PieceJob
 	pieces []platform.Piece
-	part   uint64         // kernel.StageRequest.Part
-	done   chan jobResult // receives one result
+	part   uint64 // kernel.StageRequest.Part
+	// inputs holds the results that only this job needs, and inputBytes the size of what
+	// each piece fetches.
+	inputs     []string
+	inputBytes int64
+	// inputsReleased is true once the inputs are no longer kept: the job cannot be called
+	// again.
+	inputsReleased bool
+	done           chan jobResult // receives one result
 	// settled is true once done has its result or the request has ended.
 	settled  bool
 	attempts int
@@ -73,6 +81,8 @@
 	handles []string
 	zone    string
 	failure *kernel.StageFailure
+	// inputsReleased is that of the job.
+	inputsReleased bool
 }
 
 // stageServer is the group's state of one server.
@@ -159,7 +169,7 @@
 				return kernel.StageResult{}, done.failure
 			}
 			result.Handles = append(result.Handles, done.handles...)
-			result.Zone = done.zone
+			result.Zone, result.InputsReleased = done.zone, done.inputsReleased
 		case <-ctx.Done():
 			g.drop(jobs[i:])
 			g.stages.Release(result.Handles)
@@ -185,6 +195,7 @@
 	if pause := g.pausedFor(now); pause > 0 {
 		return nil, g.pauseFailure(pause)
 	}
+	g.sole.Work(now)
 	baseline := g.baseline()
 	forecast := g.forecastLocked(now)
 	call := baseline.Duration(min(r.Pieces, baseline.MaxPieces))
@@ -202,6 +213,9 @@
 	for first := 0; first < r.Pieces; first += baseline.MaxPieces {
 		jobs = append(jobs, g.newJob(now, r, first, min(r.Pieces, first+baseline.MaxPieces)))
 	}
+	if r.LastUse && len(jobs) == 1 {
+		jobs[0].inputs = r.Inputs
+	}
 	for _, j := range jobs {
 		g.jobs[j.ID] = j
 		g.queue.Push(j.PieceJob)
@@ -223,7 +237,7 @@
 
 // newJob returns a job of the pieces from first up to, but not including, last.
 func (g *group) newJob(now time.Time, r kernel.StageRequest, first, last int) *job {
-	j := &job{done: make(chan jobResult, 1), part: r.Part}
+	j := &job{done: make(chan jobResult, 1), part: r.Part, inputBytes: int64(r.InputBytes)}
 	j.PieceJob = policy.PieceJob{
 		ID: g.stages.nextID.Add(1), Pieces: last - first, Bytes: int64(r.ResultBytes), Goal: r.Goal, Deadline: r.Deadline, Priority: r.Priority, Zone: r.Zone, QueuedAt: now,
 	}
@@ -518,6 +532,12 @@
 	if j.settled || g.jobs[j.ID] != nil {
 		return
 	}
+	if j.inputsReleased {
+		if j.running == 0 {
+			g.failJob(j, platform.PieceInputGone)
+		}
+		return
+	}
 	if j.attempts >= maxAttempts {
 		g.settle(j, jobResult{failure: &kernel.StageFailure{Reason: kernel.ReasonStageFailed, Detail: "stage service " + g.key.service + " failed again and again"}})
 		return
@@ -552,6 +572,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for c := range g.calls {
+		g.releaseInputs(now, c)
 		if c.hedged || now.Before(c.overdueAt) {
 			continue
 		}
--- a/plugins/stages/group_test.go
+++ b/plugins/stages/group_test.go
@@ -49,6 +49,51 @@
 	})
 }
 
+// TestReleaseInputsEarly checks when the results that a call has fetched are released, and
+// that a job whose inputs are released is not called again.
+func TestReleaseInputsEarly(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		lastUse  bool
+		linkRate int64
+		want     int
+	}{
+		{"Inputs that only this stage needs are released during its call", true, 1e9, 1},
+		{"Inputs that another stage needs too are kept", false, 1e9, 0},
+		{"Inputs are kept if the servers' links are not known", true, 0, 0},
+	} {
+		Convey(c.name, t, func() {
+			s := &Stages{host: &kernel.Host{Logger: slog.New(slog.DiscardHandler), Metrics: metrics.NewRegistry()}}
+			s.pendingReleases.handles = make(map[string][]string)
+			g := newGroup(s, groupKey{service: "s"})
+			now := time.Now()
+			view := newCatalog(1, &catalog.Server{ID: "a", Service: "s", Zone: "z"})
+			view.Service("s").Batch.LinkRate = c.linkRate
+			g.refresh(view)
+			j := g.newJob(now, kernel.StageRequest{Pieces: 1, Deadline: now.Add(time.Minute)}, 0, 1)
+			if c.lastUse {
+				j.inputs = []string{"10.0.0.1:80/x"}
+			}
+			running := &call{server: g.servers["a"], jobs: []*job{j}, began: now}
+			j.running = 1
+			if fetch, ok := g.inputFetch(now, running.server, running).Time(); ok {
+				running.inputsFetchedAt = now.Add(fetch)
+			}
+			g.releaseInputs(now, running)
+			So(s.pendingReleases.handles, ShouldBeEmpty)
+			g.releaseInputs(now.Add(time.Second/2), running)
+			So(len(s.pendingReleases.handles["10.0.0.1:80"]), ShouldEqual, c.want)
+			j.running = 0
+			g.requeue(j, "a")
+			So(j.settled, ShouldEqual, c.want > 0)
+			So(g.queue.Len(), ShouldEqual, 1-c.want)
+			if j.settled {
+				So((<-j.done).failure.InputGone, ShouldBeTrue)
+			}
+		})
+	}
+}
+
 func newCatalog(epoch uint64, servers ...*catalog.Server) *catalog.Catalog {
 	c := &catalog.Config{Services: map[string]*catalog.Service{"s": {Name: "s", Batch: &catalog.Batch{Slots: 1, MaxPieces: 10, CallTime: time.Second}}}}
 	v := catalog.New(c, servers)
--- a/plugins/stages/peer.go
+++ b/plugins/stages/peer.go
@@ -55,6 +55,9 @@
 	Final bool `cbor:"16,keyasint,omitempty"`
 	// Part is kernel.StageRequest.Part.
 	Part uint64 `cbor:"17,keyasint,omitempty"`
+	// InputBytes and LastUse are those of kernel.StageRequest.
+	InputBytes int  `cbor:"18,keyasint,omitempty"`
+	LastUse    bool `cbor:"19,keyasint,omitempty"`
 }
 
 // dispatchResponse is the response to a dispatchRequest.
@@ -73,6 +76,8 @@
 	// Dispatcher is set if the receiver considers another instance to be the
 	// dispatcher of the group.
 	Dispatcher *kernel.FleetMember `cbor:"10,keyasint,omitempty"`
+	// InputsReleased is that of kernel.StageResult.
+	InputsReleased bool `cbor:"11,keyasint,omitempty"`
 }
 
 // runRemote runs a stage on a dispatcher, or on the instance to which it
@@ -93,7 +98,7 @@
 	if response.Reason != "" || response.InputGone {
 		return kernel.StageResult{}, &kernel.StageFailure{Reason: response.Reason, Detail: response.Detail, RetryAfter: response.RetryAfter, InputGone: response.InputGone}
 	}
-	return kernel.StageResult{Handles: response.Handles, Zone: response.Zone}, nil
+	return kernel.StageResult{Handles: response.Handles, Zone: response.Zone, InputsReleased: response.InputsReleased}, nil
 }
 
 // callDispatcher sends a stage to one instance and returns its response.
@@ -103,6 +108,7 @@
 		Service: key.service, Zone: key.zone, Request: r.Request, Stage: r.Stage, Pieces: r.Pieces, Key: r.Key, Inputs: r.Inputs,
 		Goal: r.Goal.Sub(now), Deadline: r.Deadline.Sub(now), Priority: r.Priority, PreferredZone: r.Zone, ResultBytes: r.ResultBytes,
 		Position: s.host.Catalogs.Position(), Final: final, Part: r.Part,
+		InputBytes: r.InputBytes, LastUse: r.LastUse,
 	})
 	if err != nil {
 		panic("stages: encode dispatch request: " + err.Error())
@@ -147,7 +153,7 @@
 		http.Error(w, "no stage request, or no view of the servers yet", http.StatusServiceUnavailable)
 		return
 	}
-	if d.Pieces > maxDispatchPieces || d.ResultBytes < 0 {
+	if d.Pieces > maxDispatchPieces || d.ResultBytes < 0 || d.InputBytes < 0 {
 		s.host.Logger.Warn("invalid stage request of another instance", "request", d.Request, "pieces", d.Pieces, "result_bytes", d.ResultBytes)
 		http.Error(w, "invalid stage request", http.StatusBadRequest)
 		return
@@ -169,9 +175,10 @@
 	result, err := g.run(r.Context(), kernel.StageRequest{
 		Request: d.Request, Service: d.Service, Stage: d.Stage, Pieces: d.Pieces, Key: d.Key, Inputs: d.Inputs,
 		Goal: now.Add(d.Goal), Deadline: now.Add(d.Deadline), Priority: d.Priority, Zone: d.PreferredZone, ResultBytes: d.ResultBytes, Part: d.Part,
+		InputBytes: d.InputBytes, LastUse: d.LastUse,
 	})
 	waits := g.forecast(time.Now())
-	response := dispatchResponse{Handles: result.Handles, Zone: result.Zone, InTime: waits.InTime, Late: waits.Late}
+	response := dispatchResponse{Handles: result.Handles, Zone: result.Zone, InputsReleased: result.InputsReleased, InTime: waits.InTime, Late: waits.Late}
 	var failure *kernel.StageFailure
 	if errors.As(err, &failure) {
 		response.Reason, response.Detail, response.RetryAfter, response.InputGone = failure.Reason, failure.Detail, failure.RetryAfter, failure.InputGone
