--- a/plugins/forward/forward.go
+++ b/plugins/forward/forward.go
@@ -67,6 +67,7 @@
 	retryBudgets retryBudgets
 	latencies    serviceLatencies
 	demand       demandTotals
+	reach        zoneReach
 
 	entry     *callerserver.Server
 	readiness *http.Server
