Even load: servers by aged loads, pace and predicted work, where they report a pace

Each instance knew a server's load from its own last response there, and a load with four figures, as the engines of one deployment report it, was ignored as a whole. All instances that saw an idle server without a cache chose it; engines that need 2.4 times as long got as many requests as the others.

[forward] balance = even chooses one of two servers that do not depend on reported loads: the first two of a prompt's rendezvous order, weighted by the pace of the machines at rest, or two random ones. Loads lose weight with age, work is predicted from tokens, and loads travel in stage messages. Other services are chosen for as before.

--- a/kernel/catalogs.go
+++ b/kernel/catalogs.go
@@ -128,6 +128,30 @@
 // Error implements error.
 func (f *StageFailure) Error() string { return string(f.Reason) + ": " + f.Detail }
 
+// LoadFigure is a load that a backend server reported, as one instance reports it to
+// another.
+type LoadFigure struct {
+	_ struct{} `cbor:",toarray"`
+	// Server is a hash of the server's ID.
+	Server uint64
+	// Requests is the number of requests running and waiting on the server.
+	Requests int
+	// Pace is how long work takes on the server's machine, in percent of other times.
+	Pace int
+	// AgeMillis is the age of the figure in milliseconds.
+	AgeMillis int64
+}
+
+// LoadFigures keeps the loads that servers reported to this instance and, in messages
+// that instances exchange in any case, to others.
+type LoadFigures interface {
+	// RecentLoads returns the latest figures, the newest first, at most the given number.
+	// It returns none unless the settings ask for it.
+	RecentLoads(now time.Time, most int) []LoadFigure
+	// ObserveLoads records figures of another instance that are newer than those known.
+	ObserveLoads(now time.Time, figures []LoadFigure)
+}
+
 // StageRunner runs stages of requests on stage servers.
 type StageRunner interface {
 	// Run runs one stage. Its error is a *StageFailure.
--- a/kernel/host.go
+++ b/kernel/host.go
@@ -67,6 +67,7 @@
 	Fleet         Fleet
 	PeerCalls     PeerCalls
 	Stages        StageRunner
+	LoadFigures   LoadFigures
 	VersionPicker VersionPicker
 	ServerRates   ServerRates
 	Duties        Duties
@@ -133,6 +134,7 @@
 	setIfImplements(&h.Fleet, m)
 	setIfImplements(&h.PeerCalls, m)
 	setIfImplements(&h.Stages, m)
+	setIfImplements(&h.LoadFigures, m)
 	setIfImplements(&h.VersionPicker, m)
 	setIfImplements(&h.ServerRates, m)
 	setIfImplements(&h.Duties, m)
--- a/plugins/forward/choose.go
+++ b/plugins/forward/choose.go
@@ -21,6 +21,8 @@
 	reason policy.Reason
 	// candidates is the number of servers that it was chosen from.
 	candidates int
+	// work is the predicted work of the request, in mean requests of the service.
+	work float64
 }
 
 // pickService picks the service that runs a request, by the weights of the
@@ -84,6 +86,7 @@
 func (f *Forward) choose(ctx context.Context, now time.Time, r *request) (choice, bool) {
 	usable, snapshots := f.candidates(now, r)
 	n := len(usable)
+	work := f.even.count(now, r)
 	usable, snapshots, r.delay = f.withTurn(now, r, usable, snapshots)
 	for asked := 0; len(usable) > 0 && asked < maxTurnRequests; asked++ {
 		i, reason := f.pick(r, usable, snapshots, policy.PreferInputZone(r.inputBytes, r.sharedTokens))
@@ -99,7 +102,8 @@
 			continue
 		}
 		if turn.Granted {
-			c.reason, c.candidates = reason, n
+			c.reason, c.candidates, c.work = reason, n, work
+			f.even.chosen(r, snapshots[i], reason)
 			if r.delay.For > 0 {
 				r.log.Add("servers without a turn passed over", "servers", n-len(usable), "paused", r.delay.Paused, "retry_in", r.delay.For)
 			}
@@ -214,6 +218,9 @@
 	if zone == "" {
 		zone = f.host.Zone()
 	}
+	if f.even.active(snapshots) {
+		return f.even.pick(r, usable, snapshots, zone, zoneBound, fleet)
+	}
 	if r.service.Engine == nil {
 		plain := make([]policy.PlainServer, len(usable))
 		for i, c := range usable {
--- a/plugins/forward/forward.go
+++ b/plugins/forward/forward.go
@@ -46,6 +46,7 @@
 			{Section: section, Name: "repeat_ratio", Kind: config.Float, Default: "0.1", Doc: "retries allowed for each request of a service, over all instances"},
 			{Section: section, Name: "repeat_extra", Kind: config.Float, Default: "0", Doc: "additional retries allowed in each window, over all instances"},
 			{Section: section, Name: "repeat_window", Kind: config.Duration, Default: "10s", Doc: "window of the retry budget"},
+			{Section: section, Name: "balance", Kind: config.Enum, Accepted: []string{balanceCounts, balanceEven}, Default: balanceCounts, Doc: "how servers are chosen. " + balanceCounts + " compares counts of requests. " + balanceEven + " weighs reports by their age and exchanges them with other instances, for services whose servers report the pace of their machines; for other services it is as " + balanceCounts},
 		},
 		New: func() kernel.Module { return &Forward{} },
 	})
@@ -66,6 +67,7 @@
 	servers      serverStates
 	retryBudgets retryBudgets
 	latencies    serviceLatencies
+	even         evenLoad
 
 	entry     *callerserver.Server
 	readiness *http.Server
@@ -102,6 +104,7 @@
 		f.servers.ejections = policy.NoEjections{}
 	}
 	f.servers.logger = h.Logger
+	f.even = evenLoad{on: s.String(section, "balance") == balanceEven, host: h, servers: &f.servers}
 	f.retryBudgets.ratio = s.Float(section, "repeat_ratio")
 	f.retryBudgets.extra = s.Float(section, "repeat_extra")
 	f.retryBudgets.window = s.Duration(section, "repeat_window")
@@ -154,6 +157,7 @@
 	periodic.Run(ctx, trimInterval, func(now time.Time) {
 		f.pool.CloseExpired(now)
 		f.memory.publish(f)
+		f.even.publish(now)
 	})
 }
 
--- a/plugins/forward/send.go
+++ b/plugins/forward/send.go
@@ -158,8 +158,8 @@
 func (f *Forward) sendOnce(ctx context.Context, a *responseWriter, r *request, c choice) (sendResult, kernel.Outcome) {
 	began := time.Now()
 	r.begun, r.versionObserved = false, false
-	c.state.begin()
-	defer c.state.end()
+	c.state.begin(c.work)
+	defer c.state.end(c.work)
 	if f.host.VersionPicker != nil {
 		f.host.VersionPicker.CountVersion(r.service.Name, r.route.Name, c.server.Version)
 	}
--- a/plugins/forward/servers.go
+++ b/plugins/forward/servers.go
@@ -2,6 +2,8 @@
 
 import (
 	"log/slog"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -33,6 +35,7 @@
 	logger    *slog.Logger
 	mu        sync.RWMutex
 	byID      map[string]*serverState // guarded by mu
+	byHash    map[uint64]*serverState // the same states; guarded by mu
 }
 
 // serverState holds what this instance has observed of a server since one start
@@ -50,6 +53,13 @@
 	running, waiting, slots int
 	reportedAt              time.Time
 	sent, done              int
+	// pace is the pace of the server's machine by the same report; 0 if unknown. work,
+	// sentWork and doneWork are as inFlight, sent and done, in mean requests.
+	pace                     float64
+	rest                     policy.RestPace
+	work, sentWork, doneWork float64
+	// createdAt is when this instance began to observe this start of the server.
+	createdAt time.Time
 	// firstByteTime is the smoothed time to the first byte over a number of
 	// samples, the last of them taken at lastResponse.
 	firstByteTime time.Duration
@@ -75,10 +85,10 @@
 		return state
 	}
 	if s.byID == nil {
-		s.byID = make(map[string]*serverState)
+		s.byID, s.byHash = make(map[string]*serverState), make(map[uint64]*serverState)
 	}
-	state = &serverState{hash: xxhash.Sum64String(server.ID), startMS: server.StartUnixMilli, ejector: s.ejections.NewEjector()}
-	s.byID[server.ID] = state
+	state = &serverState{hash: xxhash.Sum64String(server.ID), startMS: server.StartUnixMilli, createdAt: time.Now(), ejector: s.ejections.NewEjector()}
+	s.byID[server.ID], s.byHash[state.hash] = state, state
 	return state
 }
 
@@ -86,13 +96,28 @@
 func (s *serverStates) prune(view *catalog.Catalog) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for id := range s.byID {
+	for id, state := range s.byID {
 		if view.Server(id) == nil {
 			delete(s.byID, id)
+			delete(s.byHash, state.hash)
 		}
 	}
 }
 
+// withHash returns the state of the server with the hash, or nil.
+func (s *serverStates) withHash(hash uint64) *serverState {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.byHash[hash]
+}
+
+// all returns the states of all servers.
+func (s *serverStates) all() []*serverState {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return slices.Collect(maps.Values(s.byID))
+}
+
 // refresh applies a new catalog snapshot.
 func (f *Forward) refresh(view *catalog.Catalog) {
 	f.entry.SetLimits(connLimits(view.Config.Limits))
@@ -108,6 +133,20 @@
 	usable                bool
 	// cold is true if the server counts as cold after an ejection.
 	cold bool
+	// figure is the latest report, whatever its age.
+	figure loadFigure
+}
+
+// loadFigure is the latest load that a server reported, in mean requests, adjusted by what
+// this instance sent and finished since. known is false if there is none.
+type loadFigure struct {
+	known bool
+	load  float64
+	// work is the work of this instance's requests on the server.
+	work float64
+	// pace is the reported pace, rest the one at rest; 0 if unknown.
+	pace, rest float64
+	age        time.Duration
 }
 
 // snapshot returns the state at a time.
@@ -115,6 +154,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	l := serverSnapshot{inFlight: s.inFlight, load: -1, slots: s.slots, firstByteTime: s.firstByteTime, samples: s.samples, usable: !now.Before(s.ejectedUntil), cold: now.Before(s.coldUntil)}
+	l.figure = loadFigure{known: !s.reportedAt.IsZero(), work: s.work, pace: s.pace, rest: s.rest.Value(), age: now.Sub(s.reportedAt)}
+	l.figure.load = max(0, float64(s.running+s.waiting)+s.sentWork-s.doneWork)
 	if now.Sub(s.reportedAt) < maxReportAge {
 		l.load = max(0, s.running+s.waiting+s.sent-s.done)
 	}
@@ -124,19 +165,23 @@
 	return l
 }
 
-// begin counts a request that is about to be sent.
-func (s *serverState) begin() {
+// begin counts a request that is about to be sent, and its predicted work.
+func (s *serverState) begin(work float64) {
 	s.mu.Lock()
 	s.inFlight++
 	s.sent++
+	s.work += work
+	s.sentWork += work
 	s.mu.Unlock()
 }
 
 // end counts a request that has ended.
-func (s *serverState) end() {
+func (s *serverState) end(work float64) {
 	s.mu.Lock()
 	s.inFlight--
 	s.done++
+	s.work = max(0, s.work-work)
+	s.doneWork += work
 	s.mu.Unlock()
 }
 
@@ -147,10 +192,19 @@
 	}
 	s.mu.Lock()
 	s.running, s.waiting, s.slots, s.reportedAt = a.Running, a.Waiting, a.Slots, now
-	s.sent, s.done = 0, 0
+	s.recordPace(now, a.Pace)
+	s.sent, s.done, s.sentWork, s.doneWork = 0, 0, 0, 0
 	s.mu.Unlock()
 }
 
+// recordPace records the pace of a report. The caller holds mu.
+func (s *serverState) recordPace(at time.Time, pace float64) {
+	s.pace = pace
+	if pace > 0 {
+		s.rest.Add(at, pace)
+	}
+}
+
 // recordFirstByte records the time to the first byte of a response.
 func (s *serverState) recordFirstByte(now time.Time, d time.Duration) {
 	s.mu.Lock()
--- a/plugins/stages/peer.go
+++ b/plugins/stages/peer.go
@@ -55,6 +55,8 @@
 	Final bool `cbor:"16,keyasint,omitempty"`
 	// Part is kernel.StageRequest.Part.
 	Part uint64 `cbor:"17,keyasint,omitempty"`
+	// Loads holds loads that servers reported lately, to the sender or to others.
+	Loads []kernel.LoadFigure `cbor:"18,keyasint,omitempty"`
 }
 
 // dispatchResponse is the response to a dispatchRequest.
@@ -73,6 +75,26 @@
 	// Dispatcher is set if the receiver considers another instance to be the
 	// dispatcher of the group.
 	Dispatcher *kernel.FleetMember `cbor:"10,keyasint,omitempty"`
+	// Loads is as in dispatchRequest.
+	Loads []kernel.LoadFigure `cbor:"11,keyasint,omitempty"`
+}
+
+// maxSharedLoads bounds the loads of servers in a message between instances.
+const maxSharedLoads = 32
+
+// recentLoads returns the loads for a message to another instance.
+func (s *Stages) recentLoads(now time.Time) []kernel.LoadFigure {
+	if s.host.LoadFigures == nil {
+		return nil
+	}
+	return s.host.LoadFigures.RecentLoads(now, maxSharedLoads)
+}
+
+// observeLoads records loads that another instance reported.
+func (s *Stages) observeLoads(loads []kernel.LoadFigure) {
+	if s.host.LoadFigures != nil {
+		s.host.LoadFigures.ObserveLoads(time.Now(), loads[:min(len(loads), maxSharedLoads)])
+	}
 }
 
 // runRemote runs a stage on a dispatcher, or on the instance to which it
@@ -102,7 +124,7 @@
 	body, err := cbor.Marshal(dispatchRequest{
 		Service: key.service, Zone: key.zone, Request: r.Request, Stage: r.Stage, Pieces: r.Pieces, Key: r.Key, Inputs: r.Inputs,
 		Goal: r.Goal.Sub(now), Deadline: r.Deadline.Sub(now), Priority: r.Priority, PreferredZone: r.Zone, ResultBytes: r.ResultBytes,
-		Position: s.host.Catalogs.Position(), Final: final, Part: r.Part,
+		Position: s.host.Catalogs.Position(), Final: final, Part: r.Part, Loads: s.recentLoads(now),
 	})
 	if err != nil {
 		panic("stages: encode dispatch request: " + err.Error())
@@ -132,6 +154,7 @@
 		return dispatchResponse{}, errors.Wrap(err, "dispatch")
 	}
 	s.host.Catalogs.ObservePosition(response.Position)
+	s.observeLoads(response.Loads)
 	return response, nil
 }
 
@@ -153,6 +176,7 @@
 		return
 	}
 	s.host.Catalogs.ObservePosition(d.Position)
+	s.observeLoads(d.Loads)
 	now := time.Now()
 	g := s.group(groupKey{d.Service, d.Zone})
 	if d.Pieces <= 0 {
@@ -185,6 +209,7 @@
 // succeeded.
 func (s *Stages) respond(w http.ResponseWriter, response dispatchResponse) bool {
 	response.Position = s.host.Catalogs.Position()
+	response.Loads = s.recentLoads(time.Now())
 	body, err := cbor.Marshal(response)
 	if err != nil {
 		panic("stages: encode dispatch response: " + err.Error())
