Callers that stop in the middle of a request no longer exhaust an instance

Cause: nothing bounded the connections of callers and the heads of requests; a head of 16 KiB takes 20 times that once it is parsed. A handler that refused a request without reading its chunked body (no valid key, no such route) waited for the rest without a timeout, since http.Server reads it before it responds. Requests without a body held no memory in the account. The own interface counted no bodies at all.

Change: policy.CallerLimits divides memory and descriptors among connections, requests and files; policy.CallerLimits.Close chooses the connections to close once a limit is reached: first those whose request has stalled, then idle ones, then those whose request is arriving, never one with a complete request. callerserver counts heads as they arrive, makes new connections and heads wait until closed connections have freed their memory, and bounds the reading of an unread body to 1 s. Each request in progress counts in the account of requests, where a stalled body now gives way to another of its size. New settings [forward] descriptors, [entry] memory and descriptors. A limit that is not reached changes nothing.

--- a/internal/callerserver/conn.go
+++ b/internal/callerserver/conn.go
@@ -9,16 +9,36 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
+
+	"github.com/savoryfold/savoryfold/policy"
 )
 
 // callerConn is a connection of a caller.
 type callerConn struct {
 	*net.TCPConn
-	// sentBytes and multiplexed are used by the goroutine that serves the connection.
-	sentBytes, multiplexed bool
+	room   *room
+	secure bool
+	// sentBytes is used by the goroutine that serves the connection.
+	sentBytes   bool
+	multiplexed atomic.Bool
+	// held is the memory that the connection holds, closing is true from the decision to close
+	// it until it has ended; guarded by the mutex of room.
+	held    int64
+	closing bool
 
 	mu sync.Mutex
+	// phase is what the connection is used for since began, progress when bytes were last read
+	// in it; guarded by mu.
+	phase           policy.CallerPhase
+	began, progress time.Time
+	// reading is true until a head has been read, of which head is the memory so far; guarded
+	// by mu.
+	reading bool
+	head    int64
+	// large is true from a head that was counted until the next idle time; guarded by mu.
+	large bool
 	// idle is true from the end of a response until the head of the next request was read;
 	// guarded by mu.
 	idle bool
@@ -34,17 +54,26 @@
 func (c *callerConn) Read(p []byte) (int, error) {
 	n, err := c.TCPConn.Read(p)
 	if n > 0 {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		c.receivedAt = time.Now()
-		if c.ending {
-			c.ending = false
-			_ = c.TCPConn.SetReadDeadline(time.Time{}) // http.Server sets its own next
+		if head := c.received(p[:n]); head > 0 {
+			c.room.setHead(c, head)
 		}
 	}
 	return n, err
 }
 
+// received records that bytes were read. It returns the memory of the head that they are part
+// of, 0 while it need not be counted.
+func (c *callerConn) received(p []byte) int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.receivedAt = time.Now()
+	if c.ending {
+		c.ending = false
+		_ = c.TCPConn.SetReadDeadline(time.Time{}) // http.Server sets its own next
+	}
+	return c.countHead(p)
+}
+
 // Write implements net.Conn.
 func (c *callerConn) Write(p []byte) (int, error) {
 	c.mu.Lock()
@@ -134,19 +163,26 @@
 		conn.sentBytes = true
 		s.silent.Add(-1)
 		if t, ok := c.(*tls.Conn); ok && t.ConnectionState().NegotiatedProtocol == "h2" {
-			conn.multiplexed = true
+			conn.multiplexed.Store(true)
 			s.multiplexed.Add(1)
 		}
 	}
+	if state == http.StateActive && conn.multiplexed.Load() {
+		conn.setComplete()
+	}
 	conn.setIdle(state == http.StateIdle)
-	if state == http.StateIdle && !conn.multiplexed {
+	if state == http.StateIdle && conn.endRequest() {
+		s.room.setHead(conn, 0)
+	}
+	if state == http.StateIdle && !conn.multiplexed.Load() {
 		s.idle.Store(conn, nil)
 	} else {
 		s.idle.Delete(conn)
 	}
 	if state == http.StateClosed || state == http.StateHijacked {
 		s.open.Add(-1)
-		if conn.multiplexed {
+		s.room.remove(conn)
+		if conn.multiplexed.Load() {
 			s.multiplexed.Add(-1)
 		}
 	}
--- /dev/null
+++ b/internal/callerserver/room.go
@@ -0,0 +1,333 @@
+package callerserver
+
+import (
+	"bytes"
+	"cmp"
+	"io"
+	"log/slog"
+	"math"
+	"net/http"
+	"sync"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"github.com/savoryfold/savoryfold/policy"
+)
+
+const (
+	// connBytes is the memory of a connection: the buffers and stacks of its goroutines.
+	// tlsConnBytes is that of one with TLS.
+	connBytes    = 20 << 10
+	tlsConnBytes = 64 << 10
+	// headLineBytes is the memory of a parsed header besides its name and value.
+	headLineBytes = 128
+	// tlsHeadFactor is the memory of a head by the bytes that were received of it, while the
+	// lines cannot be counted.
+	tlsHeadFactor = 26
+	// freeHeadBytes is the part of a head that is counted as part of the connection.
+	freeHeadBytes = 8 << 10
+	// unreadTime bounds the reading of the rest of a body that a handler did not read, which
+	// http.Server does before it responds.
+	unreadTime = time.Second
+	// closingTime bounds the wait for connections that are being closed.
+	closingTime = time.Second
+	// roomLogInterval is the least time between two lines on closed connections.
+	roomLogInterval = time.Second
+)
+
+// Descriptors returns the number of file descriptors of the process: limit, or what the
+// operating system allows if limit is 0.
+func Descriptors(limit int) int {
+	var system unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &system); limit == 0 && err == nil {
+		return int(min(system.Cur, maxDescriptors))
+	}
+	return cmp.Or(limit, maxDescriptors)
+}
+
+// maxDescriptors is the number of descriptors of a process without a limit.
+const maxDescriptors = 1 << 20
+
+// room bounds the number and the memory of the callers' connections.
+type room struct {
+	limits    policy.CallerLimits
+	connBytes int64
+	logger    *slog.Logger
+	onClose   func(phase policy.CallerPhase)
+
+	mu       sync.Mutex
+	conns    map[*callerConn]struct{} // guarded by mu
+	bytes    int64                    // guarded by mu
+	closing  int64                    // memory of connections that are being closed; guarded by mu
+	freed    chan struct{}            // closed when closing shrinks; guarded by mu
+	loggedAt time.Time                // guarded by mu
+	unlogged int                      // connections closed since then; guarded by mu
+}
+
+func newRoom(o Options) *room {
+	r := &room{limits: o.Room, connBytes: connBytes, logger: o.Logger, onClose: o.OnClose, conns: make(map[*callerConn]struct{}), freed: make(chan struct{})}
+	if o.TLS != nil {
+		r.connBytes = tlsConnBytes
+	}
+	if o.Room == (policy.CallerLimits{}) {
+		r.limits = policy.CallerLimits{Connections: math.MaxInt, ConnectionBytes: math.MaxInt64}
+	}
+	return r
+}
+
+// add adds a connection. It reports false if there is no room for it, and the connection is
+// closed.
+func (r *room) add(c *callerConn) bool {
+	r.mu.Lock()
+	r.conns[c] = struct{}{}
+	c.held = r.connBytes
+	r.bytes += c.held
+	victims := r.pick()
+	_, in := r.conns[c]
+	r.mu.Unlock()
+	r.close(victims)
+	if !in {
+		r.remove(c) // it has no goroutine yet
+	}
+	r.await()
+	return in
+}
+
+// remove removes a connection that has ended.
+func (r *room) remove(c *callerConn) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, in := r.conns[c]; in {
+		delete(r.conns, c)
+		r.bytes -= c.held
+	}
+	if c.closing {
+		c.closing = false
+		r.closing -= c.held
+		close(r.freed)
+		r.freed = make(chan struct{})
+	}
+}
+
+// await waits until there is room beside the connections that are closing, whose goroutines
+// still hold their memory, for closingTime at most.
+func (r *room) await() {
+	var expired <-chan time.Time
+	for {
+		r.mu.Lock()
+		freed, wait := r.freed, r.closing > 0 && r.bytes+r.closing > r.limits.ConnectionBytes
+		r.mu.Unlock()
+		if !wait {
+			return
+		}
+		if expired == nil {
+			expired = time.After(closingTime)
+		}
+		select {
+		case <-freed:
+		case <-expired:
+			return
+		}
+	}
+}
+
+// setHead counts the memory of a head that a connection holds.
+func (r *room) setHead(c *callerConn, head int64) {
+	held := r.connBytes + max(0, head-freeHeadBytes)
+	r.mu.Lock()
+	var victims []*callerConn
+	_, in := r.conns[c]
+	if in {
+		r.bytes += held - c.held
+		c.held = held
+		victims = r.pick()
+		_, in = r.conns[c]
+	}
+	r.mu.Unlock()
+	r.close(victims)
+	if in && head > 0 {
+		r.await()
+	}
+}
+
+// pick returns the connections that have to be closed, which then count as closing. The
+// caller holds mu.
+func (r *room) pick() []*callerConn {
+	if len(r.conns) <= r.limits.Connections && r.bytes <= r.limits.ConnectionBytes {
+		return nil
+	}
+	conns := make([]*callerConn, 0, len(r.conns))
+	states := make([]policy.CallerConn, 0, len(r.conns))
+	for c := range r.conns {
+		conns = append(conns, c)
+		states = append(states, c.state(c.held))
+	}
+	var victims []*callerConn
+	for _, i := range r.limits.Close(time.Now(), states) {
+		c := conns[i]
+		delete(r.conns, c)
+		c.closing = true
+		r.bytes -= c.held
+		r.closing += c.held
+		victims = append(victims, c)
+	}
+	return victims
+}
+
+// close closes connections that were picked.
+func (r *room) close(victims []*callerConn) {
+	if len(victims) == 0 {
+		return
+	}
+	r.log(len(victims))
+	for _, c := range victims {
+		phase := c.state(0).Phase
+		_ = c.Close() // the end of the goroutine that serves it follows
+		if r.onClose != nil {
+			r.onClose(phase)
+		}
+	}
+}
+
+// log logs that connections are closed, at most once in roomLogInterval.
+func (r *room) log(closed int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.unlogged += closed
+	if now := time.Now(); now.Sub(r.loggedAt) >= roomLogInterval {
+		r.logger.Warn("connections of callers closed for lack of room", "closed", r.unlogged, "open", len(r.conns), "bytes", r.bytes,
+			"max_open", r.limits.Connections, "max_bytes", r.limits.ConnectionBytes)
+		r.loggedAt, r.unlogged = now, 0
+	}
+}
+
+// usage returns the number of connections and the memory that they hold.
+func (r *room) usage() (connections int, held int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.conns), r.bytes
+}
+
+// headBytes returns the memory of a request's head.
+func headBytes(r *http.Request) int64 {
+	n := len(r.RequestURI)
+	for name, values := range r.Header {
+		n += len(name)
+		for _, v := range values {
+			n += len(v) + headLineBytes
+		}
+	}
+	return int64(n)
+}
+
+// countHead counts what is read of a head, and returns the memory of the head, or 0 while it
+// is part of what each connection may hold. The caller holds mu.
+func (c *callerConn) countHead(p []byte) int64 {
+	if c.multiplexed.Load() {
+		return 0
+	}
+	if c.phase == policy.CallerIdle {
+		c.setPhase(policy.CallerIncomplete, c.receivedAt)
+	}
+	c.progress = c.receivedAt
+	if !c.reading {
+		return 0
+	}
+	if c.secure {
+		c.head += int64(len(p)) * tlsHeadFactor
+	} else {
+		c.head += int64(len(p) + headLineBytes*bytes.Count(p, []byte{'\n'}))
+	}
+	if c.head <= freeHeadBytes {
+		return 0
+	}
+	c.large = true
+	return c.head
+}
+
+// setPhase begins a phase. The caller holds mu.
+func (c *callerConn) setPhase(p policy.CallerPhase, now time.Time) {
+	c.phase, c.began, c.progress = p, now, now
+}
+
+// state returns the state of the connection, which holds a number of bytes.
+func (c *callerConn) state(held int64) policy.CallerConn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return policy.CallerConn{Phase: c.phase, Began: c.began, Progress: c.progress, Bytes: held}
+}
+
+// beginRequest records that a head of a number of bytes has been read, and whether the
+// request is complete with it. It reports whether the memory of the head has to be counted.
+func (c *callerConn) beginRequest(head int64, complete bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading, c.head = false, 0
+	if complete {
+		c.setPhase(policy.CallerBusy, time.Now())
+	}
+	counted := c.large || head > freeHeadBytes
+	c.large = head > freeHeadBytes
+	return counted
+}
+
+// endRequest records that the connection waits for a request. It reports whether the memory
+// of a head was counted until now.
+func (c *callerConn) endRequest() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	counted := c.large
+	c.reading, c.head, c.large = true, 0, false
+	c.setPhase(policy.CallerIdle, time.Now())
+	return counted
+}
+
+// setComplete records that the request has arrived.
+func (c *callerConn) setComplete() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.setPhase(policy.CallerBusy, time.Now())
+}
+
+// trackRequest follows a request of HTTP/1 until it has arrived. The function that it returns
+// must be called after the handler.
+func (s *Server) trackRequest(conn *callerConn, w http.ResponseWriter, r *http.Request) func() {
+	complete := r.ContentLength == 0
+	if head := headBytes(r); conn.beginRequest(head, complete) {
+		s.room.setHead(conn, head)
+	}
+	if complete {
+		return func() {}
+	}
+	body := &trackedBody{ReadCloser: r.Body, conn: conn, left: r.ContentLength}
+	r.Body = body
+	return func() {
+		if !body.complete {
+			// The error is ignored: connections of http.Server support read deadlines.
+			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(unreadTime))
+		}
+	}
+}
+
+// trackedBody is the body of a request. It records when it has arrived.
+type trackedBody struct {
+	io.ReadCloser
+	conn *callerConn
+	// left is what has not been read yet, negative if the length is unknown.
+	left     int64
+	complete bool
+}
+
+// Read implements io.Reader.
+func (b *trackedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if b.left >= 0 {
+		b.left -= int64(n)
+	}
+	if !b.complete && (err == io.EOF || b.left == 0) {
+		b.complete = true
+		b.conn.setComplete()
+	}
+	return n, err
+}
--- a/internal/callerserver/server.go
+++ b/internal/callerserver/server.go
@@ -19,6 +19,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/savoryfold/savoryfold/internal/backoff"
+	"github.com/savoryfold/savoryfold/policy"
 )
 
 const (
@@ -59,6 +60,10 @@
 	WriteTimeout time.Duration
 	// Limits may be changed by SetLimits.
 	Limits Limits
+	// Room bounds the connections and their memory. The zero value means no bounds.
+	Room policy.CallerLimits
+	// OnClose is called for each connection that is closed for lack of room, unless it is nil.
+	OnClose func(policy.CallerPhase)
 }
 
 // Server serves callers. The limits of an http.Server cannot change while it runs, so every
@@ -77,6 +82,7 @@
 	idle sync.Map
 	// stopping is true from the time from which each response closes its connection.
 	stopping atomic.Bool
+	room     *room
 
 	mu       sync.Mutex
 	listener *net.TCPListener // guarded by mu
@@ -87,11 +93,14 @@
 }
 
 // New returns a server. Listen starts it.
-func New(o Options) *Server { return &Server{options: o, limits: o.Limits} }
+func New(o Options) *Server { return &Server{options: o, limits: o.Limits, room: newRoom(o)} }
 
 // InProgress returns the number of requests in progress.
 func (s *Server) InProgress() int64 { return s.inProgress.Load() }
 
+// Connections returns the number of connections and the memory that is counted for them.
+func (s *Server) Connections() (open int, held int64) { return s.room.usage() }
+
 // Address returns the address that the server listens on. It must not be called before
 // Listen.
 func (s *Server) Address() net.Addr {
@@ -136,7 +145,11 @@
 // handOff passes a connection to the current server. If the listener of that
 // server has closed in the meantime, another server has replaced it.
 func (s *Server) handOff(c *net.TCPConn) {
-	conn := &callerConn{TCPConn: c}
+	conn := &callerConn{TCPConn: c, room: s.room, secure: s.options.TLS != nil, reading: true}
+	conn.setPhase(policy.CallerIncomplete, time.Now())
+	if !s.room.add(conn) {
+		return
+	}
 	s.open.Add(1)
 	s.silent.Add(1)
 	for {
@@ -158,6 +171,9 @@
 		w.Header().Set("Connection", "close")
 	}
 	conn := callerConnOf(r)
+	if conn != nil && r.ProtoMajor == 1 {
+		defer s.trackRequest(conn, w, r)()
+	}
 	if conn == nil || r.ProtoAtLeast(1, 1) {
 		s.options.Handler.ServeHTTP(w, r)
 		return
--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -4,7 +4,9 @@
 package membudget
 
 import (
+	"runtime/debug"
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -14,12 +16,21 @@
 // ErrNoMemory means that a message has to end, since it, or all messages, hold too much.
 var ErrNoMemory = errors.New("no memory for the message")
 
+// limitFraction is the fraction of the process's memory that is the soft limit of the garbage
+// collector.
+const limitFraction = 0.7
+
+// LimitProcess sets the soft limit of the garbage collector for a process with a number of
+// bytes of memory.
+func LimitProcess(bytes int64) { debug.SetMemoryLimit(int64(limitFraction * float64(bytes))) }
+
 // Budget is the memory for messages of one kind. It is safe for concurrent use.
 type Budget struct {
 	shares policy.MemoryShares
 	// onRefuse is called with the scope in which the memory was used up. It must not call
 	// the budget.
 	onRefuse func(policy.MemoryScope)
+	now      func() time.Time
 
 	mu     sync.Mutex
 	total  int64             // guarded by mu
@@ -38,7 +49,7 @@
 
 // New returns a budget. onRefuse may be nil.
 func New(shares policy.MemoryShares, onRefuse func(policy.MemoryScope)) *Budget {
-	return &Budget{shares: shares, onRefuse: onRefuse, groups: make(map[string]*group)}
+	return &Budget{shares: shares, onRefuse: onRefuse, now: time.Now, groups: make(map[string]*group)}
 }
 
 // Bytes returns the memory of all messages.
@@ -57,6 +68,8 @@
 	bytes   int64
 	ended   bool
 	abandon func()
+	// progress is when the message last grew or Progress was called.
+	progress time.Time
 }
 
 // Open returns an empty hold for a message of a member of a group. Close must be called.
@@ -98,10 +111,7 @@
 			b.add(h, n)
 			return nil
 		}
-		victim := b.largest(scope, h)
-		if victim == nil || victim.bytes <= h.bytes+n {
-			victim = h
-		}
+		victim := b.victim(scope, h, h.bytes+n)
 		if b.onRefuse != nil {
 			b.onRefuse(scope)
 		}
@@ -114,10 +124,10 @@
 	return ErrNoMemory
 }
 
-// largest returns the hold with the most bytes that may be abandoned in a scope around h,
-// other than h. In all groups it is one of the group with the most bytes. The caller holds
-// mu.
-func (b *Budget) largest(scope policy.MemoryScope, h *Hold) *Hold {
+// victim returns the hold that ends so that h may hold needed bytes, in a scope around h: the
+// largest or else the one without progress for longest that may be abandoned and yields, or h
+// itself. In all groups it is one of the group with the most bytes. The caller holds mu.
+func (b *Budget) victim(scope policy.MemoryScope, h *Hold, needed int64) *Hold {
 	from := b.groups[h.group]
 	if scope == policy.MemoryOfAll {
 		for _, g := range b.groups {
@@ -127,20 +137,32 @@
 		}
 	}
 	if from == nil {
-		return nil
+		return h
 	}
-	var largest *Hold
+	var largest, stillest *Hold
 	for name, m := range from.members {
 		if scope == policy.MemoryOfMember && name != h.label {
 			continue
 		}
 		for hold := range m.holds {
-			if hold != h && hold.abandon != nil && (largest == nil || hold.bytes > largest.bytes) {
+			if hold == h || hold.abandon == nil {
+				continue
+			}
+			if largest == nil || hold.bytes > largest.bytes {
 				largest = hold
 			}
+			if stillest == nil || hold.progress.Before(stillest.progress) {
+				stillest = hold
+			}
+		}
+	}
+	now := b.now()
+	for _, candidate := range []*Hold{largest, stillest} {
+		if candidate != nil && b.shares.Yields(candidate.bytes, needed, now.Sub(candidate.progress)) {
+			return candidate
 		}
 	}
-	return largest
+	return h
 }
 
 // add adds n bytes to a hold. The caller holds mu.
@@ -155,6 +177,9 @@
 		m = &member{holds: make(map[*Hold]bool)}
 		g.members[h.label] = m
 	}
+	if n > 0 {
+		h.progress = b.now()
+	}
 	h.bytes += n
 	m.bytes += n
 	g.bytes += n
@@ -198,6 +223,16 @@
 	h.budget.add(h, -min(n, h.bytes))
 }
 
+// Progress records that the message has made progress without growing.
+func (h *Hold) Progress() {
+	if h == nil {
+		return
+	}
+	h.budget.mu.Lock()
+	defer h.budget.mu.Unlock()
+	h.progress = h.budget.now()
+}
+
 // Ended reports whether the message had to end.
 func (h *Hold) Ended() bool {
 	if h == nil {
--- a/internal/membudget/membudget_test.go
+++ b/internal/membudget/membudget_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
@@ -62,6 +63,22 @@
 		So(whole.Ended(), ShouldBeFalse)
 		So(large.Ended(), ShouldBeTrue)
 	})
+	Convey("A message that has stalled gives way to others of its size, one that makes progress does not", t, func() {
+		b := New(policy.MemoryShares{Limit: 100 * kib, GroupFactor: 3, MemberFactor: 3, StallTime: policy.StallTime}, nil)
+		now := time.Unix(1000, 0)
+		b.now = func() time.Time { return now }
+		stalled, steady := b.Open("s", "a"), b.Open("s", "a")
+		for _, h := range []*Hold{stalled, steady} {
+			h.MayAbandon(func() {})
+			So(h.Grow(40*kib), ShouldBeNil)
+		}
+		now = now.Add(policy.StallTime)
+		steady.Progress()
+		So(b.Open("s", "a").Grow(40*kib), ShouldBeNil)
+		So(stalled.Ended(), ShouldBeTrue)
+		So(b.Open("s", "a").Grow(40*kib), ShouldEqual, ErrNoMemory)
+		So(steady.Ended(), ShouldBeFalse)
+	})
 	Convey("A small message fits until all memory is used", t, func() {
 		b, refused := newBudget()
 		holds := 0
--- a/plugins/entryhttp/entryhttp.go
+++ b/plugins/entryhttp/entryhttp.go
@@ -6,6 +6,7 @@
 package entryhttp
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"sync/atomic"
@@ -16,13 +17,22 @@
 	"github.com/savoryfold/savoryfold/config"
 	"github.com/savoryfold/savoryfold/internal/callerserver"
 	"github.com/savoryfold/savoryfold/internal/httpapi"
+	"github.com/savoryfold/savoryfold/internal/membudget"
 	"github.com/savoryfold/savoryfold/kernel"
+	"github.com/savoryfold/savoryfold/policy"
 )
 
 const section = "entry"
 
-// maxHeaderBytes bounds the headers of a request.
-const maxHeaderBytes = 16 << 10
+const (
+	// maxHeaderBytes bounds the headers of a request.
+	maxHeaderBytes = 16 << 10
+	// defaultMemory is the memory of the process if the memory setting is 0.
+	defaultMemory = 1 << 30
+	// accountFactor is the multiple of the free memory that the requests of a client account
+	// may hold.
+	accountFactor = 3
+)
 
 func init() {
 	kernel.Register(kernel.ModuleInfo{
@@ -34,6 +44,8 @@
 			{Section: section, Name: "tls_key", Doc: "private key file (PEM) of tls_cert"},
 			{Section: section, Name: "max_body", Kind: config.Size, Default: "1MiB", Doc: "largest request body"},
 			{Section: section, Name: "max_requests", Kind: config.Int, Default: "4096", Doc: "maximum number of requests in progress; further ones are refused"},
+			{Section: section, Name: "memory", Kind: config.Size, Default: "0", Doc: "memory available to the process, of which callers may take a part; the limit of the garbage collector is set well below it. 0 means 1 GiB for callers and no limit of the garbage collector"},
+			{Section: section, Name: "descriptors", Kind: config.Int, Default: "0", Doc: "file descriptors available to the process, of which callers may take a part. 0 means those that the operating system allows"},
 			{Section: section, Name: "header_timeout", Kind: config.Duration, Default: "5s", Doc: "longest time to read the headers of a request"},
 			{Section: section, Name: "body_timeout", Kind: config.Duration, Default: "10s", Doc: "longest time to read a complete request, headers and body"},
 			{Section: section, Name: "write_timeout", Kind: config.Duration, Default: "5s", Doc: "longest time that one write to a caller may take"},
@@ -51,7 +63,10 @@
 	maxBodyBytes int64
 	inFlight     atomic.Int64
 	maxRequests  int64
-	drain        time.Duration
+	// callers bounds the connections and requests of callers, requests what the latter hold.
+	callers  policy.CallerLimits
+	requests *membudget.Budget
+	drain    time.Duration
 	// writeTimeout bounds each write. Without it, a caller that does not read
 	// would occupy a call slot and delay a graceful stop.
 	writeTimeout time.Duration
@@ -73,7 +88,17 @@
 	if err != nil {
 		return errors.Wrap(err, "[entry]")
 	}
+	bytes := s.Bytes(section, "memory")
+	if bytes > 0 {
+		membudget.LimitProcess(bytes)
+	}
+	e.callers = policy.NewCallerLimits(cmp.Or(bytes, defaultMemory), callerserver.Descriptors(s.Int(section, "descriptors")))
+	e.requests = membudget.New(policy.MemoryShares{Limit: e.callers.RequestMemory, GroupFactor: accountFactor, MemberFactor: accountFactor, StallTime: policy.StallTime},
+		func(scope policy.MemoryScope) {
+			h.Counter(`memory_refused{kind="requests",scope="` + scope.String() + `"}`).Inc(1)
+		})
 	e.server = callerserver.New(callerserver.Options{
+		Room: e.callers, OnClose: func(p policy.CallerPhase) { h.Counter(`caller_connections_closed{phase="` + p.String() + `"}`).Inc(1) },
 		Logger: h.Logger, Handler: e.withWriteDeadline(mux), TLS: tlsConfig, ReadTimeout: s.Duration(section, "body_timeout"),
 		Limits: callerserver.Limits{HeaderBytes: maxHeaderBytes, HeaderTimeout: s.Duration(section, "header_timeout"), IdleTimeout: s.Duration(section, "idle_timeout")},
 	})
--- a/plugins/entryhttp/route.go
+++ b/plugins/entryhttp/route.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -11,7 +10,9 @@
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
+	"github.com/savoryfold/savoryfold/internal/callerserver"
 	"github.com/savoryfold/savoryfold/internal/httpapi"
+	"github.com/savoryfold/savoryfold/internal/membudget"
 	"github.com/savoryfold/savoryfold/kernel"
 )
 
@@ -37,7 +38,9 @@
 		writeOutcome(w, kernel.Outcome{Kind: kernel.NotRun, Reason: kernel.ReasonOverload, Detail: "too many requests in progress", RetryAfter: time.Second})
 		return
 	}
-	req, out := e.readRequest(w, r, start)
+	memory := e.requests.Open(httpapi.HashToken(httpapi.Bearer(r.Header)), r.PathValue("route"))
+	defer memory.Close()
+	req, out := e.readRequest(w, r, start, memory)
 	e.extendWriteDeadline(w)
 	if out.Kind != "" {
 		e.host.Counter(`entry_refused{reason="` + string(out.Reason) + `"}`).Inc(1)
@@ -56,7 +59,7 @@
 
 // readRequest authenticates, reads and validates a request. The outcome is empty
 // if the request is valid.
-func (e *Entry) readRequest(w http.ResponseWriter, r *http.Request, now time.Time) (*kernel.Request, kernel.Outcome) {
+func (e *Entry) readRequest(w http.ResponseWriter, r *http.Request, now time.Time, memory *membudget.Hold) (*kernel.Request, kernel.Outcome) {
 	account, out := e.authenticate(r)
 	if out.Kind != "" {
 		return nil, out
@@ -77,7 +80,7 @@
 		}
 		req.Deadline = now.Add(d)
 	}
-	if req.Body, out = e.readBody(w, r); out.Kind != "" {
+	if req.Body, out = e.readBody(w, r, memory); out.Kind != "" {
 		return nil, out
 	}
 	return req, kernel.Outcome{}
@@ -96,8 +99,18 @@
 	return account.Name, kernel.Outcome{}
 }
 
-func (e *Entry) readBody(w http.ResponseWriter, r *http.Request) ([]byte, kernel.Outcome) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, e.maxBodyBytes))
+// readBody reads a body into memory that is counted for its account.
+func (e *Entry) readBody(w http.ResponseWriter, r *http.Request, memory *membudget.Hold) ([]byte, kernel.Outcome) {
+	err := memory.Grow(e.callers.RequestBytes)
+	var body []byte
+	if err == nil {
+		callerserver.Abandonable(memory, w)
+		body, err = callerserver.ReadBody(http.MaxBytesReader(w, r.Body, e.maxBodyBytes), memory, r.ContentLength, e.maxBodyBytes)
+		memory.MayAbandon(nil)
+	}
+	if errors.Is(err, membudget.ErrNoMemory) {
+		return nil, kernel.Outcome{Kind: kernel.NotRun, Reason: kernel.ReasonOverload, Detail: "requests in progress fill the memory", RetryAfter: time.Second}
+	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return nil, reject(kernel.ReasonTooLarge, "the body is larger than "+strconv.FormatInt(e.maxBodyBytes, 10)+" bytes")
--- a/plugins/forward/forward.go
+++ b/plugins/forward/forward.go
@@ -11,7 +11,6 @@
 	"cmp"
 	"context"
 	"net/http"
-	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,6 +20,7 @@
 	"github.com/savoryfold/savoryfold/catalog"
 	"github.com/savoryfold/savoryfold/config"
 	"github.com/savoryfold/savoryfold/internal/callerserver"
+	"github.com/savoryfold/savoryfold/internal/membudget"
 	"github.com/savoryfold/savoryfold/internal/periodic"
 	"github.com/savoryfold/savoryfold/internal/upstream"
 	"github.com/savoryfold/savoryfold/kernel"
@@ -43,6 +43,7 @@
 			{Section: section, Name: "grace", Kind: config.Duration, Default: "8s", Doc: "grace period between the stop signal and forced termination"},
 			{Section: section, Name: "drain", Kind: config.Duration, Default: "2500ms", Doc: "how long callers may keep using open connections after the stop signal; the platform needs two polls, a second apart, to see that the instance is not ready"},
 			{Section: section, Name: "memory", Kind: config.Size, Default: "0", Doc: "memory available to the process; the limit of the garbage collector is set well below it. 0 means no limit"},
+			{Section: section, Name: "descriptors", Kind: config.Int, Default: "0", Doc: "file descriptors available to the process, of which callers may take a part. 0 means those that the operating system allows"},
 			{Section: section, Name: "repeat_ratio", Kind: config.Float, Default: "0.1", Doc: "retries allowed for each request of a service, over all instances"},
 			{Section: section, Name: "repeat_extra", Kind: config.Float, Default: "0", Doc: "additional retries allowed in each window, over all instances"},
 			{Section: section, Name: "repeat_window", Kind: config.Duration, Default: "10s", Doc: "window of the retry budget"},
@@ -52,9 +53,6 @@
 }
 
 const (
-	// memoryLimitFraction is the fraction of the process's memory that is the
-	// soft limit of the garbage collector.
-	memoryLimitFraction = 0.7
 	// trimInterval is the time between checks for idle connections.
 	trimInterval = time.Second
 )
@@ -79,6 +77,8 @@
 	loaded  atomic.Bool
 	waiting atomic.Int64
 	memory  memory
+	// callers bounds the connections and requests of callers.
+	callers policy.CallerLimits
 
 	cancel context.CancelFunc
 	done   sync.WaitGroup
@@ -107,11 +107,16 @@
 	f.retryBudgets.window = s.Duration(section, "repeat_window")
 	bytes := s.Bytes(section, "memory")
 	if bytes > 0 {
-		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(bytes)))
+		membudget.LimitProcess(bytes)
 	}
-	f.memory = f.newMemory(cmp.Or(bytes, defaultMemory))
+	bytes = cmp.Or(bytes, defaultMemory)
+	f.callers = policy.NewCallerLimits(bytes, callerserver.Descriptors(s.Int(section, "descriptors")))
+	f.memory = f.newMemory(bytes, f.callers)
 	f.requestsCtx, f.cancelRequests = context.WithCancel(context.Background())
-	f.entry = callerserver.New(callerserver.Options{Logger: h.Logger, Handler: http.HandlerFunc(f.serve), Limits: connLimits(catalog.Limits{})})
+	f.entry = callerserver.New(callerserver.Options{
+		Logger: h.Logger, Handler: http.HandlerFunc(f.serve), Limits: connLimits(catalog.Limits{}), Room: f.callers,
+		OnClose: func(p policy.CallerPhase) { h.Counter(`caller_connections_closed{phase="` + p.String() + `"}`).Inc(1) },
+	})
 	if h.Catalogs != nil {
 		h.Catalogs.OnCatalog(f.refresh)
 	}
--- a/plugins/forward/memory.go
+++ b/plugins/forward/memory.go
@@ -3,7 +3,6 @@
 import (
 	"io"
 	"sync"
-	"time"
 
 	"github.com/pkg/errors"
 
@@ -15,11 +14,10 @@
 const (
 	// defaultMemory is the memory of the process if the memory setting is 0.
 	defaultMemory = 1 << 30
-	// requestMemoryDivisor and responseMemoryDivisor are the parts of the process's memory
-	// for the bodies of requests, and for responses that are being read.
-	requestMemoryDivisor  = 4
+	// responseMemoryDivisor is the part of the process's memory for responses that are being
+	// read.
 	responseMemoryDivisor = 6
-	// The bodies of one client account may take three quarters of the memory for requests. A
+	// The requests of one client account may take three quarters of the memory for requests. A
 	// service may take half of that for responses, and one of its servers a fifth.
 	requestGroupFactor   = 3
 	responseGroupFactor  = 1
@@ -35,15 +33,16 @@
 	requests, responses *membudget.Budget
 }
 
-// newMemory returns the budgets for a process with a number of bytes of memory.
-func (f *Forward) newMemory(bytes int64) memory {
+// newMemory returns the budgets for a process with a number of bytes of memory, of which
+// callers may take a part.
+func (f *Forward) newMemory(bytes int64, callers policy.CallerLimits) memory {
 	refused := func(kind string) func(policy.MemoryScope) {
 		return func(scope policy.MemoryScope) {
 			f.host.Counter(`memory_refused{kind="` + kind + `",scope="` + scope.String() + `"}`).Inc(1)
 		}
 	}
 	return memory{
-		requests:  membudget.New(policy.MemoryShares{Limit: bytes / requestMemoryDivisor, GroupFactor: requestGroupFactor, MemberFactor: requestGroupFactor}, refused("requests")),
+		requests:  membudget.New(policy.MemoryShares{Limit: callers.RequestMemory, GroupFactor: requestGroupFactor, MemberFactor: requestGroupFactor, StallTime: policy.StallTime}, refused("requests")),
 		responses: membudget.New(policy.MemoryShares{Limit: bytes / responseMemoryDivisor, GroupFactor: responseGroupFactor, MemberFactor: responseMemberFactor}, refused("responses")),
 	}
 }
@@ -52,6 +51,9 @@
 func (m memory) publish(f *Forward) {
 	f.host.Gauge(`memory_held_bytes{kind="requests"}`).Update(m.requests.Bytes())
 	f.host.Gauge(`memory_held_bytes{kind="responses"}`).Update(m.responses.Bytes())
+	open, held := f.entry.Connections()
+	f.host.Gauge("caller_connections").Update(int64(open))
+	f.host.Gauge(`memory_held_bytes{kind="connections"}`).Update(held)
 }
 
 // body is a message body that is kept in blocks, so that it takes no more memory than it
@@ -124,52 +126,6 @@
 	}
 }
 
-// readRequestBody reads the body of a request. Only what has arrived is counted, and room
-// for as much again. A body with a length has no other memory than that.
-func readRequestBody(source io.Reader, hold *membudget.Hold, length, limit int64) ([]byte, error) {
-	size := int64(bodyBlockBytes)
-	if length >= 0 {
-		size = min(size, length)
-	}
-	var data []byte
-	for {
-		if len(data) == cap(data) {
-			if int64(cap(data)) == length {
-				return data, nil
-			}
-			size = max(size, 2*int64(cap(data)))
-			if length >= 0 {
-				size = min(size, length)
-			}
-			// Both buffers are in memory while the old one is copied.
-			if err := hold.Set(size + int64(cap(data))); err != nil {
-				return nil, err
-			}
-			data = append(make([]byte, 0, size), data...)
-			if err := hold.Set(size); err != nil {
-				return nil, err
-			}
-		}
-		n, err := source.Read(data[len(data):cap(data)])
-		data = data[:len(data)+n]
-		switch {
-		case int64(len(data)) > limit:
-			return nil, errBodyTooLarge
-		case hold.Ended():
-			return nil, membudget.ErrNoMemory
-		case err == io.EOF && (length < 0 || int64(len(data)) == length):
-			return data, nil
-		case err == io.EOF:
-			return nil, io.ErrUnexpectedEOF
-		case err != nil:
-			return nil, err
-		}
-	}
-}
-
-// errBodyTooLarge means that the body of a request exceeds the limit of the configuration.
-var errBodyTooLarge = errors.New("the body of the request is too large")
-
 // minStreamBytes is the memory of a stream that is not counted.
 const minStreamBytes = 16 << 10
 
@@ -191,6 +147,3 @@
 
 // abandonable lets the reading of a response end for lack of memory.
 func abandonable(hold *membudget.Hold, x *upstream.Exchange) { hold.MayAbandon(x.Abandon) }
-
-// expired is a deadline in the past.
-var expired = time.Unix(1, 0)
--- a/plugins/forward/request.go
+++ b/plugins/forward/request.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/savoryfold/savoryfold/catalog"
+	"github.com/savoryfold/savoryfold/internal/callerserver"
 	"github.com/savoryfold/savoryfold/internal/membudget"
 	"github.com/savoryfold/savoryfold/kernel"
 	"github.com/savoryfold/savoryfold/platform"
@@ -47,7 +48,7 @@
 	uri    string
 	host   string
 	body   []byte
-	// memory counts the body.
+	// memory counts the request and its body.
 	memory *membudget.Hold
 
 	began    time.Time
@@ -170,6 +171,11 @@
 	if out := f.checkStop(time.Now(), r, r.route.Name); out.Kind != "" {
 		return out
 	}
+	r.memory = f.memory.requests.Open(r.caller, r.route.Name)
+	if err := r.memory.Grow(f.callers.RequestBytes); err != nil {
+		r.log.Add("request does not fit into the memory", "caller", r.caller, "held", f.memory.requests.Bytes())
+		return kernel.Outcome{Kind: kernel.NotRun, Reason: kernel.ReasonOverload, Detail: "requests in progress fill the memory", RetryAfter: retryAfterBusy}
+	}
 	if out := f.readBody(w, hr, r); out.Kind != "" {
 		return out
 	}
@@ -269,9 +275,8 @@
 	if err := control.SetReadDeadline(r.deadline); err != nil {
 		r.log.Add("could not set read deadline", "error", err)
 	}
-	r.memory = f.memory.requests.Open(r.caller, r.route.Name)
-	r.memory.MayAbandon(func() { _ = control.SetReadDeadline(expired) })
-	body, err := readRequestBody(hr.Body, r.memory, hr.ContentLength, maxBytes)
+	callerserver.Abandonable(r.memory, w)
+	body, err := callerserver.ReadBody(hr.Body, r.memory, hr.ContentLength, maxBytes)
 	if errors.Is(err, membudget.ErrNoMemory) {
 		r.log.Add("request body does not fit into the memory", "caller", r.caller, "held", f.memory.requests.Bytes())
 		if err := control.SetReadDeadline(time.Now().Add(skipTime)); err == nil {
@@ -280,7 +285,7 @@
 		return kernel.Outcome{Kind: kernel.NotRun, Reason: kernel.ReasonOverload, Detail: "request bodies fill the memory", RetryAfter: retryAfterBusy}
 	}
 	r.memory.MayAbandon(nil)
-	if errors.Is(err, errBodyTooLarge) {
+	if errors.Is(err, callerserver.ErrBodyTooLarge) {
 		f.skipBody(r, hr.Body)
 		return kernel.Outcome{Kind: kernel.Rejected, Reason: kernel.ReasonTooLarge, Detail: "the body is too large"}
 	}
--- a/policy/memoryshare.go
+++ b/policy/memoryshare.go
@@ -1,5 +1,7 @@
 package policy
 
+import "time"
+
 // MinMemoryHold is the number of bytes up to which one message is not bound by the shares of
 // its sender.
 const MinMemoryHold = 64 << 10
@@ -14,6 +16,9 @@
 	// GroupFactor and MemberFactor are the multiples of the free memory that a group and a
 	// member of it may hold.
 	GroupFactor, MemberFactor float64
+	// StallTime is the time without progress from which a message yields to a larger one. 0
+	// means that it does not.
+	StallTime time.Duration
 }
 
 // MemoryScope says whose messages hold too much.
@@ -49,3 +54,9 @@
 	}
 	return MemoryFits
 }
+
+// Yields reports whether a message that holds held bytes and has made no progress for a time
+// ends, so that another may hold needed bytes: if it is the larger one or has stalled.
+func (s MemoryShares) Yields(held, needed int64, still time.Duration) bool {
+	return held > needed || s.StallTime > 0 && still >= s.StallTime
+}
--- a/policy/memoryshare_test.go
+++ b/policy/memoryshare_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"testing"
+	"time"
 
+	. "github.com/smartystreets/goconvey/convey"
 	"pgregory.net/rapid"
 )
 
@@ -45,3 +47,23 @@
 		}
 	})
 }
+
+// TestMemoryYields answers the load of many callers that send most of a body and stop.
+func TestMemoryYields(t *testing.T) {
+	for _, k := range []struct {
+		name         string
+		stallTime    time.Duration
+		held, needed int64
+		still        time.Duration
+		want         bool
+	}{
+		{"a larger message yields at once", StallTime, 11, 10, 0, true},
+		{"a message of the same size that makes progress does not", StallTime, 10, 10, StallTime - 1, false},
+		{"a smaller one yields once it has stalled", StallTime, 1, 10, StallTime, true},
+		{"a stalled one does not yield without a stall time", 0, 10, 10, time.Hour, false},
+	} {
+		Convey("Memory: "+k.name, t, func() {
+			So(MemoryShares{StallTime: k.stallTime}.Yields(k.held, k.needed, k.still), ShouldEqual, k.want)
+		})
+	}
+}
--- a/test/crowd/crowd_test.go
+++ b/test/crowd/crowd_test.go
@@ -306,7 +306,7 @@
 }
 
 // limits are the settings of the section [forward] that bound what the instance uses.
-var limits = fmt.Sprintf("memory = %d\n", memory)
+var limits = fmt.Sprintf("memory = %d\ndescriptors = %d\n", memory, descriptors)
 
 // startOwn starts an instance that serves the project's own interface, and waits until it
 // serves.
@@ -332,7 +332,7 @@
 }
 
 // ownLimits are the settings that bound what the own interface uses.
-var ownLimits = harness.Settings{}
+var ownLimits = harness.Settings{"entry": {"memory": strconv.Itoa(memory), "descriptors": strconv.Itoa(descriptors)}}
 
 // play lets callers come to an instance and leave, and checks what it uses and that ordinary
 // requests are served.
