--- a/plugins/forward/demand_test.go
+++ b/plugins/forward/demand_test.go
@@ -37,11 +37,11 @@
 		f.servers.ejections = policy.NoEjections{}
 		for _, s := range servers {
 			if s.Zone != "c" {
-				f.servers.get(s).begin()
+				f.servers.get(s).begin(1)
 			}
 		}
-		f.servers.get(servers[0]).begin()
-		f.servers.get(servers[0]).end()
+		f.servers.get(servers[0]).begin(1)
+		f.servers.get(servers[0]).end(1)
 		for _, s := range services {
 			f.demand.served(s, time.Second)
 			f.demand.served(s, 2*time.Second)
