A reset while a request is being sent does not end its answer

An answer without a length ends with its connection. If the server reset the connection while the request was still being written to it, the system reported the error to the write only, and the read saw an orderly end: the part that had arrived was passed on as a complete answer. A connection now reports such an error to the read as well. An orderly close followed by a reset (the write's error is another one then) remains complete.

Answers are none whose status line is not HTTP/1, or has a status outside the five classes or several spaces before it (policy.ValidStatusLine): the caller gets 502. Those were passed on with the server's signature, and a status of 000 ended in a panic that closed the caller's connection. A change of protocol that nobody asked for, and a transfer encoding in HTTP/1.0, of which the chunks were taken for the body, are none either.

--- a/internal/upstream/end.go
+++ b/internal/upstream/end.go
@@ -33,6 +33,9 @@
 // response's body or a reader of it. A body of more than limit bytes is an error, and so is an
 // answer that is not complete.
 func ReadBody(resp *http.Response, body io.Reader, limit int64) ([]byte, error) {
+	if err := CheckHead(resp); err != nil {
+		return nil, err
+	}
 	data, err := io.ReadAll(io.LimitReader(body, limit+1))
 	if int64(len(data)) > limit {
 		return nil, errors.Errorf("response exceeds %d bytes", limit)
@@ -43,6 +46,19 @@
 	return data, nil
 }
 
+// CheckHead returns an error if the first line of a response that net/http has parsed is not
+// valid. A Pool checks that itself. Responses in HTTP/2, which net/http uses over TLS only,
+// have no such line.
+func CheckHead(resp *http.Response) error {
+	if resp.TLS != nil && resp.ProtoMajor == 2 {
+		return nil
+	}
+	if line := resp.Proto + " " + resp.Status; !policy.ValidStatusLine(line) {
+		return errors.Wrapf(ErrMalformedHead, "%.40q", line)
+	}
+	return nil
+}
+
 // framing returns how the end of a response's body is marked.
 func framing(resp *http.Response) policy.Framing {
 	switch {
--- a/internal/upstream/end_test.go
+++ b/internal/upstream/end_test.go
@@ -27,6 +27,7 @@
 		{"a body without its last chunk", "200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n", false},
 		{"a body with a part of its last chunk", "200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n", false},
 		{"a success without framing and body", "200 OK\r\n\r\n", false},
+		{"a status of no class", "600 Other\r\nContent-Length: 4\r\n\r\nbody", false},
 	} {
 		Convey("Reading "+c.name, t, func() {
 			resp, err := http.ReadResponse(bufio.NewReader(strings.NewReader("HTTP/1.1 "+c.answer)), nil)
--- a/internal/upstream/head.go
+++ b/internal/upstream/head.go
@@ -7,7 +7,10 @@
 	"slices"
 	"sync"
 
+	"github.com/pkg/errors"
+
 	"github.com/savoryfold/savoryfold/internal/membudget"
+	"github.com/savoryfold/savoryfold/policy"
 )
 
 // headBlockBytes is the size of the reads of a head that is larger than the connection's
@@ -77,7 +80,7 @@
 		return headEnd(err)
 	}
 	inBuffer := true // data is the connection's read buffer
-	scanned, line, first := 0, 0, true
+	scanned, line, first, old := 0, 0, true, false
 	for {
 		for ; scanned < len(data); scanned++ {
 			if data[scanned] != '\n' {
@@ -88,7 +91,17 @@
 			if s.lines++; s.lines > maxHeadLines || s.bytes+line > MaxHeadBytes {
 				return ErrHeadTooLarge
 			}
-			if len(text) == 0 || !isHeadLine(text, first) {
+			if first && !policy.ValidStatusLine(string(text)) {
+				return errors.Wrapf(ErrMalformedHead, "%.40q", text)
+			}
+			if first {
+				old = bytes.HasPrefix(text, []byte("HTTP/1.0"))
+			}
+			// The parser would take the chunks for the body.
+			if old && isTransferEncoding(text) {
+				return errors.Wrap(ErrMalformedHead, "a transfer encoding in HTTP/1.0")
+			}
+			if len(text) == 0 || !first && !isHeadLine(text) {
 				s.bytes += line
 				c.source.limit = MaxHeadBytes
 				if !inBuffer {
@@ -143,12 +156,9 @@
 	s.memory.Shrink(headBufferBytes)
 }
 
-// isHeadLine reports whether a line may be part of a head. The parser rejects all others at
+// isHeadLine reports whether a line after the first may be part of a head. The parser rejects all others at
 // once.
-func isHeadLine(text []byte, first bool) bool {
-	if first {
-		return bytes.HasPrefix(text, []byte("HTTP/"))
-	}
+func isHeadLine(text []byte) bool {
 	if text[0] == ' ' || text[0] == '\t' {
 		return true // continues the line before
 	}
@@ -156,6 +166,12 @@
 	return found && len(name) > 0 && !bytes.ContainsAny(name, " \t")
 }
 
+// isTransferEncoding reports whether a line is a Transfer-Encoding header.
+func isTransferEncoding(text []byte) bool {
+	name, _, found := bytes.Cut(text, []byte(":"))
+	return found && bytes.EqualFold(name, []byte("Transfer-Encoding"))
+}
+
 // headEnd returns the error of a connection that ends inside a head.
 func headEnd(err error) error {
 	if err == io.EOF {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -38,6 +38,8 @@
 	// ErrHeadTooLarge means that what the server sent is no head of a response within
 	// MaxHeadBytes and maxHeadLines.
 	ErrHeadTooLarge = errors.New("the head of the response is too large")
+	// ErrMalformedHead means that what the server sent is no head of a response in HTTP/1.
+	ErrMalformedHead = errors.New("malformed head of a response")
 )
 
 // Limits of what a server may send.
@@ -97,7 +99,7 @@
 // use.
 type Pool struct {
 	options Options
-	dialer  net.Dialer
+	dial    func(ctx context.Context, network, address string) (net.Conn, error)
 	mu      sync.Mutex
 	hosts   map[string]*host // guarded by mu
 	dials   atomic.Int64
@@ -114,11 +116,11 @@
 func New(o Options) *Pool {
 	p := &Pool{options: o, hosts: make(map[string]*host)}
 	probe := o.UserTimeout / 3
-	p.dialer = net.Dialer{
+	p.dial = DialContext(&net.Dialer{
 		Timeout:         o.DialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probe, Interval: probe, Count: 2},
 		Control:         UserTimeout(o.UserTimeout),
-	}
+	})
 	return p
 }
 
@@ -250,7 +252,7 @@
 		return nil, errors.Wrap(ErrConnectionLimit, r.Address)
 	}
 	p.dials.Add(1)
-	raw, err := p.dialer.DialContext(ctx, "tcp", r.Address)
+	raw, err := p.dial(ctx, "tcp", r.Address)
 	if err != nil {
 		h.mu.Lock()
 		h.open--
@@ -473,7 +475,10 @@
 		if err != nil {
 			return errors.Wrap(err, "answer")
 		}
-		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
+		if resp.StatusCode == http.StatusSwitchingProtocols {
+			return errors.Wrap(ErrMalformedHead, "a change of protocol that no request asks for")
+		}
+		if resp.StatusCode < 200 {
 			continue
 		}
 		x.Response = resp
--- a/plugins/backendhttp/backendhttp.go
+++ b/plugins/backendhttp/backendhttp.go
@@ -102,7 +102,7 @@
 		return c.(*http.Transport)
 	}
 	created := &http.Transport{
-		DialContext:         t.dialer.DialContext,
+		DialContext:         upstream.DialContext(t.dialer),
 		MaxIdleConnsPerHost: maxIdlePerServer,
 		IdleConnTimeout:     t.idleTimeout,
 		DisableCompression:  true,
@@ -205,6 +205,9 @@
 
 // readResponse reads and checks the response.
 func (x *exchange) readResponse(ctx context.Context, resp *http.Response) kernel.StageAnswer {
+	if err := upstream.CheckHead(resp); err != nil {
+		return kernel.StageAnswer{Result: kernel.CallFailed, Err: err}
+	}
 	if resp.Header.Get(httpapi.HeaderCallID) != x.call.ID {
 		return kernel.StageAnswer{Result: kernel.CallFailed, Err: errCallIDMismatch}
 	}
--- a/plugins/backendhttp/backendhttp_test.go
+++ b/plugins/backendhttp/backendhttp_test.go
@@ -87,6 +87,14 @@
 			defer conn.Close()
 			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\n%s: %s\r\n\r\n{}", httpapi.HeaderCallID, r.Header.Get(httpapi.HeaderCallID))
 		}, kernel.CallBroken},
+		{"response in another version", func(w http.ResponseWriter, r *http.Request) {
+			conn, _, err := w.(http.Hijacker).Hijack()
+			if err != nil {
+				panic(err)
+			}
+			defer conn.Close()
+			fmt.Fprintf(conn, "HTTP/2.0 200 OK\r\nContent-Length: 2\r\n%s: %s\r\n\r\n{}", httpapi.HeaderCallID, r.Header.Get(httpapi.HeaderCallID))
+		}, kernel.CallFailed},
 		{"connection dropped", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, kernel.CallBroken},
 		{"error status", func(w http.ResponseWriter, r *http.Request) {
 			echoCallID(w, r)
--- a/policy/answerend.go
+++ b/policy/answerend.go
@@ -1,5 +1,7 @@
 package policy
 
+import "strings"
+
 // Framing tells how the end of an answer's body is marked.
 type Framing string
 
@@ -109,3 +111,19 @@
 
 // Reason names the end, for counters and logs.
 func (e AnswerEnd) Reason() string { return string(e.Cause) + "-" + string(e.Place) }
+
+// ValidStatusLine reports whether an answer in HTTP/1 may begin with a line: a version, one
+// space and a status (RFC 9112, section 4) of one of the five classes (RFC 9110, section 15).
+// The space before a reason that is missing may be missing too, as many servers send it so.
+// Another version has another meaning and another status has none, so that what follows is
+// no answer to pass on.
+func ValidStatusLine(line string) bool {
+	rest, ok := strings.CutPrefix(line, "HTTP/1.")
+	if !ok || len(rest) < 5 || !isDigit(rest[0]) || rest[1] != ' ' {
+		return false
+	}
+	status := rest[2:5]
+	return status[0] >= '1' && status[0] <= '5' && isDigit(status[1]) && isDigit(status[2]) && (len(rest) == 5 || rest[5] == ' ')
+}
+
+func isDigit(b byte) bool { return b >= '0' && b <= '9' }
--- a/policy/answerend_test.go
+++ b/policy/answerend_test.go
@@ -43,3 +43,16 @@
 		})
 	}
 }
+
+func TestValidStatusLine(t *testing.T) {
+	for line, valid := range map[string]bool{
+		"HTTP/1.1 200 OK": true, "HTTP/1.0 200 OK": true, "HTTP/1.9 200 OK": true, "HTTP/1.1 200": true, "HTTP/1.1 200 ": true,
+		"HTTP/1.1 100 Continue": true, "HTTP/1.1 599 a b": true,
+		"": false, "HTTP/1.1": false, "HTTP/1.1 ": false, "HTTP/1.1 20": false, "HTTP/1.1 2000": false, "HTTP/1.1 200OK": false,
+		"HTTP/1.1  200 OK": false, " HTTP/1.1 200 OK": false, "http/1.1 200 OK": false, "HTTP/0.9 200 OK": false, "HTTP/2.0 200 OK": false,
+		"HTTP/1.x 200 OK": false, "HTTP/1.11 200 OK": false, "HTTP/1 200 OK": false, "HTTP/1.1 000": false, "HTTP/1.1 099": false,
+		"HTTP/1.1 600 Other": false, "HTTP/1.1 999 Other": false, "HTTP/1.1 -20": false, "HTTP/1.1 +20": false, "HTTP/1.1 2\u0662": false,
+	} {
+		Convey("The line "+line, t, func() { So(ValidStatusLine(line), ShouldEqual, valid) })
+	}
+}
--- a/test/passthrough/broken_test.go
+++ b/test/passthrough/broken_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"path"
 	"strconv"
 	"strings"
 	"sync"
@@ -314,3 +315,109 @@
 	}
 	return strings.Join(lines, "")
 }
+
+// longUpload is more than the buffers of a connection hold.
+const longUpload = 6 << 20
+
+// TestEarlyAnswers guards against answers that a server breaks off by a reset while the
+// request is still being sent to it, and that reach the caller as complete. The error of a
+// connection is reported once: if sending gets it, the connection looks closed to reading.
+func TestEarlyAnswers(t *testing.T) {
+	const attempts = 8
+	type earlyAnswer struct {
+		rawAnswer
+		route string
+	}
+	var answers []earlyAnswer
+	for _, route := range []string{"/once/", "/again/", "/stream/", "/resume/"} {
+		for _, framing := range []string{"length", "chunks", "none"} {
+			for _, end := range []string{"close", "reset"} {
+				a := earlyAnswer{rawAnswer{framing: framing, contentType: "plain", place: "at its end", end: end}, route}
+				if route == "/stream/" || route == "/resume/" {
+					a.contentType, a.place = "text/event-stream", "between events"
+				}
+				answers = append(answers, a)
+			}
+		}
+	}
+	in := startEarlyServer(t, func(c *platformtest.RawConn, r *http.Request) {
+		var i int
+		if _, err := fmt.Sscanf(path.Base(r.URL.Path), "%d-", &i); err != nil {
+			panic(err)
+		}
+		answer := answers[i]
+		c.Send(answer.text(r.Header.Get("Attempt-Id")))
+		if answer.end == "reset" {
+			c.Reset()
+			return
+		}
+		_ = c.CloseWrite()
+		time.Sleep(50 * time.Millisecond)
+	})
+	for i, answer := range answers {
+		Convey("An early answer to a long request for "+answer.route+": "+answer.String(), t, func() {
+			for n := range attempts {
+				r := sendRequest(platformtest.Request{
+					Address: in.Address, Method: "POST", Host: host, Path: fmt.Sprintf("%s%d-%d", answer.route, i, n), ID: fmt.Sprint("r", n), APIKey: "key-1", Timeout: 4 * time.Second,
+					Body: strings.Repeat("b", longUpload),
+				})
+				complete := answer.place == "at its end" && answer.framing != "none" || answer.framing == "none" && answer.end == "close"
+				want := "broken off or failed"
+				if complete {
+					want = "complete"
+				}
+				So(verdictOf(r), ShouldEqual, want)
+			}
+		})
+	}
+}
+
+// startEarlyServer starts an instance whose only server of both services answers once it
+// has the head of a request.
+func startEarlyServer(t *testing.T, do func(c *platformtest.RawConn, r *http.Request)) *Instance {
+	c := New(t)
+	settings := config(1)
+	settings.BodyBytes = longUpload
+	c.Store.PutConfig(settings)
+	s := c.startRawServer("i-0", "llm", func(conn *platformtest.RawConn) {
+		r, err := http.ReadRequest(bufio.NewReader(conn))
+		if err != nil {
+			return
+		}
+		do(conn, r)
+		_ = conn.Close()
+	}, nil)
+	c.Store.PutServer(platformtest.Entry{ID: "i-1", Service: "app", Address: s.Address(), Zone: "z1", Version: "v1", Slots: 8, Born: 1, Sequence: 1})
+	in := c.Start("e1", "z1", true, withoutEjection)
+	c.waitServers(in, "llm", 1)
+	c.waitServers(in, "app", 1)
+	return in
+}
+
+// TestFirstLinesOfAnswers guards against answers that are none by their version or status,
+// and that reach the caller with the server's signature, and against the refusal of others.
+func TestFirstLinesOfAnswers(t *testing.T) {
+	var line string
+	in, _ := startWithRawServer(t, func(c *platformtest.RawConn, r platformtest.ReceivedRequest) {
+		_, rest, _ := strings.Cut(platformtest.RawHead(200, r.ID), "\r\n")
+		c.Send(line + "\r\n" + rest + platformtest.RawEvents(1, 2))
+		_ = c.Close()
+	})
+	for n, c := range []struct {
+		line   string
+		status int
+	}{
+		{"HTTP/1.1 200 OK", 200}, {"HTTP/1.1 200", 200}, {"HTTP/1.0 200 OK", 200}, {"HTTP/1.1 418 Other", 418}, {"HTTP/1.1 499 Other", 499},
+		{"HTTP/0.9 200 OK", 502}, {"HTTP/2.0 200 OK", 502}, {"HTTP/1.1  200 OK", 502}, {"HTTP/1.1 000 OK", 502}, {"HTTP/1.1 600 Other", 502}, {"HTTP/1.1 999 Other", 502},
+	} {
+		for _, path := range []string{"/once/x", "/again/x", "/stream/x", "/resume/x"} {
+			Convey(fmt.Sprintf("An answer on %s that begins with %q", path, c.line), t, func() {
+				line = c.line
+				r := send(in, "POST", path+strconv.Itoa(n), "r")
+				So(r.err, ShouldBeNil)
+				So(r.status, ShouldEqual, c.status)
+				So(platformtest.Signed(r.header), ShouldEqual, c.status != 502)
+			})
+		}
+	}
+}
