Early answers: resets on connections that net/http closes, more cases in tests

net/http closes a connection as soon as its write fails, so that its state can no longer be read: such a connection counts as gone as well. Without it a response of the store that ended by a reset still confirmed a record.

--- a/internal/upstream/endedconn.go
+++ b/internal/upstream/endedconn.go
@@ -75,16 +75,17 @@
 const tcpClose = 7
 
 // gone reports whether the connection was reset or has timed out, rather than closed by the
-// peer.
+// peer. That includes one that this side has closed since: net/http does so if a request
+// cannot be sent.
 func (c *endedConn) gone() bool {
 	raw, err := c.SyscallConn()
 	if err != nil {
-		return false
+		return true
 	}
 	gone := false
 	err = raw.Control(func(fd uintptr) {
 		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
 		gone = err == nil && info.State == tcpClose
 	})
-	return err == nil && gone
+	return err != nil || gone
 }
--- a/test/passthrough/broken_test.go
+++ b/test/passthrough/broken_test.go
@@ -340,7 +340,13 @@
 			}
 		}
 	}
-	in := startEarlyServer(t, func(c *platformtest.RawConn, r *http.Request) {
+	const resumed = "resumed"
+	in := startEarlyServers(t, func(c *platformtest.RawConn, r *http.Request) {
+		if id := r.Header.Get("Attempt-Id"); id == resumed && r.Header.Get("Last-Event-Id") != "" {
+			c.Send(platformtest.RawHead(200, id, "Transfer-Encoding: chunked") + platformtest.RawChunk(platformtest.RawEvents(2, 3)) + platformtest.RawChunk(""))
+			time.Sleep(earlyLinger)
+			return
+		}
 		var i int
 		if _, err := fmt.Sscanf(path.Base(r.URL.Path), "%d-", &i); err != nil {
 			panic(err)
@@ -352,44 +358,59 @@
 			return
 		}
 		_ = c.CloseWrite()
-		time.Sleep(50 * time.Millisecond)
+		time.Sleep(earlyLinger)
 	})
+	upload := func(route, id string, i, n int) response {
+		return sendRequest(platformtest.Request{
+			Address: in.Address, Method: "POST", Host: host, Path: fmt.Sprintf("%s%d-%d", route, i, n), ID: id, APIKey: "key-1", Timeout: 4 * time.Second,
+			Body: strings.Repeat("b", longUpload),
+		})
+	}
 	for i, answer := range answers {
 		Convey("An early answer to a long request for "+answer.route+": "+answer.String(), t, func() {
 			for n := range attempts {
-				r := sendRequest(platformtest.Request{
-					Address: in.Address, Method: "POST", Host: host, Path: fmt.Sprintf("%s%d-%d", answer.route, i, n), ID: fmt.Sprint("r", n), APIKey: "key-1", Timeout: 4 * time.Second,
-					Body: strings.Repeat("b", longUpload),
-				})
 				complete := answer.place == "at its end" && answer.framing != "none" || answer.framing == "none" && answer.end == "close"
 				want := "broken off or failed"
 				if complete {
 					want = "complete"
 				}
-				So(verdictOf(r), ShouldEqual, want)
+				So(verdictOf(upload(answer.route, fmt.Sprint("r", n), i, n)), ShouldEqual, want)
 			}
 		})
 	}
+	Convey("The next server continues an early stream that is reset", t, func() {
+		last := len(answers) - 1 // without a length, by a reset
+		for n := range attempts {
+			r := upload("/resume/", resumed, last, attempts+n)
+			So(verdictOf(r), ShouldEqual, "complete")
+			So(r.body, ShouldEqual, platformtest.RawEvents(1, 3))
+		}
+	})
 }
 
-// startEarlyServer starts an instance whose only server of both services answers once it
-// has the head of a request.
-func startEarlyServer(t *testing.T, do func(c *platformtest.RawConn, r *http.Request)) *Instance {
+// earlyLinger is the time for which a server that has answered early keeps its connection.
+const earlyLinger = 50 * time.Millisecond
+
+// startEarlyServers starts an instance whose servers answer once they have the head of a
+// request: one of a service, and two of the one for streams.
+func startEarlyServers(t *testing.T, do func(c *platformtest.RawConn, r *http.Request)) *Instance {
 	c := New(t)
 	settings := config(1)
 	settings.BodyBytes = longUpload
 	c.Store.PutConfig(settings)
-	s := c.startRawServer("i-0", "llm", func(conn *platformtest.RawConn) {
+	answer := func(conn *platformtest.RawConn) {
 		r, err := http.ReadRequest(bufio.NewReader(conn))
 		if err != nil {
 			return
 		}
 		do(conn, r)
 		_ = conn.Close()
-	}, nil)
-	c.Store.PutServer(platformtest.Entry{ID: "i-1", Service: "app", Address: s.Address(), Zone: "z1", Version: "v1", Slots: 8, Born: 1, Sequence: 1})
+	}
+	c.startRawServer("i-0", "llm", answer, nil)
+	c.startRawServer("i-1", "llm", answer, nil)
+	c.startRawServer("i-2", "app", answer, nil)
 	in := c.Start("e1", "z1", true, withoutEjection)
-	c.waitServers(in, "llm", 1)
+	c.waitServers(in, "llm", 2)
 	c.waitServers(in, "app", 1)
 	return in
 }
@@ -421,3 +442,57 @@
 		}
 	}
 }
+
+// TestUploadsOfCallers guards against requests of callers that send their body late or
+// slowly and get an answer that is not whole, or another than that to their request.
+func TestUploadsOfCallers(t *testing.T) {
+	in, s := startWithRawServer(t, func(c *platformtest.RawConn, r platformtest.ReceivedRequest) {
+		c.Send(platformtest.RawHead(200, r.ID, "Content-Length: 4") + "done")
+	})
+	const chunked = "Transfer-Encoding: chunked\r\n"
+	for n, c := range []struct {
+		name, key, headers string
+		// parts are sent one after the other, with a pause after each.
+		parts  []string
+		status int
+		body   string // that the server gets
+	}{
+		{"a body after 100 Continue", "key-1", "Expect: 100-continue\r\nContent-Length: 4\r\n", []string{"body"}, 200, "body"},
+		{"a body in slow chunks", "key-1", chunked, []string{"2\r\nbo\r\n", "2\r\ndy", "\r\n0\r\n\r\n"}, 200, "body"},
+		{"slow chunks after 100 Continue", "key-1", "Expect: 100-continue\r\n" + chunked, []string{"2\r\nbo\r\n", "2\r\ndy\r\n0\r\n\r\n"}, 200, "body"},
+		{"a body that is refused before it is sent", "key-2", "Expect: 100-continue\r\nContent-Length: 4\r\n", nil, 401, ""},
+		{"a body in slow chunks that is refused", "key-2", chunked, []string{"2\r\nbo\r\n", "2\r\ndy", "\r\n0\r\n\r\n"}, 401, ""},
+	} {
+		Convey("The answer to "+c.name, t, func() {
+			conn, err := net.Dial("tcp", in.Address)
+			So(err, ShouldBeNil)
+			defer conn.Close()
+			So(conn.SetDeadline(time.Now().Add(testTimeout)), ShouldBeNil)
+			id := fmt.Sprint("u", n)
+			fmt.Fprintf(conn, "POST /once/%d HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nAuthorization: Bearer %s\r\n%s\r\n", n, host, id, c.key, c.headers)
+			reader := bufio.NewReader(conn)
+			if strings.Contains(c.headers, "Expect") && c.status == 200 {
+				resp, err := http.ReadResponse(reader, nil)
+				So(err, ShouldBeNil)
+				So(resp.StatusCode, ShouldEqual, 100)
+			}
+			for _, part := range c.parts {
+				_, err := io.WriteString(conn, part)
+				So(err, ShouldBeNil)
+				time.Sleep(100 * time.Millisecond)
+			}
+			resp, err := http.ReadResponse(reader, nil)
+			So(err, ShouldBeNil)
+			So(resp.StatusCode, ShouldEqual, c.status)
+			_, err = io.ReadAll(resp.Body)
+			So(err, ShouldBeNil)
+			So(resp.Header.Get("Attempt-Id"), ShouldEqual, id)
+			for _, r := range s.Requests() {
+				if r.ID == id {
+					So(r.Header["Expect"], ShouldBeNil)
+					So(r.Body, ShouldEqual, c.body)
+				}
+			}
+		})
+	}
+}
