--- a/plugins/autoscale/autoscale.go
+++ b/plugins/autoscale/autoscale.go
@@ -8,7 +8,9 @@
 package autoscale
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -243,5 +245,8 @@
 	for key, s := range m.subjects {
 		dumps = append(dumps, subjectDump{key.service, key.zone, s.view, s.decision})
 	}
+	slices.SortFunc(dumps, func(a, b subjectDump) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Zone, b.Zone))
+	})
 	return dumps
 }
