--- /dev/null
+++ b/internal/callerserver/room_test.go
@@ -0,0 +1,116 @@
+package callerserver
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/savoryfold/savoryfold/policy"
+)
+
+const (
+	wholeRequest = "POST /read HTTP/1.1\r\nHost: a.example\r\nContent-Length: 2\r\n\r\nab"
+	partOfBody   = "POST /read HTTP/1.1\r\nHost: a.example\r\nContent-Length: 2\r\n\r\na"
+	partOfHead   = "POST /read HTTP/1.1\r\nHost: a.exam"
+)
+
+// readStatus reads a response and returns its status, 0 if there is none.
+func readStatus(c net.Conn) int {
+	_ = c.SetReadDeadline(time.Now().Add(20 * time.Second))
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return 0
+	}
+	_, _ = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode
+}
+
+// TestRoom guards against new callers that are kept out by connections on which nothing moves,
+// and against connections with a complete request that are closed for others.
+func TestRoom(t *testing.T) {
+	manyLines := strings.Repeat("a: b\r\n", 500)
+	for _, k := range []struct {
+		name string
+		room policy.CallerLimits
+		// first is what the connections that come first send, phase that in which one of them
+		// is closed once another caller comes.
+		first string
+		phase policy.CallerPhase
+	}{
+		{"a stalled body", policy.CallerLimits{Connections: 3, ConnectionBytes: 1 << 30}, partOfBody, policy.CallerIncomplete},
+		{"a stalled head", policy.CallerLimits{Connections: 3, ConnectionBytes: 1 << 30}, partOfHead, policy.CallerIncomplete},
+		{"nothing sent", policy.CallerLimits{Connections: 3, ConnectionBytes: 1 << 30}, "", policy.CallerIncomplete},
+		{"an idle connection", policy.CallerLimits{Connections: 3, ConnectionBytes: 1 << 30}, wholeRequest, policy.CallerIdle},
+		{"long heads", policy.CallerLimits{Connections: 1000, ConnectionBytes: 3*connBytes + 3*60<<10}, "POST /read HTTP/1.1\r\nHost: a.example\r\n" + manyLines, policy.CallerIncomplete},
+	} {
+		Convey("A new caller is served although there is no room, first: "+k.name, t, func() {
+			closed := make(chan policy.CallerPhase, 10)
+			s := New(Options{Logger: slog.New(slog.DiscardHandler), Room: k.room, OnClose: func(p policy.CallerPhase) { closed <- p },
+				Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+					if _, err := io.Copy(io.Discard, r.Body); err != nil {
+						panic(http.ErrAbortHandler)
+					}
+				})})
+			So(s.Listen("127.0.0.1:0"), ShouldBeNil)
+			for range 3 {
+				c := dialServer(s, false)
+				defer c.Close()
+				_, err := io.WriteString(c, k.first)
+				So(err, ShouldBeNil)
+				if k.first == wholeRequest {
+					So(readStatus(c), ShouldEqual, 200)
+				}
+			}
+			time.Sleep(policy.StallTime + 100*time.Millisecond)
+			c := dialServer(s, false)
+			defer c.Close()
+			_, err := io.WriteString(c, strings.Replace(wholeRequest, "\r\n", "\r\n"+manyLines, 1))
+			So(err, ShouldBeNil)
+			So(readStatus(c), ShouldEqual, 200)
+			So(<-closed, ShouldEqual, k.phase)
+		})
+	}
+	Convey("A complete request in progress is not closed for others", t, func() {
+		proceed, begun := make(chan struct{}), make(chan struct{})
+		s := New(Options{Logger: slog.New(slog.DiscardHandler), Room: policy.CallerLimits{Connections: 1, ConnectionBytes: 1 << 30},
+			Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body)
+				close(begun)
+				<-proceed
+			})})
+		So(s.Listen("127.0.0.1:0"), ShouldBeNil)
+		c := dialServer(s, false)
+		defer c.Close()
+		_, err := io.WriteString(c, wholeRequest)
+		So(err, ShouldBeNil)
+		<-begun
+		other := dialServer(s, false)
+		defer other.Close()
+		So(readStatus(other), ShouldEqual, 0)
+		close(proceed)
+		So(readStatus(c), ShouldEqual, 200)
+	})
+}
+
+// TestUnreadBody guards against a response that waits without an end for the rest of a body
+// that the handler did not read.
+func TestUnreadBody(t *testing.T) {
+	for _, framing := range []string{"Transfer-Encoding: chunked\r\n\r\n5\r\nab", "Content-Length: 1000\r\n\r\nab"} {
+		Convey(fmt.Sprintf("A request that is refused without its body gets a response, %q", framing), t, func() {
+			s := startServer(t, nil, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusUnauthorized) })
+			c := dialServer(s, false)
+			defer c.Close()
+			_, err := io.WriteString(c, "POST / HTTP/1.1\r\nHost: a.example\r\n"+framing)
+			So(err, ShouldBeNil)
+			So(readStatus(c), ShouldEqual, http.StatusUnauthorized)
+		})
+	}
+}
