--- a/internal/callerserver/room.go
+++ b/internal/callerserver/room.go
@@ -60,13 +60,13 @@
 	conns    map[*callerConn]struct{} // guarded by mu
 	bytes    int64                    // guarded by mu
 	closing  int64                    // memory of connections that are being closed; guarded by mu
-	freed    chan struct{}            // closed when closing shrinks; guarded by mu
+	changed  chan struct{}            // closed and replaced when closing changes; guarded by mu
 	loggedAt time.Time                // guarded by mu
 	unlogged int                      // connections closed since then; guarded by mu
 }
 
 func newRoom(o Options) *room {
-	r := &room{limits: o.Room, connBytes: connBytes, logger: o.Logger, onClose: o.OnClose, conns: make(map[*callerConn]struct{}), freed: make(chan struct{})}
+	r := &room{limits: o.Room, connBytes: connBytes, logger: o.Logger, onClose: o.OnClose, conns: make(map[*callerConn]struct{}), changed: make(chan struct{})}
 	if o.TLS != nil {
 		r.connBytes = tlsConnBytes
 	}
@@ -90,7 +90,7 @@
 	if !in {
 		r.remove(c) // it has no goroutine yet
 	}
-	r.await()
+	r.await(c)
 	return in
 }
 
@@ -105,18 +105,24 @@
 	if c.closing {
 		c.closing = false
 		r.closing -= c.held
-		close(r.freed)
-		r.freed = make(chan struct{})
+		r.wake()
 	}
 }
 
-// await waits until there is room beside the connections that are closing, whose goroutines
-// still hold their memory, for closingTime at most.
-func (r *room) await() {
+// wake ends the waits of await, which then look at the state again. The caller holds mu.
+func (r *room) wake() {
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+// await waits until there is room for a connection beside those that are closing, whose
+// goroutines still hold their memory, or until it is closing itself, for closingTime at most.
+func (r *room) await(c *callerConn) {
 	var expired <-chan time.Time
 	for {
 		r.mu.Lock()
-		freed, wait := r.freed, r.closing > 0 && r.bytes+r.closing > r.limits.ConnectionBytes
+		_, in := r.conns[c]
+		changed, wait := r.changed, in && r.closing > 0 && r.bytes+r.closing > r.limits.ConnectionBytes
 		r.mu.Unlock()
 		if !wait {
 			return
@@ -125,7 +131,7 @@
 			expired = time.After(closingTime)
 		}
 		select {
-		case <-freed:
+		case <-changed:
 		case <-expired:
 			return
 		}
@@ -137,17 +143,15 @@
 	held := r.connBytes + max(0, head-freeHeadBytes)
 	r.mu.Lock()
 	var victims []*callerConn
-	_, in := r.conns[c]
-	if in {
+	if _, in := r.conns[c]; in {
 		r.bytes += held - c.held
 		c.held = held
 		victims = r.pick()
-		_, in = r.conns[c]
 	}
 	r.mu.Unlock()
 	r.close(victims)
-	if in && head > 0 {
-		r.await()
+	if head > 0 {
+		r.await(c)
 	}
 }
 
@@ -172,6 +176,9 @@
 		r.closing += c.held
 		victims = append(victims, c)
 	}
+	if len(victims) > 0 {
+		r.wake()
+	}
 	return victims
 }
 
