Idle connections to servers stay within the descriptors

Requests in progress are bounded, but connections that are idle after requests to one server do not serve another, so that requests to several services left a multiple of the bound open. The pool now closes the connection that is idle for longest for each it opens beyond a third of the descriptors.

--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -52,7 +52,7 @@
 	maxSkippedBytes = 1 << 20
 )
 
-// Options are the timeouts of a pool's connections.
+// Options are the timeouts and the limit of a pool's connections.
 type Options struct {
 	// DialTimeout bounds connection establishment.
 	DialTimeout time.Duration
@@ -63,6 +63,9 @@
 	// IdleTimeout is how long an idle connection is kept, unless the server announces
 	// a shorter time.
 	IdleTimeout time.Duration
+	// MaxOpen is the number of connections from which an idle one is closed for each that is
+	// opened. 0 means no limit.
+	MaxOpen int
 }
 
 // Timeouts of connections between machines in the fleet's availability zones.
@@ -101,10 +104,13 @@
 	mu      sync.Mutex
 	hosts   map[string]*host // guarded by mu
 	dials   atomic.Int64
+	// open counts the connections in use, idle or being opened.
+	open atomic.Int64
 }
 
 // host holds the connections to one address.
 type host struct {
+	pool *Pool
 	mu   sync.Mutex
 	idle []*conn // least recently used first; guarded by mu
 	open int     // connections in use, idle or being opened; guarded by mu
@@ -144,19 +150,50 @@
 	defer p.mu.Unlock()
 	h := p.hosts[address]
 	if h == nil {
-		h = &host{}
+		h = &host{pool: p}
 		p.hosts[address] = h
 	}
 	return h
 }
 
+// count adds to the number of open connections. The caller holds mu.
+func (h *host) count(n int) {
+	h.open += n
+	h.pool.open.Add(int64(n))
+}
+
+// closeOldest closes the connection that has been idle for longest, if any is idle.
+func (p *Pool) closeOldest() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var from *host
+	var since time.Time
+	for _, h := range p.hosts {
+		h.mu.Lock()
+		if len(h.idle) > 0 && (from == nil || h.idle[0].used.Before(since)) {
+			from, since = h, h.idle[0].used
+		}
+		h.mu.Unlock()
+	}
+	if from == nil {
+		return
+	}
+	from.mu.Lock()
+	defer from.mu.Unlock()
+	if len(from.idle) > 0 {
+		_ = from.idle[0].Close()
+		from.idle = from.idle[1:]
+		from.count(-1)
+	}
+}
+
 // CloseIdle closes the idle connections to an address.
 func (p *Pool) CloseIdle(address string) {
 	h := p.host(address)
 	h.mu.Lock()
 	idle := h.idle
 	h.idle = nil
-	h.open -= len(idle)
+	h.count(-len(idle))
 	h.mu.Unlock()
 	for _, c := range idle {
 		_ = c.Close()
@@ -174,7 +211,7 @@
 		for _, c := range h.idle {
 			if now.After(c.expires) {
 				_ = c.Close()
-				h.open--
+				h.count(-1)
 				continue
 			}
 			kept = append(kept, c)
@@ -249,11 +286,14 @@
 	if !h.reserve(r.MaxConnections) {
 		return nil, errors.Wrap(ErrConnectionLimit, r.Address)
 	}
+	if p.options.MaxOpen > 0 && p.open.Load() > int64(p.options.MaxOpen) {
+		p.closeOldest()
+	}
 	p.dials.Add(1)
 	raw, err := p.dialer.DialContext(ctx, "tcp", r.Address)
 	if err != nil {
 		h.mu.Lock()
-		h.open--
+		h.count(-1)
 		h.mu.Unlock()
 		return nil, errors.Wrap(ErrNotSent, err.Error())
 	}
@@ -275,7 +315,7 @@
 		if now.Before(c.expires) {
 			return c
 		}
-		h.open--
+		h.count(-1)
 		_ = c.Close()
 	}
 	return nil
@@ -293,10 +333,10 @@
 		}
 		oldest := h.idle[0]
 		h.idle = h.idle[1:]
-		h.open--
+		h.count(-1)
 		_ = oldest.Close()
 	}
-	h.open++
+	h.count(1)
 	return true
 }
 
@@ -325,7 +365,7 @@
 // discard closes the connection and no longer counts it.
 func (c *conn) discard() {
 	c.host.mu.Lock()
-	c.host.open--
+	c.host.count(-1)
 	c.host.mu.Unlock()
 	_ = c.Close()
 }
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -271,6 +271,31 @@
 	})
 }
 
+// TestMaxOpen guards against idle connections to many servers that take all descriptors.
+func TestMaxOpen(t *testing.T) {
+	Convey("The connection that is idle for longest gives way to a new one", t, func() {
+		o := testOptions
+		o.MaxOpen = 2
+		p := New(o)
+		defer p.Close()
+		var servers []string
+		for range 3 {
+			s := newRawServer(t, func(_, _ int, c net.Conn) { write(c, completeResponse) })
+			defer s.listener.Close()
+			servers = append(servers, s.listener.Addr().String())
+		}
+		for _, k := range []struct {
+			server      int
+			dials, open int64
+		}{{0, 1, 1}, {1, 2, 2}, {0, 2, 2}, {2, 3, 2}, {0, 3, 2}, {1, 4, 2}, {2, 5, 2}} {
+			_, err := fetch(p, servers[k.server], nil)
+			So(err, ShouldBeNil)
+			So(p.Dials(), ShouldEqual, k.dials)
+			So(p.open.Load(), ShouldEqual, k.open)
+		}
+	})
+}
+
 func TestNotSent(t *testing.T) {
 	Convey("A request to a server that refuses connections was not sent", t, func() {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/plugins/forward/forward.go
+++ b/plugins/forward/forward.go
@@ -92,11 +92,6 @@
 func (f *Forward) Provision(h *kernel.Host) error {
 	s := h.Settings
 	f.host = h
-	f.pool = upstream.New(upstream.Options{
-		DialTimeout: s.Duration(section, "dial_timeout"),
-		UserTimeout: s.Duration(section, "silence"),
-		IdleTimeout: s.Duration(section, "idle_timeout"),
-	})
 	f.servers.ejections = h.Decisions.Ejections
 	if f.servers.ejections == nil {
 		f.servers.ejections = policy.NoEjections{}
@@ -112,6 +107,12 @@
 	bytes = cmp.Or(bytes, defaultMemory)
 	f.callers = policy.NewCallerLimits(bytes, callerserver.Descriptors(s.Int(section, "descriptors")))
 	f.memory = f.newMemory(bytes, f.callers)
+	f.pool = upstream.New(upstream.Options{
+		DialTimeout: s.Duration(section, "dial_timeout"),
+		UserTimeout: s.Duration(section, "silence"),
+		IdleTimeout: s.Duration(section, "idle_timeout"),
+		MaxOpen:     f.callers.ServerConnections,
+	})
 	f.requestsCtx, f.cancelRequests = context.WithCancel(context.Background())
 	f.entry = callerserver.New(callerserver.Options{
 		Logger: h.Logger, Handler: http.HandlerFunc(f.serve), Limits: connLimits(catalog.Limits{}), Room: f.callers,
--- a/policy/callerconns.go
+++ b/policy/callerconns.go
@@ -35,8 +35,10 @@
 	Connections     int
 	ConnectionBytes int64
 	// RequestMemory is the memory for requests in progress. Each takes RequestBytes besides
-	// its body, so that connections to servers remain within the descriptors.
+	// its body, so that no more are in progress than ServerConnections.
 	RequestMemory, RequestBytes int64
+	// ServerConnections is the number of connections to backend servers, idle ones included.
+	ServerConnections int
 }
 
 // NewCallerLimits divides the memory and the descriptors of a process.
@@ -44,9 +46,9 @@
 	usable := max(descriptors-filesReserve, requestDivisor)
 	l := CallerLimits{
 		Connections: usable - usable/requestDivisor, ConnectionBytes: memory / connectionMemoryDivisor,
-		RequestMemory: memory / requestMemoryDivisor,
+		RequestMemory: memory / requestMemoryDivisor, ServerConnections: usable / requestDivisor,
 	}
-	l.RequestBytes = max(minRequestBytes, l.RequestMemory/int64(usable/requestDivisor))
+	l.RequestBytes = max(minRequestBytes, l.RequestMemory/int64(l.ServerConnections)+1)
 	return l
 }
 
--- a/policy/callerconns_test.go
+++ b/policy/callerconns_test.go
@@ -20,8 +20,8 @@
 			l := NewCallerLimits(k.memory, k.descriptors)
 			requests := int(l.RequestMemory / l.RequestBytes)
 			So(l.Connections, ShouldBeGreaterThan, 0)
-			So(requests, ShouldBeGreaterThan, 0)
-			So(l.Connections+requests+filesReserve, ShouldBeLessThanOrEqualTo, max(k.descriptors, filesReserve+requestDivisor))
+			So(requests, ShouldBeBetweenOrEqual, 1, l.ServerConnections)
+			So(l.Connections+l.ServerConnections+filesReserve, ShouldBeLessThanOrEqualTo, max(k.descriptors, filesReserve+requestDivisor))
 		}
 	})
 	Convey("On the smallest machines, hundreds of requests run at the same time", t, func() {
