Make large results last if another path of the request's stages is longer

Cause: a request with a first stage of 1.5 MB results beside three small stages starts both at once. The large results lie at their server for about a second, most of its memory in a burst, and are thrown away if the other path fails. Change: such a stage starts once it could end last (policy.DeferStage, from the forecasts of the stages). The longest path never waits.

--- a/plugins/forward/stages.go
+++ b/plugins/forward/stages.go
@@ -27,6 +27,13 @@
 // response: the longest path through the stages that depend on the stage after,
 // or through all stages if after is negative, plus the latency of the server.
 func (f *Forward) forecast(now time.Time, r *request, after int) kernel.StageForecast {
+	longest := f.stageForecast(now, r, after)
+	server := f.latencies.get(r.service.Name)
+	return kernel.StageForecast{InTime: longest.InTime + server, Late: longest.Late + server}
+}
+
+// stageForecast returns the expected time of the stages alone.
+func (f *Forward) stageForecast(now time.Time, r *request, after int) kernel.StageForecast {
 	done := make([]kernel.StageForecast, len(r.route.Stages))
 	var longest kernel.StageForecast
 	for i, s := range r.route.Stages {
@@ -40,8 +47,7 @@
 		}
 		longest = maxForecast(longest, done[i])
 	}
-	server := f.latencies.get(r.service.Name)
-	return kernel.StageForecast{InTime: longest.InTime + server, Late: longest.Late + server}
+	return longest
 }
 
 // maxForecast returns the longer times of two forecasts.
@@ -164,11 +170,14 @@
 			if p.started[i] || slices.ContainsFunc(s.After, func(dep int) bool { return !p.ended[dep] }) {
 				continue
 			}
-			p.started[i] = true
 			if p.request.stagePieces(i) == 0 {
-				p.ended[i], again = true, true
+				p.started[i], p.ended[i], again = true, true, true
+				continue
+			}
+			if p.deferred(i) {
 				continue
 			}
+			p.started[i] = true
 			n++
 			go p.runStage(ctx, i)
 		}
@@ -176,6 +185,28 @@
 	return n
 }
 
+// deferred reports whether stage i, whose inputs are there, waits for the end of another
+// one. The longest path of stages never waits, so that one of them runs.
+func (p *stagePlan) deferred(i int) bool {
+	now := time.Now()
+	var others []policy.ReadyStage
+	for j, s := range p.request.route.Stages {
+		if j != i && !p.ended[j] && p.request.stagePieces(j) > 0 && !slices.ContainsFunc(s.After, func(dep int) bool { return !p.ended[dep] }) {
+			others = append(others, p.readyStage(now, j))
+		}
+	}
+	return policy.DeferStage(p.readyStage(now, i), others)
+}
+
+// readyStage describes stage i to the policy.
+func (p *stagePlan) readyStage(now time.Time, i int) policy.ReadyStage {
+	s := p.request.route.Stages[i]
+	return policy.ReadyStage{
+		Own: p.forward.host.Stages.Forecast(now, s.Service).InTime, Rest: p.forward.stageForecast(now, p.request, i).InTime,
+		Bytes: s.ResultBytes * p.request.stagePieces(i),
+	}
+}
+
 // runStage runs one stage and sends its result to done.
 func (p *stagePlan) runStage(ctx context.Context, i int) {
 	r := p.request
