--- a/plugins/duties/duties_test.go
+++ b/plugins/duties/duties_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"log/slog"
 	"net/http"
@@ -98,15 +97,7 @@
 	settings, err := kernel.Schema().Load("test", fmt.Appendf(nil, `[instance]
 id = %s
 zone = z
-[duties]
-assigned = usage_report, autoscale
-address = %s
-store = %s
-peer_address = 127.0.0.1:1
-lease = 1s
-window = 1s
-report_within = 10s
-`, id, f.platform.Address(), f.store.Address()))
+%s`, id, f.platform.Settings(f.store.Address(), "127.0.0.1:1")))
 	if err != nil {
 		f.t.Fatal(err)
 	}
@@ -176,23 +167,20 @@
 	bodies := make(map[int64]string)
 	token := uint64(0)
 	for _, c := range f.platform.Calls("/usage") {
-		var r struct {
-			Window int64            `json:"window_id"`
-			Counts map[string]int64 `json:"counts"`
-		}
-		if err := json.Unmarshal([]byte(c.Body), &r); err != nil {
+		window, counts, err := c.UsageCounts()
+		if err != nil {
 			f.t.Fatal(err)
 		}
-		switch before, ok := bodies[r.Window]; {
+		switch before, ok := bodies[window]; {
 		case c.Token < token:
 			f.t.Fatalf("token %d after %d", c.Token, token)
 		case ok && before != c.Body:
-			f.t.Fatalf("window %d: %s after %s", r.Window, c.Body, before)
+			f.t.Fatalf("window %d: %s after %s", window, c.Body, before)
 		case !ok:
-			requests += policy.UsageCounts(r.Counts).Total()
+			requests += policy.UsageCounts(counts).Total()
 		}
-		bodies[r.Window], token = c.Body, c.Token
-		if len(r.Counts) > 0 {
+		bodies[window], token = c.Body, c.Token
+		if len(counts) > 0 {
 			calls++
 		}
 	}
--- a/test/passthrough/cluster.go
+++ b/test/passthrough/cluster.go
@@ -30,7 +30,9 @@
 	Instances []*Instance
 	// Drain is the drain time of instances that are started from now on.
 	Drain time.Duration
-	t     *testing.T
+	// Duties assigns duties to the instances that are started from now on, unless it is nil.
+	Duties *platformtest.Duties
+	t      *testing.T
 }
 
 // Instance is one instance and its addresses.
@@ -89,6 +91,9 @@
 	c.t.Helper()
 	in := &Instance{ID: id, Zone: zone, Address: freeAddress(c.t), Readiness: freeAddress(c.t), Log: &LogBuffer{}, done: make(chan struct{})}
 	peer := freeAddress(c.t)
+	if c.Duties != nil {
+		settings += c.Duties.Settings(c.Store.Address(), peer)
+	}
 	text := platformtest.Settings{
 		ID: id, Zone: zone, Store: c.Store.Address(), Peer: peer, Listen: in.Address, Readiness: in.Readiness,
 		MemberTTL: time.Second, Drain: c.Drain, RepeatExtra: 100, Extra: settings,
