--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -63,7 +63,10 @@
 			return nil, ""
 		}
 		p.Signal(syscall.SIGSTOP)
-		return func() { p.Signal(syscall.SIGCONT) }, n.id
+		return func() {
+			tb.dutyChecker.noteThawed(n.id)
+			p.Signal(syscall.SIGCONT)
+		}, n.id
 	}},
 	{"hang up", func(tb *testbed) (func(), string) {
 		n := tb.anyInstance()
--- a/test/soak/run.go
+++ b/test/soak/run.go
@@ -52,6 +52,7 @@
 	others.Go(func() { tb.injectRateLimits(injecting) })
 	others.Go(func() { tb.injectAnswerFaults(injecting) })
 	others.Go(func() { tb.injectStatements(injecting) })
+	others.Go(func() { tb.injectDutyFaults(injecting) })
 	tb.inject(injecting)
 	others.Wait()
 	end()
@@ -60,6 +61,7 @@
 	}
 	tb.checkPlannedChanges()
 	tb.checkStatements()
+	tb.checkDuties()
 	stop()
 	wait()
 	tb.checker.mu.Lock()
--- a/test/soak/testbed.go
+++ b/test/soak/testbed.go
@@ -41,9 +41,12 @@
 	instances []*instance
 	servers   []*server
 	checker   *checker
-	version   atomic.Int64
-	startedAt time.Time
-	printing  sync.Mutex // serializes the lines of faults
+	// duties is the platform's side of the duty calls, which dutyChecker checks.
+	duties      *platformtest.Duties
+	dutyChecker *dutyChecker
+	version     atomic.Int64
+	startedAt   time.Time
+	printing    sync.Mutex // serializes the lines of faults
 	// changes serializes faults, which change server entries, zones and settings.
 	changes  sync.Mutex
 	zonesOut map[string]bool // guarded by changes
@@ -86,6 +89,8 @@
 	if tb.binaries, err = harness.Build(dir); err != nil {
 		return nil, err
 	}
+	tb.duties, tb.dutyChecker = platformtest.NewDuties(), newDutyChecker(tb.checker)
+	tb.duties.OnCall = tb.dutyChecker.check
 	tb.configure()
 	for i, service := range []string{"app", "app", "app", "llm", "llm", "llm", "first", "first", "second", "second"} {
 		if err := tb.addServer(fmt.Sprintf("s-%d", i), service, zoneOf(i)); err != nil {
@@ -252,6 +257,7 @@
 	text := platformtest.Settings{
 		ID: n.id, Zone: n.zone, Store: n.storeLink.Address(), Peer: n.peer, Listen: n.listen, Readiness: n.readiness,
 		MemberTTL: 2 * time.Second, Drain: 500 * time.Millisecond, RepeatExtra: 50,
+		Extra: tb.duties.Settings(n.storeLink.Address(), n.peer),
 	}.Text()
 	return errors.Wrap(os.WriteFile(n.settings, []byte(text), 0o600), "settings")
 }
@@ -307,6 +313,7 @@
 			s.stage.Close()
 		}
 	}
+	tb.duties.Close()
 	tb.store.Close()
 	_ = os.RemoveAll(tb.dir) // created by newTestbed
 }
