--- a/policy/lease.go
+++ b/policy/lease.go
@@ -26,7 +26,8 @@
 const (
 	renewPart         = 0.4
 	takeoverDelayPart = 1. / 6
-	callPart          = 1. / 3
+	callBeginPart     = 1. / 3
+	callEndPart       = 1. / 2
 	// confirmedPart is the part of the time after a thaw, in which calls are excused.
 	confirmedPart = 0.5
 )
@@ -37,7 +38,7 @@
 	part := func(share float64, of time.Duration) time.Duration { return time.Duration(share * float64(of)) }
 	return LeaseTimes{
 		Term: term, Renew: part(renewPart, term), TakeoverDelay: part(takeoverDelayPart, term),
-		CallBegin: part(callPart, term), CallEnd: part(callPart, term), Confirmed: min(part(confirmedPart, thaw), part(callPart, term)),
+		CallBegin: part(callBeginPart, term), CallEnd: part(callEndPart, term), Confirmed: min(part(confirmedPart, thaw), part(callBeginPart, term)),
 	}
 }
 
