Duty calls: nothing is sent on a connection unless the lease still permits it

A connection may take long to open, and the process may be frozen meanwhile. The bytes are written only if a call may begin at that moment; unacknowledged ones are dropped so early that they arrive within the time after a freeze that the platform excuses. The model allows for the whole of that time.

--- a/plugins/duties/duties.go
+++ b/plugins/duties/duties.go
@@ -136,7 +136,7 @@
 	m.collector = policy.NewUsageCollector(time.Duration(collectShare * float64(h.Settings.Duration(section, "report_within"))))
 	m.store = platform.NewStoreClient(store, storeTimeout)
 	m.store.OnCall(func(call string) { h.Counter(`duty_store_calls{call="` + call + `"}`).Inc(1) })
-	m.platform = platform.NewDutiesClient(address, m.times.CallEnd, h.Settings.Duration(section, "thaw"))
+	m.platform = platform.NewDutiesClient(address, m.times.CallEnd, m.times.Undelivered, func() bool { _, ok := m.mayCall(); return ok })
 	perSecond := rateShare * h.Settings.Float(section, "rate")
 	m.limiter = rate.NewLimiter(rate.Limit(perSecond), max(1, int(perSecond)))
 	if h.PeerCalls != nil {
--- a/policy/lease.go
+++ b/policy/lease.go
@@ -20,6 +20,9 @@
 	// relies on it begins. A process that was frozen between them makes its call within this
 	// time after its thaw, whatever its clocks say.
 	Confirmed time.Duration
+	// Undelivered bounds the time from sending a call until the platform's machine has it. A
+	// call that takes longer is dropped.
+	Undelivered time.Duration
 }
 
 // Parts of the lease's term.
@@ -36,9 +39,10 @@
 // process within which its late calls are excused.
 func NewLeaseTimes(term, thaw time.Duration) LeaseTimes {
 	part := func(share float64, of time.Duration) time.Duration { return time.Duration(share * float64(of)) }
+	confirmed := min(part(confirmedPart, thaw), part(callBeginPart, term))
 	return LeaseTimes{
 		Term: term, Renew: part(renewPart, term), TakeoverDelay: part(takeoverDelayPart, term),
-		CallBegin: part(callBeginPart, term), CallEnd: part(callEndPart, term), Confirmed: min(part(confirmedPart, thaw), part(callBeginPart, term)),
+		CallBegin: part(callBeginPart, term), CallEnd: part(callEndPart, term), Confirmed: confirmed, Undelivered: max(thaw-confirmed, time.Millisecond),
 	}
 }
 
