--- a/policy/lease.go
+++ b/policy/lease.go
@@ -20,13 +20,17 @@
 	// relies on it begins. A process that was frozen between them makes its call within this
 	// time after its thaw, whatever its clocks say.
 	Confirmed time.Duration
+	// Undelivered bounds the time from sending a call until the platform's machine has it. A
+	// call that takes longer is dropped.
+	Undelivered time.Duration
 }
 
 // Parts of the lease's term.
 const (
 	renewPart         = 0.4
 	takeoverDelayPart = 1. / 6
-	callPart          = 1. / 3
+	callBeginPart     = 1. / 3
+	callEndPart       = 1. / 2
 	// confirmedPart is the part of the time after a thaw, in which calls are excused.
 	confirmedPart = 0.5
 )
@@ -35,9 +39,10 @@
 // process within which its late calls are excused.
 func NewLeaseTimes(term, thaw time.Duration) LeaseTimes {
 	part := func(share float64, of time.Duration) time.Duration { return time.Duration(share * float64(of)) }
+	confirmed := min(part(confirmedPart, thaw), part(callBeginPart, term))
 	return LeaseTimes{
 		Term: term, Renew: part(renewPart, term), TakeoverDelay: part(takeoverDelayPart, term),
-		CallBegin: part(callPart, term), CallEnd: part(callPart, term), Confirmed: min(part(confirmedPart, thaw), part(callPart, term)),
+		CallBegin: part(callBeginPart, term), CallEnd: part(callEndPart, term), Confirmed: confirmed, Undelivered: max(thaw-confirmed, time.Millisecond),
 	}
 }
 
