--- a/test/passthrough/broken_test.go
+++ b/test/passthrough/broken_test.go
@@ -496,3 +496,40 @@
 		})
 	}
 }
+
+// TestRestOfRefusedUpload guards against the rest of a body that is taken for a request: a
+// caller that is refused before its body was read goes on sending it.
+func TestRestOfRefusedUpload(t *testing.T) {
+	in, s := startWithRawServer(t, func(c *platformtest.RawConn, r platformtest.ReceivedRequest) {
+		c.Send(platformtest.RawHead(200, r.ID, "Content-Length: 4") + "done")
+	})
+	inner := "POST /once/inner HTTP/1.1\r\nHost: " + host + "\r\nAttempt-Id: inner\r\nAuthorization: Bearer key-1\r\nContent-Length: 0\r\n\r\n"
+	for n, c := range []struct {
+		key    string
+		copies int
+		status int
+	}{{"key-2", 1, 401}, {"key-2", 1000, 401}, {"key-2", 6000, 401}, {"key-1", 12_000, 413}} {
+		Convey(fmt.Sprintf("A body of %d requests, refused with %d", c.copies, c.status), t, func() {
+			conn, err := net.Dial("tcp", in.Address)
+			So(err, ShouldBeNil)
+			defer conn.Close()
+			So(conn.SetDeadline(time.Now().Add(testTimeout)), ShouldBeNil)
+			go func() {
+				fmt.Fprintf(conn, "POST /once/%d HTTP/1.1\r\nHost: %s\r\nAttempt-Id: outer\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n", n, host, c.key, c.copies*len(inner))
+				for range c.copies {
+					if _, err := io.WriteString(conn, inner); err != nil {
+						return
+					}
+				}
+			}()
+			reader := bufio.NewReader(conn)
+			resp, err := http.ReadResponse(reader, nil)
+			So(err, ShouldBeNil)
+			So(resp.StatusCode, ShouldEqual, c.status)
+			_, err = io.ReadAll(resp.Body)
+			So(err, ShouldBeNil)
+			time.Sleep(200 * time.Millisecond)
+			So(s.Requests(), ShouldBeEmpty)
+		})
+	}
+}
