--- a/policy/callerconns.go
+++ b/policy/callerconns.go
@@ -48,7 +48,8 @@
 		Connections: usable - usable/requestDivisor, ConnectionBytes: memory / connectionMemoryDivisor,
 		RequestMemory: memory / requestMemoryDivisor, ServerConnections: usable / requestDivisor,
 	}
-	l.RequestBytes = max(minRequestBytes, l.RequestMemory/int64(l.ServerConnections)+1)
+	connections := int64(l.ServerConnections)
+	l.RequestBytes = max(minRequestBytes, (l.RequestMemory+connections-1)/connections)
 	return l
 }
 
--- a/policy/callerconns_test.go
+++ b/policy/callerconns_test.go
@@ -20,7 +20,8 @@
 			l := NewCallerLimits(k.memory, k.descriptors)
 			requests := int(l.RequestMemory / l.RequestBytes)
 			So(l.Connections, ShouldBeGreaterThan, 0)
-			So(requests, ShouldBeBetweenOrEqual, 1, l.ServerConnections)
+			So(requests, ShouldBeGreaterThan, 0)
+			So(requests, ShouldBeLessThanOrEqualTo, l.ServerConnections)
 			So(l.Connections+l.ServerConnections+filesReserve, ShouldBeLessThanOrEqualTo, max(k.descriptors, filesReserve+requestDivisor))
 		}
 	})
