Heads of HTTP/2 requests count in the memory of connections

A connection of the own interface with TLS carries up to 250 requests, whose heads were in no account. Each is counted now while its handler runs, and refused as not run if it does not fit. Measured with a test of the server (TestRoomForMultiplexedRequests); not played with real processes.

--- a/internal/callerserver/conn.go
+++ b/internal/callerserver/conn.go
@@ -165,13 +165,14 @@
 		if t, ok := c.(*tls.Conn); ok && t.ConnectionState().NegotiatedProtocol == "h2" {
 			conn.multiplexed.Store(true)
 			s.multiplexed.Add(1)
+			s.room.setHead(conn, 0) // what was counted is the handshake; requests are counted one by one
 		}
 	}
 	if state == http.StateActive && conn.multiplexed.Load() {
 		conn.setComplete()
 	}
 	conn.setIdle(state == http.StateIdle)
-	if state == http.StateIdle && conn.endRequest() {
+	if state == http.StateIdle && conn.awaitRequest() && !conn.multiplexed.Load() {
 		s.room.setHead(conn, 0)
 	}
 	if state == http.StateIdle && !conn.multiplexed.Load() {
--- a/internal/callerserver/room.go
+++ b/internal/callerserver/room.go
@@ -155,6 +155,36 @@
 	}
 }
 
+// addRequest counts the head of a request that shares its connection with others. It reports
+// false if there is no room for it. Otherwise endRequest must follow.
+func (r *room) addRequest(c *callerConn, head int64) bool {
+	r.mu.Lock()
+	if _, in := r.conns[c]; !in {
+		r.mu.Unlock()
+		return false
+	}
+	r.bytes += head
+	c.held += head
+	victims := r.pick()
+	fits := r.bytes <= r.limits.ConnectionBytes
+	r.mu.Unlock()
+	r.close(victims)
+	if !fits {
+		r.endRequest(c, head)
+	}
+	return fits
+}
+
+// endRequest ends what addRequest began.
+func (r *room) endRequest(c *callerConn, head int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, in := r.conns[c]; in {
+		r.bytes -= head
+		c.held -= head
+	}
+}
+
 // pick returns the connections that have to be closed, which then count as closing. The
 // caller holds mu.
 func (r *room) pick() []*callerConn {
@@ -279,9 +309,9 @@
 	return counted
 }
 
-// endRequest records that the connection waits for a request. It reports whether the memory
+// awaitRequest records that the connection waits for a request. It reports whether the memory
 // of a head was counted until now.
-func (c *callerConn) endRequest() bool {
+func (c *callerConn) awaitRequest() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	counted := c.large
--- a/internal/callerserver/room_test.go
+++ b/internal/callerserver/room_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"crypto/tls"
 	"fmt"
 	"io"
 	"log/slog"
@@ -100,6 +101,42 @@
 	})
 }
 
+// TestRoomForMultiplexedRequests guards against heads that fill the memory on few connections.
+func TestRoomForMultiplexedRequests(t *testing.T) {
+	Convey("A request of HTTP/2 whose head does not fit beside others is refused", t, func() {
+		proceed, begun := make(chan struct{}), make(chan struct{}, 2)
+		s := New(Options{Logger: slog.New(slog.DiscardHandler), TLS: testTLS(t), Room: policy.CallerLimits{Connections: 10, ConnectionBytes: 4*tlsConnBytes + 100<<10},
+			Refuse: func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) },
+			Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+				begun <- struct{}{}
+				<-proceed
+			})})
+		So(s.Listen("127.0.0.1:0"), ShouldBeNil)
+		client := &http.Client{Transport: &http.Transport{ForceAttemptHTTP2: true, TLSClientConfig: &tls.Config{InsecureSkipVerify: true}}} // #nosec: the test's own server
+		defer client.CloseIdleConnections()
+		status := func(bytes int) int {
+			r, err := http.NewRequest(http.MethodGet, "https://"+s.Address().String(), nil)
+			if err != nil {
+				return 0
+			}
+			r.Header.Set("X-Long", strings.Repeat("x", bytes))
+			resp, err := client.Do(r)
+			if err != nil {
+				return 0
+			}
+			defer resp.Body.Close()
+			return resp.StatusCode
+		}
+		first := make(chan int, 1)
+		go func() { first <- status(200 << 10) }()
+		<-begun
+		So(status(200<<10), ShouldEqual, http.StatusServiceUnavailable)
+		close(proceed)
+		So(<-first, ShouldEqual, http.StatusOK)
+		So(status(200<<10), ShouldEqual, http.StatusOK)
+	})
+}
+
 // TestUnreadBody guards against a response that waits without an end for the rest of a body
 // that the handler did not read.
 func TestUnreadBody(t *testing.T) {
--- a/internal/callerserver/server.go
+++ b/internal/callerserver/server.go
@@ -62,6 +62,9 @@
 	Limits Limits
 	// Room bounds the connections and their memory. The zero value means no bounds.
 	Room policy.CallerLimits
+	// Refuse responds to a request that shares its connection with others and for which there
+	// is no room. It is required with TLS and Room.
+	Refuse http.HandlerFunc
 	// OnClose is called for each connection that is closed for lack of room, unless it is nil.
 	OnClose func(policy.CallerPhase)
 }
@@ -174,6 +177,14 @@
 	if conn != nil && r.ProtoMajor == 1 {
 		defer s.trackRequest(conn, w, r)()
 	}
+	if conn != nil && r.ProtoMajor > 1 {
+		head := headBytes(r)
+		if !s.room.addRequest(conn, head) {
+			s.options.Refuse(w, r)
+			return
+		}
+		defer s.room.endRequest(conn, head)
+	}
 	if conn == nil || r.ProtoAtLeast(1, 1) {
 		s.options.Handler.ServeHTTP(w, r)
 		return
--- a/plugins/entryhttp/entryhttp.go
+++ b/plugins/entryhttp/entryhttp.go
@@ -98,8 +98,9 @@
 			h.Counter(`memory_refused{kind="requests",scope="` + scope.String() + `"}`).Inc(1)
 		})
 	e.server = callerserver.New(callerserver.Options{
-		Room: e.callers, OnClose: func(p policy.CallerPhase) { h.Counter(`caller_connections_closed{phase="` + p.String() + `"}`).Inc(1) },
-		Logger: h.Logger, Handler: e.withWriteDeadline(mux), TLS: tlsConfig, ReadTimeout: s.Duration(section, "body_timeout"),
+		Room: e.callers, Refuse: func(w http.ResponseWriter, _ *http.Request) { writeOutcome(w, noMemory) },
+		OnClose: func(p policy.CallerPhase) { h.Counter(`caller_connections_closed{phase="` + p.String() + `"}`).Inc(1) },
+		Logger:  h.Logger, Handler: e.withWriteDeadline(mux), TLS: tlsConfig, ReadTimeout: s.Duration(section, "body_timeout"),
 		Limits: callerserver.Limits{HeaderBytes: maxHeaderBytes, HeaderTimeout: s.Duration(section, "header_timeout"), IdleTimeout: s.Duration(section, "idle_timeout")},
 	})
 	return nil
--- a/plugins/entryhttp/route.go
+++ b/plugins/entryhttp/route.go
@@ -23,6 +23,9 @@
 	maxIdempotencyKeyBytes = 128
 )
 
+// noMemory is the outcome of a request for which there is no memory.
+var noMemory = kernel.Outcome{Kind: kernel.NotRun, Reason: kernel.ReasonOverload, Detail: "requests in progress fill the memory", RetryAfter: time.Second}
+
 // serveRoute serves one request on a route.
 func (e *Entry) serveRoute(w http.ResponseWriter, r *http.Request) {
 	start := time.Now()
@@ -109,7 +112,7 @@
 		memory.MayAbandon(nil)
 	}
 	if errors.Is(err, membudget.ErrNoMemory) {
-		return nil, kernel.Outcome{Kind: kernel.NotRun, Reason: kernel.ReasonOverload, Detail: "requests in progress fill the memory", RetryAfter: time.Second}
+		return nil, noMemory
 	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
