Requests whose callers do not read give way to others when room is short

A request whose response the caller does not read keeps its place for the write timeout of 5 s, so that a crowd of such callers kept all places of requests in progress.

--- a/internal/callerserver/conn.go
+++ b/internal/callerserver/conn.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/savoryfold/savoryfold/internal/membudget"
 	"github.com/savoryfold/savoryfold/policy"
 )
 
@@ -39,6 +40,10 @@
 	head    int64
 	// large is true from a head that was counted until the next idle time; guarded by mu.
 	large bool
+	// hold is the memory of a complete request in progress, nil without one; guarded by mu.
+	hold *membudget.Hold
+	// abandonWrite ends a write that waits for the caller.
+	abandonWrite func()
 	// idle is true from the end of a response until the head of the next request was read;
 	// guarded by mu.
 	idle bool
@@ -76,18 +81,42 @@
 
 // Write implements net.Conn.
 func (c *callerConn) Write(p []byte) (int, error) {
-	c.mu.Lock()
-	c.receivedAt = time.Time{}
-	c.mu.Unlock()
+	hold := c.beginWrite()
+	defer hold.MayAbandon(nil)
 	return c.TCPConn.Write(p)
 }
 
 // ReadFrom implements io.ReaderFrom, for which a net.TCPConn has a fast path.
 func (c *callerConn) ReadFrom(r io.Reader) (int64, error) {
+	hold := c.beginWrite()
+	defer hold.MayAbandon(nil)
+	return c.TCPConn.ReadFrom(r)
+}
+
+// beginWrite begins a write. The request in progress may be abandoned during the write if the
+// caller does not read. It returns the memory of the request, which may be nil.
+func (c *callerConn) beginWrite() *membudget.Hold {
 	c.mu.Lock()
 	c.receivedAt = time.Time{}
+	hold := c.hold
 	c.mu.Unlock()
-	return c.TCPConn.ReadFrom(r)
+	hold.MayAbandonStalled(c.abandonWrite)
+	return hold
+}
+
+// setHold sets the memory of the request in progress.
+func (c *callerConn) setHold(h *membudget.Hold) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.hold = h
+}
+
+// AbandonUnread lets a complete request of HTTP/1 end for lack of memory, with a closed
+// connection, while its caller does not read the response.
+func AbandonUnread(r *http.Request, hold *membudget.Hold) {
+	if conn := callerConnOf(r); conn != nil && r.ProtoMajor == 1 {
+		conn.setHold(hold)
+	}
 }
 
 // past is a deadline that has passed.
--- a/internal/callerserver/server.go
+++ b/internal/callerserver/server.go
@@ -149,6 +149,7 @@
 // server has closed in the meantime, another server has replaced it.
 func (s *Server) handOff(c *net.TCPConn) {
 	conn := &callerConn{TCPConn: c, room: s.room, secure: s.options.TLS != nil, reading: true}
+	conn.abandonWrite = func() { _ = c.SetWriteDeadline(past) }
 	conn.setPhase(policy.CallerIncomplete, time.Now())
 	if !s.room.add(conn) {
 		return
@@ -176,6 +177,7 @@
 	conn := callerConnOf(r)
 	if conn != nil && r.ProtoMajor == 1 {
 		defer s.trackRequest(conn, w, r)()
+		defer conn.setHold(nil)
 	}
 	if conn != nil && r.ProtoMajor > 1 {
 		head := headBytes(r)
--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -68,6 +68,8 @@
 	bytes   int64
 	ended   bool
 	abandon func()
+	// stalledOnly is true if the message may be abandoned only once it has stalled.
+	stalledOnly bool
 	// progress is when the message last grew or Progress was called.
 	progress time.Time
 }
@@ -85,7 +87,18 @@
 	}
 	h.budget.mu.Lock()
 	defer h.budget.mu.Unlock()
-	h.abandon = abandon
+	h.abandon, h.stalledOnly = abandon, false
+}
+
+// MayAbandonStalled sets a function as MayAbandon does, which is called only if the message
+// makes no progress from now on.
+func (h *Hold) MayAbandonStalled(abandon func()) {
+	if h == nil {
+		return
+	}
+	h.budget.mu.Lock()
+	defer h.budget.mu.Unlock()
+	h.abandon, h.stalledOnly, h.progress = abandon, true, h.budget.now()
 }
 
 // Grow adds n bytes to the memory of the message. The error is ErrNoMemory if they do not
@@ -148,7 +161,7 @@
 			if hold == h || hold.abandon == nil {
 				continue
 			}
-			if largest == nil || hold.bytes > largest.bytes {
+			if !hold.stalledOnly && (largest == nil || hold.bytes > largest.bytes) {
 				largest = hold
 			}
 			if stillest == nil || hold.progress.Before(stillest.progress) {
@@ -156,11 +169,11 @@
 			}
 		}
 	}
-	now := b.now()
-	for _, candidate := range []*Hold{largest, stillest} {
-		if candidate != nil && b.shares.Yields(candidate.bytes, needed, now.Sub(candidate.progress)) {
-			return candidate
-		}
+	if largest != nil && b.shares.Yields(largest.bytes, needed, 0) {
+		return largest
+	}
+	if stillest != nil && b.shares.Yields(0, needed, b.now().Sub(stillest.progress)) {
+		return stillest
 	}
 	return h
 }
--- a/internal/membudget/membudget_test.go
+++ b/internal/membudget/membudget_test.go
@@ -79,6 +79,19 @@
 		So(b.Open("s", "a").Grow(40*kib), ShouldEqual, ErrNoMemory)
 		So(steady.Ended(), ShouldBeFalse)
 	})
+	Convey("A larger message that may be abandoned only once it has stalled gives way only then", t, func() {
+		b := New(policy.MemoryShares{Limit: 100 * kib, GroupFactor: 30, MemberFactor: 30, StallTime: policy.StallTime}, nil)
+		now := time.Unix(1000, 0)
+		b.now = func() time.Time { return now }
+		written := b.Open("s", "a")
+		So(written.Grow(80*kib), ShouldBeNil)
+		written.MayAbandonStalled(func() {})
+		So(b.Open("s", "a").Grow(40*kib), ShouldEqual, ErrNoMemory)
+		So(written.Ended(), ShouldBeFalse)
+		now = now.Add(policy.StallTime)
+		So(b.Open("s", "a").Grow(40*kib), ShouldBeNil)
+		So(written.Ended(), ShouldBeTrue)
+	})
 	Convey("A small message fits until all memory is used", t, func() {
 		b, refused := newBudget()
 		holds := 0
--- a/plugins/entryhttp/route.go
+++ b/plugins/entryhttp/route.go
@@ -50,6 +50,7 @@
 		writeOutcome(w, out)
 		return
 	}
+	callerserver.AbandonUnread(r, memory)
 	req.ID = id
 	if strings.Contains(r.Header.Get("Accept"), "text/event-stream") {
 		e.serveStream(w, r, req)
--- a/plugins/forward/request.go
+++ b/plugins/forward/request.go
@@ -179,6 +179,7 @@
 	if out := f.readBody(w, hr, r); out.Kind != "" {
 		return out
 	}
+	callerserver.AbandonUnread(hr, r.memory)
 	r.fingerprint = fingerprint(r)
 	r.parts = append(r.parts, r.fingerprint)
 	return kernel.Outcome{}
