Forecast queue waits by what calls to stage servers really carry

Cause: admission reckoned with full calls at the configured speed. Change: the forecast takes the pieces that calls carried lately while others were left waiting, and the mean slowness of the servers.

--- a/plugins/stages/group.go
+++ b/plugins/stages/group.go
@@ -52,6 +52,8 @@
 	servers map[string]*stageServer // by ID; guarded by mu
 	calls   map[*call]bool          // in progress; guarded by mu
 	sole    policy.SoleCaller       // guarded by mu
+	// fill is that of policy.PieceLoad; guarded by mu.
+	fill float64
 	// versionDraw decides which version gets the next call during a rollout of the service,
 	// in [0, 1); guarded by mu.
 	versionDraw float64
@@ -259,7 +261,7 @@
 // load returns the load from which the queue wait is estimated. The caller
 // holds mu.
 func (g *group) load(now time.Time) policy.PieceLoad {
-	l := policy.PieceLoad{Waiting: g.queue.Pieces()}
+	l := policy.PieceLoad{Waiting: g.queue.Pieces(), Fill: g.fill}
 	unlimited := false
 	allows := g.versions(now)
 	for _, s := range g.servers {
@@ -267,7 +269,9 @@
 			continue
 		}
 		l.Servers++
-		if !g.policyServer(now, s).Slow() {
+		ps := g.policyServer(now, s)
+		l.Slowness += ps.Slowness
+		if !ps.Slow() {
 			l.Normal++
 		}
 		if s.inFlight < g.service.Slots && !now.Before(s.noTurnUntil) {
@@ -279,6 +283,7 @@
 	if unlimited {
 		l.CallRate = 0
 	}
+	l.Slowness /= float64(max(1, l.Servers))
 	if l.Idle == 0 {
 		l.NextFreeIn = max(g.nextCompletion(now), g.noTurnFor(now))
 	}
@@ -489,7 +494,10 @@
 // them. The caller holds mu.
 func (g *group) take(now time.Time, s policy.PieceServer) []*job {
 	var jobs []*job
-	for _, p := range g.queue.Take(now, s) {
+	waiting := g.queue.Pieces()
+	taken := g.queue.Take(now, s)
+	g.recordFill(waiting, g.queue.Pieces())
+	for _, p := range taken {
 		j := g.jobs[p.ID]
 		delete(g.jobs, p.ID)
 		if j != nil && !j.settled {
@@ -499,6 +507,21 @@
 	return jobs
 }
 
+// fillWeight is the weight of a new call in the smoothed number of pieces of calls.
+const fillWeight = 0.2
+
+// recordFill records how many of the waiting pieces a call took. The caller holds mu.
+func (g *group) recordFill(before, after int) {
+	switch n := float64(before - after); {
+	case after == 0:
+		g.fill = 0
+	case n > 0 && g.fill == 0:
+		g.fill = n
+	case n > 0:
+		g.fill += fillWeight * (n - g.fill)
+	}
+}
+
 // expire fails the jobs that can no longer meet their deadline. The caller
 // holds mu.
 func (g *group) expire(now time.Time) {
--- a/policy/piecequeue.go
+++ b/policy/piecequeue.go
@@ -251,20 +251,31 @@
 	// CallRate is the number of calls per second that the servers together accept; 0
 	// if it is not limited.
 	CallRate float64
+	// Fill is the number of pieces that calls carried lately while more were waiting: less
+	// than a full call if the memory for results or the jobs' goals bound them; 0 if all
+	// waiting pieces found room.
+	Fill float64
+	// Slowness is the mean slowness of the servers; 0 counts as 1.
+	Slowness float64
 }
 
 // PieceWait returns the expected queue wait of a job that is queued now: the time
-// until a server is free, plus the time of the full calls that the waiting pieces
-// fill, divided among all servers, or the time in which the servers accept these calls.
+// until a server is free, plus the time of the calls that the waiting pieces fill,
+// divided among all servers, or the time in which the servers accept these calls.
 func PieceWait(l PieceLoad, s PieceServer) time.Duration {
 	if l.Servers == 0 {
 		return 0
 	}
-	full := l.Waiting / max(1, s.MaxPieces)
+	fill := max(1, s.MaxPieces)
+	if l.Fill > 0 {
+		fill = min(fill, max(1, int(l.Fill)))
+	}
+	s.Slowness = max(s.Slowness, l.Slowness)
+	full := l.Waiting / fill
 	if l.Idle > full {
 		return 0
 	}
-	rounds := time.Duration(full-l.Idle) * s.Duration(s.MaxPieces) / time.Duration(l.Servers)
+	rounds := time.Duration(full-l.Idle) * s.Duration(fill) / time.Duration(l.Servers)
 	if l.CallRate > 0 {
 		rounds = max(rounds, time.Duration(float64(full)/l.CallRate*float64(time.Second)))
 	}
@@ -281,7 +292,7 @@
 	if !s.Slow() || l.Normal == 0 {
 		return false
 	}
-	l.Servers = l.Normal
+	l.Servers, l.Slowness = l.Normal, 0 // Slowness includes the slow ones
 	normal := s
 	normal.Slowness = 1
 	return PieceWait(l, normal)+normal.Duration(min(l.Waiting, s.MaxPieces)) < s.Duration(min(l.Waiting, s.MaxPieces))
--- a/policy/piecequeue_test.go
+++ b/policy/piecequeue_test.go
@@ -270,6 +270,9 @@
 		{"two full calls wait for two servers", PieceLoad{Waiting: 20, Servers: 2, NextFreeIn: ms(80)}, ms(80 + 300)},
 		{"two full calls wait for two servers that accept 2.5 calls a second", PieceLoad{Waiting: 20, Servers: 2, NextFreeIn: ms(80), CallRate: 2.5}, ms(80 + 800)},
 		{"two full calls wait for two servers that accept more than they finish", PieceLoad{Waiting: 20, Servers: 2, NextFreeIn: ms(80), CallRate: 25}, ms(80 + 300)},
+		{"burst: results fill the memory of the servers, and calls carry 4 of 10 pieces", PieceLoad{Waiting: 20, Servers: 2, NextFreeIn: ms(80), Fill: 4}, ms(80 + 5*240/2)},
+		{"burst: the servers also work for another dispatcher, and calls take twice as long", PieceLoad{Waiting: 20, Servers: 2, NextFreeIn: ms(80), Slowness: 2}, ms(80 + 600)},
+		{"calls never carry more than the servers take", PieceLoad{Waiting: 20, Servers: 2, NextFreeIn: ms(80), Fill: 40}, ms(80 + 300)},
 		{"no server", PieceLoad{Waiting: 20}, 0},
 	} {
 		Convey(c.name, t, func() { So(PieceWait(c.load, stageServer), ShouldEqual, c.want) })
