explain-choice: where an instance would send a request now, and why

POST /v1/choice and savoryfoldctl explain-choice list the servers of a request's service with the share of such requests that each would get, what is known of it and how old that is, what excludes it, and what would refuse the request. The choices are made by the functions that choose for requests; nothing is sent, counted or taken.

Which stage server would take a stage job is not explained.

--- a/api/client.go
+++ b/api/client.go
@@ -152,6 +152,17 @@
 	return c.do(ctx, http.MethodPost, "/v1/claims/settle", nil, body, nil)
 }
 
+// ExplainChoice returns where the called instance would send a request now.
+func (c *Client) ExplainChoice(ctx context.Context, q kernel.ChoiceQuery) (kernel.ChoiceExplanation, error) {
+	var x kernel.ChoiceExplanation
+	body, err := json.Marshal(q)
+	if err != nil {
+		return x, errors.Wrap(err, "administration API")
+	}
+	err = c.do(ctx, http.MethodPost, "/v1/choice", nil, body, &x)
+	return x, err
+}
+
 // Dump returns the instance's state as JSON.
 func (c *Client) Dump(ctx context.Context) (json.RawMessage, error) {
 	var d json.RawMessage
--- a/cmd/savoryfoldctl/main.go
+++ b/cmd/savoryfoldctl/main.go
@@ -70,7 +70,7 @@
 		tablesCommand(s), zoneCommand(s), versionCommand(s),
 		sectionCommand(s, "route"), sectionCommand(s, "pool"), sectionCommand(s, "account"), sectionCommand(s, "zone"),
 		movesCommand(s), membersCommand(s), appliedCommand(s), claimsCommand(s),
-		dumpCommand(s), logCommand(s), logLevelCommand(s),
+		explainChoiceCommand(s), dumpCommand(s), logCommand(s), logLevelCommand(s),
 	)
 	return root
 }
--- a/kernel/host.go
+++ b/kernel/host.go
@@ -49,29 +49,30 @@
 	// StopBudget decides which requests Serve still takes on while the instance stops.
 	StopBudget StopBudget
 
-	Decisions     Decisions
-	Transport     Transport
-	Log           Log
-	Config        ConfigSource
-	Membership    Membership
-	Peers         Peers
-	Digests       Digests
-	Claims        Claims
-	Versions      Versions
-	CrashGuard    CrashGuard
-	PartGuard     PartGuard
-	Borrower      SlotBorrower
-	CacheHints    CacheHints
-	Catalogs      Catalogs
-	SharedState   SharedState
-	Fleet         Fleet
-	PeerCalls     PeerCalls
-	Stages        StageRunner
-	LoadFigures   LoadFigures
-	VersionPicker VersionPicker
-	ServerRates   ServerRates
-	Duties        Duties
-	UsageMeter    UsageMeter
+	Decisions       Decisions
+	Transport       Transport
+	Log             Log
+	Config          ConfigSource
+	Membership      Membership
+	Peers           Peers
+	Digests         Digests
+	Claims          Claims
+	Versions        Versions
+	CrashGuard      CrashGuard
+	PartGuard       PartGuard
+	Borrower        SlotBorrower
+	CacheHints      CacheHints
+	Catalogs        Catalogs
+	SharedState     SharedState
+	Fleet           Fleet
+	PeerCalls       PeerCalls
+	Stages          StageRunner
+	LoadFigures     LoadFigures
+	ChoiceExplainer ChoiceExplainer
+	VersionPicker   VersionPicker
+	ServerRates     ServerRates
+	Duties          Duties
+	UsageMeter      UsageMeter
 	// ClaimsOperator and Moves are for operators.
 	ClaimsOperator ClaimsOperator
 	Moves          Moves
@@ -135,6 +136,7 @@
 	setIfImplements(&h.PeerCalls, m)
 	setIfImplements(&h.Stages, m)
 	setIfImplements(&h.LoadFigures, m)
+	setIfImplements(&h.ChoiceExplainer, m)
 	setIfImplements(&h.VersionPicker, m)
 	setIfImplements(&h.ServerRates, m)
 	setIfImplements(&h.Duties, m)
--- a/plugins/admin/admin_test.go
+++ b/plugins/admin/admin_test.go
@@ -75,6 +75,10 @@
 	return kernel.LogBatch{First: 1, Next: 3, Records: []kernel.LogRecord{{Offset: 1, Time: time.Now(), Data: data}, {Offset: 2, Time: time.Now(), Data: []byte{0xff}}}}, f.err
 }
 
+func (f *fakes) ExplainChoice(now time.Time, q kernel.ChoiceQuery) (kernel.ChoiceExplanation, error) {
+	return kernel.ChoiceExplanation{Instance: "a", At: now, Route: q.Path, Refusals: []string{}, Stages: []kernel.ChoiceStage{{}}, Servers: []kernel.ChoiceServer{{ID: "s", Load: -1, AgeMillis: -1}}}, f.err
+}
+
 // testAPI serves the API on fakes. It checks every response against the OpenAPI
 // specification.
 type testAPI struct {
@@ -107,7 +111,7 @@
 	}
 	h := in.Host
 	w.fakes.host = h
-	h.Config, h.Membership, h.Moves, h.ClaimsOperator, h.Log = w.fakes, w.fakes, w.fakes, w.fakes, w.fakes
+	h.Config, h.Membership, h.Moves, h.ClaimsOperator, h.Log, h.ChoiceExplainer = w.fakes, w.fakes, w.fakes, w.fakes, w.fakes, w.fakes
 	h.Decisions.Limits, h.Decisions.Queues = policy.FixedLimits{}, policy.FIFOQueues{}
 	if err := errors.Cause(w.admin.Provision(h)); err != nil {
 		t.Fatal(err)
@@ -204,6 +208,8 @@
 			for _, path := range []string{"/v1/dump", "/v1/members", "/v1/tables", "/v1/moves", "/v1/claims", "/v1/log?stream=config&from=1", "/v1/log-level", "/v1/applied/1"} {
 				So(status(readToken, "GET", path, ""), ShouldEqual, http.StatusOK)
 			}
+			So(status(readToken, "POST", "/v1/choice", `{"host": "a", "path": "/"}`), ShouldEqual, http.StatusOK)
+			So(status(readToken, "POST", "/v1/choice", "{"), ShouldEqual, http.StatusBadRequest)
 			So(status(readToken, "PUT", "/v1/tables/zone/x?base=0", "state = in\n"), ShouldEqual, http.StatusForbidden)
 			So(status(readToken, "DELETE", "/v1/tables/zone/x?base=0", ""), ShouldEqual, http.StatusForbidden)
 			So(status(readToken, "PUT", "/v1/log-level", `{"level": "debug"}`), ShouldEqual, http.StatusForbidden)
@@ -233,6 +239,7 @@
 			So(code, ShouldEqual, http.StatusServiceUnavailable)
 			So(text, ShouldContainSubstring, "id=7")
 			So(status(readToken, "GET", "/v1/claims", ""), ShouldEqual, http.StatusServiceUnavailable)
+			So(status(readToken, "POST", "/v1/choice", `{"host": "a", "path": "/"}`), ShouldEqual, http.StatusServiceUnavailable)
 			So(status(readToken, "GET", "/v1/log?stream=x&from=1", ""), ShouldEqual, http.StatusServiceUnavailable)
 		})
 		Convey("the log level changes", func() {
--- a/plugins/admin/handlers.go
+++ b/plugins/admin/handlers.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"time"
 
 	"github.com/savoryfold/savoryfold/api"
 	"github.com/savoryfold/savoryfold/internal/httpapi"
@@ -30,6 +31,7 @@
 		{"GET /v1/moves", a.authenticated(a.serveMoves)},
 		{"GET /v1/claims", a.authenticated(a.serveClaims)},
 		{"POST /v1/claims/settle", a.authenticated(a.settleClaim)},
+		{"POST /v1/choice", a.authenticated(a.explainChoice)},
 		{"GET /v1/log", a.authenticated(a.serveLog)},
 		{"GET /v1/log-level", a.authenticated(a.serveLogLevel)},
 		{"PUT /v1/log-level", a.authenticated(a.setLogLevel)},
@@ -76,6 +78,29 @@
 	httpapi.WriteJSON(w, http.StatusOK, a.host.Instance.Dump())
 }
 
+// maxQueryBytes bounds the body of a query.
+const maxQueryBytes = 64 << 10
+
+// explainChoice explains where a request would be sent now. It needs a body, but changes
+// nothing, so that the right to read is enough.
+func (a *Admin) explainChoice(w http.ResponseWriter, r *http.Request, _ operator) {
+	if a.host.ChoiceExplainer == nil {
+		writeProblem(w, http.StatusNotImplemented, "this instance forwards no requests to servers")
+		return
+	}
+	var q kernel.ChoiceQuery
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxQueryBytes)).Decode(&q); err != nil {
+		writeProblem(w, http.StatusBadRequest, "want a query as JSON: "+err.Error())
+		return
+	}
+	x, err := a.host.ChoiceExplainer.ExplainChoice(time.Now(), q)
+	if err != nil {
+		writeProblem(w, http.StatusServiceUnavailable, err.Error())
+		return
+	}
+	httpapi.WriteJSON(w, http.StatusOK, x)
+}
+
 func (a *Admin) serveMembers(w http.ResponseWriter, _ *http.Request, _ operator) {
 	if a.host.Membership == nil {
 		writeProblem(w, http.StatusNotImplemented, "no membership module")
