Even load: a prompt stays at its server unless two requests less wait, bounds of paces

A server that is disturbed for a tenth of a second no longer loses its prompts for it. A pace at rest outside 0.25 to 4 counts as these, so that a wrong report does not attract most prompts. A log line states the figures of each choice. Not measured yet on the deployments.

--- a/plugins/forward/evenload.go
+++ b/plugins/forward/evenload.go
@@ -159,13 +159,14 @@
 	return q
 }
 
-// chosen counts a choice.
+// chosen counts and logs a choice.
 func (e *evenLoad) chosen(r *request, l serverSnapshot, reason policy.Reason) {
 	if !e.on || l.figure.pace == 0 {
 		return
 	}
 	service := `{service="` + r.service.Name + `"`
 	e.host.Counter("balance_choices" + service + `,reason="` + string(reason) + `"}`).Inc(1)
+	r.log.Add("chosen evenly", "reason", string(reason), "load", l.figure.load, "load_age", l.figure.age, "pace", l.figure.pace, "rest_pace", l.figure.rest)
 	e.host.Histogram("balance_figure_age_seconds" + service + "}").Update(int64(l.figure.age))
 }
 
--- a/policy/evenload.go
+++ b/policy/evenload.go
@@ -54,7 +54,7 @@
 	// favor of the mean of all servers: the order of the duration of a request.
 	loadLifetime = 500 * time.Millisecond
 	// paceLifetime is the same for a reported pace in favor of the pace at rest.
-	paceLifetime = 300 * time.Millisecond
+	paceLifetime = 150 * time.Millisecond
 	// MaxFigureAge is the age from which on a report is ignored.
 	MaxFigureAge = 5 * time.Second
 	// slownessTolerance is the ratio of response times up to which servers count as
@@ -62,11 +62,14 @@
 	slownessTolerance = 1.5
 	// A request leaves a server that keeps its prompt only if the work on the other is less
 	// by evenMargin requests.
-	evenMargin = 1
+	evenMargin = 2
 	// restPaceExponent is the power of the pace at rest by which a server keeps fewer
 	// prompts. With 1, each would need the same time for its requests; above, the faster
 	// ones are used more, which is better while they have free slots.
 	restPaceExponent = 2
+	// A pace at rest below minRestPace or above maxRestPace counts as that: a server that
+	// reports a wrong one must not get most prompts.
+	minRestPace, maxRestPace = 0.25, 4
 	// evenLoadFactor and evenLoadMargin are as engineLoadFactor and engineLoadMargin.
 	evenLoadFactor = 1.3
 	evenLoadMargin = 3
@@ -112,7 +115,7 @@
 // rest returns the time of work on the server when nothing disturbs it.
 func (s *EvenServer) rest() float64 {
 	if s.RestPace > 0 {
-		return s.RestPace
+		return min(max(minRestPace, s.RestPace), maxRestPace)
 	}
 	return 1
 }
--- a/policy/evenload_test.go
+++ b/policy/evenload_test.go
@@ -298,6 +298,27 @@
 	}
 }
 
+// TestWrongPace guards against a server that gets most prompts by a pace that it reports.
+func TestWrongPace(t *testing.T) {
+	const n, prompts = 20, 2000
+	for _, c := range []struct{ pace, least, most float64 }{{1, 0.8, 1.2}, {2.4, 0.05, 0.3}, {0.000001, 1, 12}, {1e12, 0, 0.2}} {
+		servers := make([]EvenServer, n)
+		for i := range servers {
+			servers[i] = EvenServer{ID: mix(uint64(i) + 1), Near: true, Reported: -1, RestPace: 1, Slowness: 1}
+		}
+		servers[0].RestPace = c.pace
+		picked := 0
+		for p := range prompts {
+			if chooseEven(EvenRequest{Prompt: mix(uint64(p) + 7), Holders: 1, Work: 1, Reread: 5, Random: uint64(p), Instances: 9}, servers) == 0 {
+				picked++
+			}
+		}
+		if share := float64(picked) / prompts * n; share < c.least || share > c.most {
+			t.Errorf("pace %v: %.2f times the share of the others, want %v to %v", c.pace, share, c.least, c.most)
+		}
+	}
+}
+
 func TestPartCounts(t *testing.T) {
 	var p PartCounts
 	now := time.Unix(1000, 0)
