Even load: servers whose pace at rest is unknown count as their peers; cheaper lists of loads

Until a server had reported twice, its prompts moved with each first report, also by one that was made while its machine was disturbed. Not measured yet on the deployments.

--- a/plugins/forward/evenload.go
+++ b/plugins/forward/evenload.go
@@ -1,12 +1,14 @@
 package forward
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/savoryfold/savoryfold/kernel"
+	"github.com/savoryfold/savoryfold/platform"
 	"github.com/savoryfold/savoryfold/policy"
 )
 
@@ -33,6 +35,7 @@
 	on      bool
 	host    *kernel.Host
 	servers *serverStates
+	recent  recentReports
 
 	mu       sync.Mutex
 	meanWork map[string]float64 // in prompt tokens, by service; guarded by mu
@@ -103,7 +106,7 @@
 		l := snapshots[i]
 		s := policy.EvenServer{
 			ID: c.state.hash, Near: c.server.Zone == zone || engine && !zoneBound, InFlight: l.figure.work,
-			Reported: -1, Age: l.figure.age, Pace: l.figure.pace, RestPace: l.figure.rest, Slowness: 1,
+			Reported: -1, Age: l.figure.age, Pace: l.figure.pace, RestPace: cmp.Or(l.figure.rest, medianRest), Slowness: 1,
 			Slots: max(c.server.Slots, l.slots), Expected: l.firstByteTime,
 		}
 		if l.figure.known && l.figure.age < policy.MaxFigureAge {
@@ -198,22 +201,63 @@
 	}
 }
 
+// recentServers is the number of servers whose loads may be passed on: those of the last
+// reports.
+const recentServers = 64
+
+// recentReports lists the servers whose loads this instance learnt last, for messages to
+// other instances: many messages are sent, so that not all servers are looked at.
+type recentReports struct {
+	mu    sync.Mutex
+	ring  [recentServers]*serverState // guarded by mu
+	added int                         // guarded by mu
+}
+
+func (r *recentReports) add(s *serverState) {
+	r.mu.Lock()
+	r.ring[r.added%recentServers] = s
+	r.added++
+	r.mu.Unlock()
+}
+
+// list returns the servers, the last first.
+func (r *recentReports) list() []*serverState {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	states := make([]*serverState, 0, min(r.added, recentServers))
+	for i := 1; i <= min(r.added, recentServers); i++ {
+		if s := r.ring[(r.added-i)%recentServers]; !slices.Contains(states, s) {
+			states = append(states, s)
+		}
+	}
+	return states
+}
+
+// recordLoad records the load that a server reports in a response.
+func (f *Forward) recordLoad(now time.Time, s *serverState, a platform.ResponseInfo) {
+	s.recordLoad(now, a)
+	if f.even.on && a.HasLoad && a.Pace > 0 {
+		f.even.recent.add(s)
+	}
+}
+
 // RecentLoads implements kernel.LoadFigures.
 func (f *Forward) RecentLoads(now time.Time, most int) []kernel.LoadFigure {
 	if !f.even.on {
 		return nil
 	}
 	var figures []kernel.LoadFigure
-	for _, s := range f.servers.all() {
+	for _, s := range f.even.recent.list() {
+		if len(figures) == most {
+			break
+		}
 		s.mu.Lock()
 		if age := now.Sub(s.reportedAt); s.pace > 0 && age < maxSharedAge {
-			requests := max(0, s.running+s.waiting)
-			figures = append(figures, kernel.LoadFigure{Server: s.hash, Requests: requests, Pace: int(s.pace * percent), AgeMillis: age.Milliseconds()})
+			figures = append(figures, kernel.LoadFigure{Server: s.hash, Requests: s.running + s.waiting, Pace: int(s.pace * percent), AgeMillis: max(0, age.Milliseconds())})
 		}
 		s.mu.Unlock()
 	}
-	slices.SortFunc(figures, func(a, b kernel.LoadFigure) int { return int(a.AgeMillis - b.AgeMillis) })
-	return figures[:min(len(figures), most)]
+	return figures
 }
 
 // percent is the unit of kernel.LoadFigure.Pace.
@@ -230,12 +274,17 @@
 		if s == nil || g.Requests < 0 || g.Pace <= 0 || g.AgeMillis < 0 || g.AgeMillis > policy.MaxFigureAge.Milliseconds() {
 			continue
 		}
+		at := now.Add(-time.Duration(g.AgeMillis) * time.Millisecond)
 		s.mu.Lock()
-		if at := now.Add(-time.Duration(g.AgeMillis) * time.Millisecond); at.After(s.reportedAt) && at.After(s.createdAt) {
+		newer := at.After(s.reportedAt) && at.After(s.createdAt)
+		if newer {
 			s.running, s.waiting, s.reportedAt = g.Requests, 0, at
 			s.recordPace(at, float64(g.Pace)/percent)
 			s.sent, s.done, s.sentWork, s.doneWork = 0, 0, 0, 0
 		}
 		s.mu.Unlock()
+		if newer {
+			f.even.recent.add(s)
+		}
 	}
 }
--- a/plugins/forward/forward.go
+++ b/plugins/forward/forward.go
@@ -104,7 +104,7 @@
 		f.servers.ejections = policy.NoEjections{}
 	}
 	f.servers.logger = h.Logger
-	f.even = evenLoad{on: s.String(section, "balance") == balanceEven, host: h, servers: &f.servers}
+	f.even.on, f.even.host, f.even.servers = s.String(section, "balance") == balanceEven, h, &f.servers
 	f.retryBudgets.ratio = s.Float(section, "repeat_ratio")
 	f.retryBudgets.extra = s.Float(section, "repeat_extra")
 	f.retryBudgets.window = s.Duration(section, "repeat_window")
--- a/plugins/forward/send.go
+++ b/plugins/forward/send.go
@@ -192,7 +192,7 @@
 	if answer.IDMatches {
 		f.host.ObservePause(c.server, answer.PauseStatement(now, c.state.snapshot(now).inFlight-1))
 	}
-	c.state.recordLoad(now, answer)
+	f.recordLoad(now, c.state, answer)
 	return f.handleResponse(ctx, a, r, c, x, hold, answer, began)
 }
 
--- a/plugins/forward/servers.go
+++ b/plugins/forward/servers.go
@@ -2,8 +2,6 @@
 
 import (
 	"log/slog"
-	"maps"
-	"slices"
 	"sync"
 	"time"
 
@@ -111,13 +109,6 @@
 	return s.byHash[hash]
 }
 
-// all returns the states of all servers.
-func (s *serverStates) all() []*serverState {
-	s.mu.RLock()
-	defer s.mu.RUnlock()
-	return slices.Collect(maps.Values(s.byID))
-}
-
 // refresh applies a new catalog snapshot.
 func (f *Forward) refresh(view *catalog.Catalog) {
 	f.entry.SetLimits(connLimits(view.Config.Limits))
--- a/policy/evenload.go
+++ b/policy/evenload.go
@@ -22,8 +22,8 @@
 	Reported float64
 	Age      time.Duration
 	// Pace is how long work takes on the server's machine by the same report, RestPace how
-	// long it takes there when nothing disturbs it; 0 if unknown. The unit is the same for
-	// all servers.
+	// long it takes there when nothing disturbs it, if unknown that of its peers. Both are 0
+	// if nothing is known. The unit is the same for all servers.
 	Pace, RestPace float64
 	// Slowness is the ratio of the server's smoothed response time to that of its peers, as
 	// far as the pace does not explain it; 1 if unknown.
@@ -246,19 +246,29 @@
 	return found
 }
 
-// restPaceWindow is the time in which a pace is seen at rest: machines are disturbed for
-// parts of a second.
-const restPaceWindow = 2 * time.Second
+const (
+	// restPaceWindow is the time in which a pace is seen at rest: machines are disturbed for
+	// parts of a second.
+	restPaceWindow = 2 * time.Second
+	// restPaceSpan is the time between the first two reports that count: a disturbance seldom
+	// lasts as long.
+	restPaceSpan = 500 * time.Millisecond
+)
 
 // RestPace is the lowest of the paces that a server reported lately: in the current window
 // and in the last one with a report. The zero value is ready.
 type RestPace struct {
 	current, previous float64
-	since             time.Time
+	first, since      time.Time
+	known             bool
 }
 
 // Add adds a reported pace.
 func (p *RestPace) Add(now time.Time, pace float64) {
+	if p.first.IsZero() {
+		p.first = now
+	}
+	p.known = p.known || now.Sub(p.first) >= restPaceSpan
 	if now.Sub(p.since) >= restPaceWindow {
 		p.previous, p.current, p.since = p.current, pace, now
 		return
@@ -268,7 +278,10 @@
 
 // Value returns the pace at rest, 0 if it is unknown.
 func (p *RestPace) Value() float64 {
-	if p.previous > 0 {
+	switch {
+	case !p.known:
+		return 0
+	case p.previous > 0:
 		return min(p.current, p.previous)
 	}
 	return p.current
