Even load: paces at rest travel with the loads

An instance that had just started knew none, and sent prompts to other servers than those that keep them, for some seconds.

--- a/kernel/catalogs.go
+++ b/kernel/catalogs.go
@@ -138,6 +138,8 @@
 	Requests int
 	// Pace is how long work takes on the server's machine, in percent of other times.
 	Pace int
+	// RestPace is the lowest pace of the last seconds, in percent; 0 if it is unknown.
+	RestPace int
 	// AgeMillis is the age of the figure in milliseconds.
 	AgeMillis int64
 }
--- a/plugins/forward/evenload.go
+++ b/plugins/forward/evenload.go
@@ -253,7 +253,7 @@
 		}
 		s.mu.Lock()
 		if age := now.Sub(s.reportedAt); s.pace > 0 && age < maxSharedAge {
-			figures = append(figures, kernel.LoadFigure{Server: s.hash, Requests: s.running + s.waiting, Pace: int(s.pace * percent), AgeMillis: max(0, age.Milliseconds())})
+			figures = append(figures, kernel.LoadFigure{Server: s.hash, Requests: s.running + s.waiting, Pace: int(s.pace * percent), RestPace: int(s.rest.Value() * percent), AgeMillis: max(0, age.Milliseconds())})
 		}
 		s.mu.Unlock()
 	}
@@ -271,7 +271,7 @@
 	}
 	for _, g := range figures {
 		s := f.servers.withHash(g.Server)
-		if s == nil || g.Requests < 0 || g.Pace <= 0 || g.AgeMillis < 0 || g.AgeMillis > policy.MaxFigureAge.Milliseconds() {
+		if s == nil || g.Requests < 0 || g.Pace <= 0 || g.RestPace < 0 || g.AgeMillis < 0 || g.AgeMillis > policy.MaxFigureAge.Milliseconds() {
 			continue
 		}
 		at := now.Add(-time.Duration(g.AgeMillis) * time.Millisecond)
@@ -279,6 +279,7 @@
 		newer := at.After(s.reportedAt) && at.After(s.createdAt)
 		if newer {
 			s.running, s.waiting, s.reportedAt = g.Requests, 0, at
+			s.rest.Adopt(at, float64(g.RestPace)/percent)
 			s.recordPace(at, float64(g.Pace)/percent)
 			s.sent, s.done, s.sentWork, s.doneWork = 0, 0, 0, 0
 		}
--- a/plugins/forward/evenload_test.go
+++ b/plugins/forward/evenload_test.go
@@ -31,11 +31,13 @@
 		want     float64
 	}{
 		{name: "unknown so far", received: kernel.LoadFigure{Requests: 7, Pace: 70, AgeMillis: 20}, want: 7},
+		{name: "disturbed", received: kernel.LoadFigure{Requests: 7, Pace: 175, RestPace: 70, AgeMillis: 20}, want: 7},
 		{name: "newer", own: 300 * ms, received: kernel.LoadFigure{Requests: 7, Pace: 70, AgeMillis: 20}, want: 7},
 		{name: "older", own: 300 * ms, received: kernel.LoadFigure{Requests: 7, Pace: 70, AgeMillis: 400}, want: 3},
 		{name: "of an earlier start", received: kernel.LoadFigure{Requests: 7, Pace: 70, AgeMillis: 60000}, want: -1},
 		{name: "negative load", received: kernel.LoadFigure{Requests: -7, Pace: 70, AgeMillis: 20}, want: -1},
 		{name: "without pace", received: kernel.LoadFigure{Requests: 7, AgeMillis: 20}, want: -1},
+		{name: "negative pace at rest", received: kernel.LoadFigure{Requests: 7, Pace: 70, RestPace: -1, AgeMillis: 20}, want: -1},
 		{name: "from the future", received: kernel.LoadFigure{Requests: 7, Pace: 70, AgeMillis: -20}, want: -1},
 		{name: "age that overflows", received: kernel.LoadFigure{Requests: 7, Pace: 70, AgeMillis: 1 << 62}, want: -1},
 		{name: "switched off", off: true, received: kernel.LoadFigure{Requests: 7, Pace: 70, AgeMillis: 20}, want: -1},
@@ -52,6 +54,9 @@
 			if got.known != (c.want >= 0) || got.known && got.load != c.want {
 				t.Errorf("known %v, load %v, want %v", got.known, got.load, c.want)
 			}
+			if rest := s.snapshot(now).figure.rest; c.received.RestPace > 0 && rest != float64(c.received.RestPace)/percent {
+				t.Errorf("pace at rest %v, want that of the other instance", rest)
+			}
 			passed := f.RecentLoads(now, 4)
 			if want := !c.off && c.want >= 0; (len(passed) == 1) != want || want && passed[0].Requests != int(c.want) {
 				t.Errorf("passed on: %v", passed)
--- a/policy/evenload.go
+++ b/policy/evenload.go
@@ -276,6 +276,13 @@
 	p.current = min(p.current, pace)
 }
 
+// Adopt takes over the pace at rest that another instance knows, unless one is known.
+func (p *RestPace) Adopt(now time.Time, rest float64) {
+	if !p.known && rest > 0 {
+		*p = RestPace{current: rest, first: now, since: now, known: true}
+	}
+}
+
 // Value returns the pace at rest, 0 if it is unknown.
 func (p *RestPace) Value() float64 {
 	switch {
--- a/policy/evenload_test.go
+++ b/policy/evenload_test.go
@@ -352,4 +352,13 @@
 			t.Errorf("after %d reports: %v, want %v", i+1, p.Value(), c.rest)
 		}
 	}
+	var q RestPace
+	q.Adopt(at, 0)
+	for _, want := range []float64{0.7, 0.7} { // the second is not taken over
+		q.Adopt(at, 0.7)
+		if q.Value() != want {
+			t.Errorf("taken over: %v, want %v", q.Value(), want)
+		}
+		q.Adopt(at, 1.7)
+	}
 }
