Even load: a prompt counts as hot by its count less one standard deviation

A fixed least count of 4 gave a prompt up to seven servers where 40 requests were known, and none more to a hot prompt in the first second.

--- a/policy/evenload.go
+++ b/policy/evenload.go
@@ -299,8 +299,9 @@
 	partWindow = 5 * time.Second
 	// maxCountedParts bounds the number of parts that are counted.
 	maxCountedParts = 4096
-	// minHotCount is the count from which on a part may be hot: below it, chance decides.
-	minHotCount = 4
+	// chanceDeviations is the part of a count, in standard deviations, that is put down to
+	// chance.
+	chanceDeviations = 1
 	// holderShare is the part of a server's fair share of requests that the requests with
 	// one part take at each of its servers at most.
 	holderShare = 0.75
@@ -342,7 +343,7 @@
 // as many as its requests need.
 func (p *PartCounts) Holders(part uint64, servers int) int {
 	n := p.counts[part]
-	if n < minHotCount || p.total <= 0 {
+	if n -= chanceDeviations * math.Sqrt(n); n <= 0 || p.total <= 0 {
 		return 1
 	}
 	return min(max(1, int(math.Ceil(n/p.total*float64(servers)/holderShare))), max(1, servers))
--- a/policy/evenload_test.go
+++ b/policy/evenload_test.go
@@ -322,15 +322,19 @@
 func TestPartCounts(t *testing.T) {
 	var p PartCounts
 	now := time.Unix(1000, 0)
-	for i := range 90 {
+	for i := range 900 {
 		p.Count(now, 1, uint64(100+i))
-		if i < 10 {
+		if i < 100 {
 			p.Count(now, 2)
 		}
+		if i < 9 {
+			p.Count(now, 3)
+		}
 	}
 	Convey("A part is kept by as many servers as its requests need, a rare one by one", t, func() {
 		So(p.Holders(1, 20), ShouldEqual, 20)
 		So(p.Holders(2, 20), ShouldEqual, 3)
+		So(p.Holders(3, 20), ShouldEqual, 1)
 		So(p.Holders(105, 20), ShouldEqual, 1)
 		So(p.Holders(7, 0), ShouldEqual, 1)
 	})
