--- a/plugins/forward/evenload_test.go
+++ b/plugins/forward/evenload_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -13,7 +14,7 @@
 func newEven(on bool) *Forward {
 	f := &Forward{}
 	f.servers.ejections = policy.NoEjections{}
-	f.even = evenLoad{on: on, servers: &f.servers}
+	f.even.on, f.even.servers = on, &f.servers
 	return f
 }
 
@@ -30,11 +31,13 @@
 		want     float64
 	}{
 		{name: "unknown so far", received: kernel.LoadFigure{Requests: 7, Pace: 70, AgeMillis: 20}, want: 7},
+		{name: "disturbed", received: kernel.LoadFigure{Requests: 7, Pace: 175, RestPace: 70, AgeMillis: 20}, want: 7},
 		{name: "newer", own: 300 * ms, received: kernel.LoadFigure{Requests: 7, Pace: 70, AgeMillis: 20}, want: 7},
 		{name: "older", own: 300 * ms, received: kernel.LoadFigure{Requests: 7, Pace: 70, AgeMillis: 400}, want: 3},
 		{name: "of an earlier start", received: kernel.LoadFigure{Requests: 7, Pace: 70, AgeMillis: 60000}, want: -1},
 		{name: "negative load", received: kernel.LoadFigure{Requests: -7, Pace: 70, AgeMillis: 20}, want: -1},
 		{name: "without pace", received: kernel.LoadFigure{Requests: 7, AgeMillis: 20}, want: -1},
+		{name: "negative pace at rest", received: kernel.LoadFigure{Requests: 7, Pace: 70, RestPace: -1, AgeMillis: 20}, want: -1},
 		{name: "from the future", received: kernel.LoadFigure{Requests: 7, Pace: 70, AgeMillis: -20}, want: -1},
 		{name: "age that overflows", received: kernel.LoadFigure{Requests: 7, Pace: 70, AgeMillis: 1 << 62}, want: -1},
 		{name: "switched off", off: true, received: kernel.LoadFigure{Requests: 7, Pace: 70, AgeMillis: 20}, want: -1},
@@ -43,7 +46,7 @@
 			f := newEven(!c.off)
 			s := f.servers.get(&catalog.Server{ID: "s"})
 			if c.own > 0 {
-				s.recordLoad(now.Add(-c.own), platform.ResponseInfo{HasLoad: true, Running: 2, Waiting: 1, Pace: 1})
+				f.recordLoad(now.Add(-c.own), s, platform.ResponseInfo{HasLoad: true, Running: 2, Waiting: 1, Pace: 1})
 			}
 			c.received.Server = s.hash
 			f.ObserveLoads(now, []kernel.LoadFigure{{Server: 1, Requests: 9, Pace: 9}, c.received})
@@ -51,6 +54,9 @@
 			if got.known != (c.want >= 0) || got.known && got.load != c.want {
 				t.Errorf("known %v, load %v, want %v", got.known, got.load, c.want)
 			}
+			if rest := s.snapshot(now).figure.rest; c.received.RestPace > 0 && rest != float64(c.received.RestPace)/percent {
+				t.Errorf("pace at rest %v, want that of the other instance", rest)
+			}
 			passed := f.RecentLoads(now, 4)
 			if want := !c.off && c.want >= 0; (len(passed) == 1) != want || want && passed[0].Requests != int(c.want) {
 				t.Errorf("passed on: %v", passed)
@@ -59,6 +65,28 @@
 	}
 }
 
+// TestRecentLoads guards against messages that carry one server several times, or more
+// servers than asked for.
+func TestRecentLoads(t *testing.T) {
+	f := newEven(true)
+	now := time.Now()
+	for i := range 3 * recentServers {
+		s := f.servers.get(&catalog.Server{ID: fmt.Sprint(i % 40)})
+		f.recordLoad(now, s, platform.ResponseInfo{HasLoad: true, Running: i, Pace: 1})
+	}
+	for most, want := range map[int]int{0: 0, 5: 5, 40: 40, 64: 40} {
+		figures := f.RecentLoads(now, most)
+		for i, g := range figures {
+			if g.Requests != 3*recentServers-1-i {
+				t.Errorf("%d: %+v", i, g)
+			}
+		}
+		if len(figures) != want {
+			t.Errorf("%d figures, want %d", len(figures), want)
+		}
+	}
+}
+
 // TestEvenOnlyWhereAsked guards against a changed choice on deployments that do not ask for
 // it: without the setting, or without the pace in the reports.
 func TestEvenOnlyWhereAsked(t *testing.T) {
@@ -70,7 +98,7 @@
 			a.Pace = 1.7
 		}
 		now := time.Now()
-		s.recordLoad(now, a)
+		f.recordLoad(now, s, a)
 		if got := f.even.active([]serverSnapshot{{}, s.snapshot(now)}); got != c.want {
 			t.Errorf("setting %v, pace %v: active %v", c.on, c.pace, got)
 		}
--- a/policy/evenload.go
+++ b/policy/evenload.go
@@ -22,8 +22,8 @@
 	Reported float64
 	Age      time.Duration
 	// Pace is how long work takes on the server's machine by the same report, RestPace how
-	// long it takes there when nothing disturbs it; 0 if unknown. The unit is the same for
-	// all servers.
+	// long it takes there when nothing disturbs it, if unknown that of its peers. Both are 0
+	// if nothing is known. The unit is the same for all servers.
 	Pace, RestPace float64
 	// Slowness is the ratio of the server's smoothed response time to that of its peers, as
 	// far as the pace does not explain it; 1 if unknown.
@@ -54,7 +54,7 @@
 	// favor of the mean of all servers: the order of the duration of a request.
 	loadLifetime = 500 * time.Millisecond
 	// paceLifetime is the same for a reported pace in favor of the pace at rest.
-	paceLifetime = 300 * time.Millisecond
+	paceLifetime = 150 * time.Millisecond
 	// MaxFigureAge is the age from which on a report is ignored.
 	MaxFigureAge = 5 * time.Second
 	// slownessTolerance is the ratio of response times up to which servers count as
@@ -62,11 +62,14 @@
 	slownessTolerance = 1.5
 	// A request leaves a server that keeps its prompt only if the work on the other is less
 	// by evenMargin requests.
-	evenMargin = 1
+	evenMargin = 2
 	// restPaceExponent is the power of the pace at rest by which a server keeps fewer
 	// prompts. With 1, each would need the same time for its requests; above, the faster
 	// ones are used more, which is better while they have free slots.
 	restPaceExponent = 2
+	// A pace at rest below minRestPace or above maxRestPace counts as that: a server that
+	// reports a wrong one must not get most prompts.
+	minRestPace, maxRestPace = 0.25, 4
 	// evenLoadFactor and evenLoadMargin are as engineLoadFactor and engineLoadMargin.
 	evenLoadFactor = 1.3
 	evenLoadMargin = 3
@@ -112,7 +115,7 @@
 // rest returns the time of work on the server when nothing disturbs it.
 func (s *EvenServer) rest() float64 {
 	if s.RestPace > 0 {
-		return s.RestPace
+		return min(max(minRestPace, s.RestPace), maxRestPace)
 	}
 	return 1
 }
@@ -243,19 +246,29 @@
 	return found
 }
 
-// restPaceWindow is the time in which a pace is seen at rest: machines are disturbed for
-// parts of a second.
-const restPaceWindow = 2 * time.Second
+const (
+	// restPaceWindow is the time in which a pace is seen at rest: machines are disturbed for
+	// parts of a second.
+	restPaceWindow = 2 * time.Second
+	// restPaceSpan is the time between the first two reports that count: a disturbance seldom
+	// lasts as long.
+	restPaceSpan = 500 * time.Millisecond
+)
 
 // RestPace is the lowest of the paces that a server reported lately: in the current window
 // and in the last one with a report. The zero value is ready.
 type RestPace struct {
 	current, previous float64
-	since             time.Time
+	first, since      time.Time
+	known             bool
 }
 
 // Add adds a reported pace.
 func (p *RestPace) Add(now time.Time, pace float64) {
+	if p.first.IsZero() {
+		p.first = now
+	}
+	p.known = p.known || now.Sub(p.first) >= restPaceSpan
 	if now.Sub(p.since) >= restPaceWindow {
 		p.previous, p.current, p.since = p.current, pace, now
 		return
@@ -263,9 +276,19 @@
 	p.current = min(p.current, pace)
 }
 
+// Adopt takes over the pace at rest that another instance knows, unless one is known.
+func (p *RestPace) Adopt(now time.Time, rest float64) {
+	if !p.known && rest > 0 {
+		*p = RestPace{current: rest, first: now, since: now, known: true}
+	}
+}
+
 // Value returns the pace at rest, 0 if it is unknown.
 func (p *RestPace) Value() float64 {
-	if p.previous > 0 {
+	switch {
+	case !p.known:
+		return 0
+	case p.previous > 0:
 		return min(p.current, p.previous)
 	}
 	return p.current
@@ -276,8 +299,9 @@
 	partWindow = 5 * time.Second
 	// maxCountedParts bounds the number of parts that are counted.
 	maxCountedParts = 4096
-	// minHotCount is the count from which on a part may be hot: below it, chance decides.
-	minHotCount = 4
+	// chanceDeviations is the part of a count, in standard deviations, that is put down to
+	// chance.
+	chanceDeviations = 1
 	// holderShare is the part of a server's fair share of requests that the requests with
 	// one part take at each of its servers at most.
 	holderShare = 0.75
@@ -319,7 +343,7 @@
 // as many as its requests need.
 func (p *PartCounts) Holders(part uint64, servers int) int {
 	n := p.counts[part]
-	if n < minHotCount || p.total <= 0 {
+	if n -= chanceDeviations * math.Sqrt(n); n <= 0 || p.total <= 0 {
 		return 1
 	}
 	return min(max(1, int(math.Ceil(n/p.total*float64(servers)/holderShare))), max(1, servers))
--- a/policy/evenload_test.go
+++ b/policy/evenload_test.go
@@ -298,18 +298,43 @@
 	}
 }
 
+// TestWrongPace guards against a server that gets most prompts by a pace that it reports.
+func TestWrongPace(t *testing.T) {
+	const n, prompts = 20, 2000
+	for _, c := range []struct{ pace, least, most float64 }{{1, 0.8, 1.2}, {2.4, 0.05, 0.3}, {0.000001, 1, 12}, {1e12, 0, 0.2}} {
+		servers := make([]EvenServer, n)
+		for i := range servers {
+			servers[i] = EvenServer{ID: mix(uint64(i) + 1), Near: true, Reported: -1, RestPace: 1, Slowness: 1}
+		}
+		servers[0].RestPace = c.pace
+		picked := 0
+		for p := range prompts {
+			if chooseEven(EvenRequest{Prompt: mix(uint64(p) + 7), Holders: 1, Work: 1, Reread: 5, Random: uint64(p), Instances: 9}, servers) == 0 {
+				picked++
+			}
+		}
+		if share := float64(picked) / prompts * n; share < c.least || share > c.most {
+			t.Errorf("pace %v: %.2f times the share of the others, want %v to %v", c.pace, share, c.least, c.most)
+		}
+	}
+}
+
 func TestPartCounts(t *testing.T) {
 	var p PartCounts
 	now := time.Unix(1000, 0)
-	for i := range 90 {
+	for i := range 900 {
 		p.Count(now, 1, uint64(100+i))
-		if i < 10 {
+		if i < 100 {
 			p.Count(now, 2)
 		}
+		if i < 9 {
+			p.Count(now, 3)
+		}
 	}
 	Convey("A part is kept by as many servers as its requests need, a rare one by one", t, func() {
 		So(p.Holders(1, 20), ShouldEqual, 20)
 		So(p.Holders(2, 20), ShouldEqual, 3)
+		So(p.Holders(3, 20), ShouldEqual, 1)
 		So(p.Holders(105, 20), ShouldEqual, 1)
 		So(p.Holders(7, 0), ShouldEqual, 1)
 	})
@@ -325,10 +350,19 @@
 func TestRestPace(t *testing.T) {
 	var p RestPace
 	at := time.Unix(1000, 0)
-	for i, c := range []struct{ pace, rest float64 }{{1.75, 1.75}, {0.7, 0.7}, {1.75, 0.7}, {0.7, 0.7}, {3.5, 0.7}, {3.5, 0.7}, {3.5, 3.5}} {
+	for i, c := range []struct{ pace, rest float64 }{{1.75, 0}, {0.7, 0.7}, {1.75, 0.7}, {0.7, 0.7}, {3.5, 0.7}, {3.5, 0.7}, {3.5, 3.5}} {
 		p.Add(at.Add(time.Duration(i)*restPaceWindow*3/4), c.pace)
 		if p.Value() != c.rest {
 			t.Errorf("after %d reports: %v, want %v", i+1, p.Value(), c.rest)
 		}
 	}
+	var q RestPace
+	q.Adopt(at, 0)
+	for _, want := range []float64{0.7, 0.7} { // the second is not taken over
+		q.Adopt(at, 0.7)
+		if q.Value() != want {
+			t.Errorf("taken over: %v, want %v", q.Value(), want)
+		}
+		q.Adopt(at, 1.7)
+	}
 }
