Usage: windows whose report a restore of the store may have hidden are skipped

The store was restored from a copy from before the report's record, and the new holder knew of no report. Candidates and the holder now state a fixed window at once, and a new holder that finds no report record of the present era begins with the present window.

--- a/plugins/duties/duties.go
+++ b/plugins/duties/duties.go
@@ -90,16 +90,19 @@
 	mu    sync.Mutex
 	lease *policy.Lease // guarded by mu
 	// held is what the logs last stated; guarded by mu.
-	held       bool
-	since      time.Time              // of the last change of the holder; guarded by mu
-	reason     string                 // of that change; guarded by mu
-	holder     holder                 // the latest known one; guarded by mu
-	stopped    bool                   // the lease is not taken again; guarded by mu
-	collector  *policy.UsageCollector // guarded by mu
-	pending    *usageReport           // fixed, not yet accepted by the platform; guarded by mu
-	accepted   int64                  // the last window that the platform has accepted; guarded by mu
-	pausedTill time.Time              // the platform has asked to wait; guarded by mu
-	late       lateUsage              // not logged yet; guarded by mu
+	held      bool
+	since     time.Time              // of the last change of the holder; guarded by mu
+	reason    string                 // of that change; guarded by mu
+	holder    holder                 // the latest known one; guarded by mu
+	stopped   bool                   // the lease is not taken again; guarded by mu
+	collector *policy.UsageCollector // guarded by mu
+	pending   *usageReport           // fixed, not yet accepted by the platform; guarded by mu
+	// unsure is true if windows that have ended may have been reported although the store has no
+	// record of it: it was restored from an older copy; guarded by mu.
+	unsure     bool
+	accepted   int64     // the last window that the platform has accepted; guarded by mu
+	pausedTill time.Time // the platform has asked to wait; guarded by mu
+	late       lateUsage // not logged yet; guarded by mu
 
 	ledgerMu sync.Mutex
 	ledger   *policy.UsageLedger // guarded by ledgerMu
--- a/plugins/duties/lease.go
+++ b/plugins/duties/lease.go
@@ -134,7 +134,7 @@
 	}
 	var newest *policy.LeaseRecord
 	var newestOffset uint64
-	var report *usageReport
+	var report *record
 	for _, r := range records {
 		decoded, err := decodeRecord(r)
 		if err != nil {
@@ -142,7 +142,7 @@
 			continue
 		}
 		if decoded.Report != nil {
-			report = decoded.Report
+			report = &decoded
 		}
 		if newest == nil || r.Offset > newestOffset {
 			newest, newestOffset = &decoded.Lease, r.Offset
@@ -154,8 +154,17 @@
 	now := time.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.lease.Listed(now, m.store.Era(), end, newest)
-	m.adopt(report)
+	era, held := m.store.Era(), m.lease.HeldLately(now)
+	m.lease.Listed(now, era, end, newest)
+	switch {
+	case report != nil && report.Lease.Era == era:
+		m.unsure = false
+	case !held:
+		m.unsure = true
+	}
+	if report != nil {
+		m.adopt(report.Report)
+	}
 	m.noteLease(now, "read from the store")
 	return nil
 }
@@ -190,7 +199,10 @@
 			return err
 		}
 		m.lease.Followed(now, decoded.Lease)
-		m.adopt(decoded.Report)
+		if decoded.Report != nil {
+			m.unsure = false
+			m.adopt(decoded.Report)
+		}
 		m.noteLease(now, "followed the store")
 	}
 	return nil
--- a/plugins/duties/reports.go
+++ b/plugins/duties/reports.go
@@ -132,7 +132,12 @@
 // collect returns the report of this instance.
 func (m *Duties) collect(now time.Time, token uint64) report {
 	r := report{Instance: m.host.ID(), Incarnation: m.incarnation, Token: token, Sections: make(map[string][]byte)}
+	// The holder and the candidates know of a fixed report before its holder states it.
+	m.mu.Lock()
+	fixed := m.collector.Fixed()
+	m.mu.Unlock()
 	m.ledgerMu.Lock()
+	m.ledger.Fix(fixed)
 	r.Usage = m.ledger.Report(now)
 	m.ledgerMu.Unlock()
 	for name, s := range m.sections {
--- a/plugins/duties/usage.go
+++ b/plugins/duties/usage.go
@@ -28,30 +28,57 @@
 type usageReport struct {
 	Window int64              `cbor:"1,keyasint"`
 	Counts policy.UsageCounts `cbor:"2,keyasint"`
+	// Skipped is true if the window, and those before it, are not reported.
+	Skipped bool `cbor:"3,keyasint,omitempty"`
 }
 
-// adopt takes the newest fixed report that the store holds, nil if it holds none. The caller
-// holds mu.
+// adopt takes the newest fixed report that the store holds. The caller holds mu.
 func (m *Duties) adopt(r *usageReport) {
-	if r == nil || r.Window < m.collector.Fixed() || r.Window <= m.accepted {
+	if r.Window < m.collector.Fixed() || r.Window <= m.accepted {
 		return
 	}
 	m.collector.Fix(r.Window)
 	m.pending = r
+	if r.Skipped {
+		m.pending = nil
+	}
+}
+
+// skip records that the windows that have ended are not reported, if some of them may have been
+// although the store has no record of it. It reports whether nothing has failed.
+func (m *Duties) skip(ctx context.Context) bool {
+	m.mu.Lock()
+	unsure := m.unsure
+	current, known := m.collector.Current(time.Now())
+	m.mu.Unlock()
+	if !unsure {
+		return true
+	}
+	if !known {
+		return false
+	}
+	r := &usageReport{Window: current - 1, Skipped: true}
+	if err := m.appendRecord(ctx, platform.ReportKey, r); err != nil {
+		m.host.Logger.Warn("skipped usage windows not recorded, trying again", "window", r.Window, "error", err)
+		return false
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.host.Logger.Info("usage windows up to one are not reported, the store may have lost the record of their reports", "window", r.Window, "fixed_window", m.collector.Fixed())
+	m.collector.Fix(r.Window)
+	m.unsure = false
+	return true
 }
 
 // runUsage reports the usage while this instance holds the duties, until the context ends.
 func (m *Duties) runUsage(ctx context.Context) {
 	retry := backoff.Backoff{Min: callRetryMin, Max: callRetryMax}
-	interval := usageIdleInterval
-	for backoff.Sleep(ctx, interval) {
-		interval = usageIdleInterval
+	for backoff.Sleep(ctx, m.usageIn()) {
 		m.setMembers(time.Now())
 		if !m.Holds(time.Now()) {
 			continue
 		}
-		interval = usageInterval
-		if !m.fixNext(ctx) {
+		if !m.skip(ctx) || !m.fixNext(ctx) {
 			retry.Wait(ctx)
 			continue
 		}
@@ -69,18 +96,28 @@
 	}
 }
 
+// usageIn returns the time until the next check whether a usage report is due.
+func (m *Duties) usageIn() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.lease.Mine() {
+		return usageInterval
+	}
+	return usageIdleInterval
+}
+
 // fixNext fixes the report of the next window that is complete, unless one is pending. It reports
 // whether nothing has failed.
 func (m *Duties) fixNext(ctx context.Context) bool {
 	now := time.Now()
 	m.mu.Lock()
 	due, ok := m.collector.Next(now)
-	ok = ok && m.pending == nil && m.lease.Holds(now)
+	ok = ok && m.pending == nil && !m.unsure && m.lease.Holds(now)
 	m.mu.Unlock()
 	if !ok {
 		return true
 	}
-	r := &usageReport{due.Window, due.Counts}
+	r := &usageReport{Window: due.Window, Counts: due.Counts}
 	if err := m.appendRecord(ctx, platform.ReportKey, r); err != nil {
 		m.host.Logger.Warn("usage report not fixed, trying again", "window", r.Window, "error", err)
 		return false
--- a/policy/lease.go
+++ b/policy/lease.go
@@ -182,6 +182,12 @@
 	return l.known && l.Mine() && !now.Before(l.notBefore) && elapsed(l.sent, now) < l.times.Term
 }
 
+// HeldLately reports whether this incarnation has held the lease within its term, as far as it
+// knows, so that no other one can have made a call since.
+func (l *Lease) HeldLately(now time.Time) bool {
+	return l.Mine() && elapsed(l.sent, now) < l.times.Term
+}
+
 // MayCall reports whether a call may begin now.
 func (l *Lease) MayCall(now time.Time) bool {
 	return l.known && l.Mine() && !now.Before(l.notBefore) && elapsed(l.sent, now) <= l.times.CallBegin && elapsed(l.confirmed, now) <= l.times.Confirmed
