Duties: calls and reports append only renewals

A call or a usage report waits for other appends. If the lease was lost in the meantime, the call appended an acquisition, which took the lease from its new holder. At an instance that was stopping and could not release the lease, calls renewed it. A report could also be fixed a second time, with other counts, if the topic had been listed again during the wait.

Appends for calls and reports now check the holder, the stop and the last fixed window after the wait. TestNothingAppended fails without each of the checks.

--- a/plugins/duties/duties_test.go
+++ b/plugins/duties/duties_test.go
@@ -275,6 +275,50 @@
 	}
 }
 
+// TestNothingAppended checks what a holder no longer appends after a wait for another append,
+// during which the lease or the report has changed.
+func TestNothingAppended(t *testing.T) {
+	t.Parallel()
+	report := &usageReport{Window: 7, Counts: policy.UsageCounts{"x": 1}}
+	for _, test := range []struct {
+		name   string
+		change func(f *fleet, m *Duties) error
+		report *usageReport
+		want   error
+	}{
+		{"another instance has taken the lease", func(f *fleet, m *Duties) error {
+			f.store.Put(platform.DutiesTopic, platform.LeaseKey, encode(record{Lease: policy.LeaseRecord{Instance: "b", Incarnation: "b", Token: 1 << 40, Era: 2}}))
+			return m.list(f.t.Context())
+		}, nil, kernel.ErrNotHolder},
+		{"the holder is stopping", func(_ *fleet, m *Duties) error { m.PrepareStop(); return nil }, nil, kernel.ErrNotHolder},
+		{"another report was fixed", func(_ *fleet, m *Duties) error {
+			m.adopt(&usageReport{Window: 7, Counts: policy.UsageCounts{"x": 2}})
+			return nil
+		}, report, errReportFixed},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t)
+			m, kill := f.start("a")
+			f.holds(m)
+			kill() // its goroutines change nothing from now on
+			if err := test.change(f, m); err != nil {
+				t.Fatal(err)
+			}
+			_, end, err := m.store.Newest(t.Context(), platform.DutiesTopic)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := m.appendRecord(t.Context(), false, test.report); !errors.Is(err, test.want) {
+				t.Errorf("error %v, want %v", err, test.want)
+			}
+			if _, after, err := m.store.Newest(t.Context(), platform.DutiesTopic); err != nil || after != end {
+				t.Errorf("the topic ends at %d, want %d, error %v", after, end, err)
+			}
+		})
+	}
+}
+
 // TestStoreAway checks that there are no calls while the store is away for longer than the
 // lease, and that all goes on after that.
 func TestStoreAway(t *testing.T) {
--- a/plugins/duties/lease.go
+++ b/plugins/duties/lease.go
@@ -68,7 +68,7 @@
 		case policy.LeaseFollow:
 			err = m.follow(ctx, wait)
 		case policy.LeaseAppend:
-			err = m.appendRecord(ctx, platform.LeaseKey, nil)
+			err = m.appendRecord(ctx, true, nil)
 		}
 		switch {
 		case err == nil, errors.Is(err, platform.ErrStoreConflict), errors.Is(err, platform.ErrTrimmed):
@@ -196,18 +196,29 @@
 	return nil
 }
 
-// appendRecord appends the next record of this instance, an acquisition or a renewal, and with
-// it a usage report if it is not nil. The append fails unless the topic ends where this
-// instance believes, so a success confirms that it held the lease at that time.
-func (m *Duties) appendRecord(ctx context.Context, key string, report *usageReport) error {
+// errReportFixed means that the report of a window was fixed while another one was being made.
+var errReportFixed = errors.New("the report of the window is fixed already")
+
+// appendRecord appends the next record of this instance, and with it a usage report if it is
+// not nil. Unless acquire is true, it appends nothing if this instance does not hold the lease
+// or is stopping. The append fails unless the topic ends where this instance believes, so a
+// success confirms that it held the lease at that time.
+func (m *Duties) appendRecord(ctx context.Context, acquire bool, report *usageReport) error {
 	m.appends.Lock()
 	defer m.appends.Unlock()
 	m.mu.Lock()
 	next, at := m.lease.Record()
-	mine := m.lease.Mine()
+	holds := m.lease.Mine() && !m.stopped
+	fixed := report != nil && report.Window <= m.collector.Fixed()
 	m.mu.Unlock()
-	if report != nil && !mine {
+	key := platform.LeaseKey
+	switch {
+	case !acquire && !holds:
 		return kernel.ErrNotHolder
+	case fixed:
+		return errReportFixed
+	case report != nil:
+		key = platform.ReportKey
 	}
 	return m.appendNext(ctx, key, record{next, report}, at)
 }
@@ -249,7 +260,7 @@
 	if !holds {
 		return platform.DutyHolder{}, kernel.ErrNotHolder
 	}
-	if err := m.appendRecord(ctx, platform.LeaseKey, nil); err != nil {
+	if err := m.appendRecord(ctx, false, nil); err != nil {
 		return platform.DutyHolder{}, errors.Wrap(kernel.ErrNotHolder, err.Error())
 	}
 	h, ok := m.mayCall()
--- a/plugins/duties/usage.go
+++ b/plugins/duties/usage.go
@@ -81,7 +81,7 @@
 		return true
 	}
 	r := &usageReport{due.Window, due.Counts}
-	if err := m.appendRecord(ctx, platform.ReportKey, r); err != nil {
+	if err := m.appendRecord(ctx, false, r); err != nil {
 		m.host.Logger.Warn("usage report not fixed, trying again", "window", r.Window, "error", err)
 		return false
 	}
