Usage: await instances that were started again

The last report of a process kept its instance from being awaited for a minute, also after a later process of that name had begun to count. Its requests were missing from a window that all others had reported first.

The latest process of an instance now decides. The new case of TestUsageCollector fails without that.

--- a/policy/usage.go
+++ b/policy/usage.go
@@ -285,15 +285,22 @@
 }
 
 // missing returns the members, and those that were until lately, of which no process has
-// reported past a window.
+// reported past a window. One that has ended is not awaited, unless a later process of its
+// name has reported since.
 func (c *UsageCollector) missing(window int64) []string {
 	past := make(map[string]bool)
+	latest := make(map[string]*usageSource)
 	for _, s := range c.sources {
-		if s.current > window || s.final {
+		if s.current > window {
 			past[s.instance] = true
 		}
+		if l := latest[s.instance]; l == nil || s.received.After(l.received) {
+			latest[s.instance] = s
+		}
 	}
-	return slices.DeleteFunc(slices.Sorted(maps.Keys(c.members)), func(m string) bool { return past[m] })
+	return slices.DeleteFunc(slices.Sorted(maps.Keys(c.members)), func(m string) bool {
+		return past[m] || latest[m] != nil && latest[m].final
+	})
 }
 
 // forget drops what is too old, and what a clock that is far ahead has counted.
--- a/policy/usage_test.go
+++ b/policy/usage_test.go
@@ -106,6 +106,14 @@
 			{at: 5.4, from: "b", current: 101}, {at: 5.4, from: "c", current: 101},
 			{at: 6, check: true, due: due(100, 7)},
 		}, nil},
+		{"an instance that was started again is awaited", []usageStep{
+			{at: 1, from: "a", process: "a1", current: 100, windows: count(100, 3), final: true},
+			{at: 4, from: "a", process: "a2", current: 100, windows: count(100, 1)},
+			{at: 5.1, from: "b", current: 101}, {at: 5.1, from: "c", current: 101}, {at: 5.1, from: "d", current: 101},
+			{at: 5.2, check: true},
+			{at: 5.3, from: "a", process: "a2", current: 101, windows: count(100, 4)},
+			{at: 5.4, check: true, due: due(100, 7)},
+		}, []string{"d"}},
 		{"one clock that is ahead decides nothing, and what it counts is not reported", []usageStep{
 			{at: 4, from: "a", current: 820, windows: count(819, 3)}, {at: 4, from: "b", current: 100}, {at: 4, from: "c", current: 100},
 			{at: 4.1, check: true},
