Duties: a record that cannot be decoded does not block the lease

If the newest record of the topic could not be decoded, every listing counted as incomplete, and no instance took the lease again. Such a record now names an unknown holder, whose term is awaited before another instance takes over.

TestUndecodableRecord fails without that.

--- a/plugins/duties/duties_test.go
+++ b/plugins/duties/duties_test.go
@@ -275,6 +275,23 @@
 	}
 }
 
+// TestUndecodableRecord checks that a record that cannot be decoded is that of a holder whose
+// lease ends.
+func TestUndecodableRecord(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.store.Put(platform.DutiesTopic, platform.ReportKey, encode(record{Lease: policy.LeaseRecord{Instance: "b", Incarnation: "b", Token: 1, Era: 1}}))
+	f.store.Put(platform.DutiesTopic, platform.LeaseKey, []byte{0xff})
+	began := time.Now()
+	a, _ := f.start("a")
+	f.holds(a)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if waited := a.lease.NotBefore().Sub(began); waited < a.times.Term {
+		t.Errorf("calls from %s on, want the term of %s or more", waited, a.times.Term)
+	}
+}
+
 // TestNothingAppended checks what a holder no longer appends after a wait for another append,
 // during which the lease or the report has changed.
 func TestNothingAppended(t *testing.T) {
--- a/plugins/duties/lease.go
+++ b/plugins/duties/lease.go
@@ -126,6 +126,10 @@
 	return all[:min(len(all), maxCandidates)]
 }
 
+// unknownHolder is the incarnation of the holder that a record names that cannot be decoded. Its
+// lease is awaited as that of any other.
+const unknownHolder = "unknown"
+
 // list reads the newest records.
 func (m *Duties) list(ctx context.Context) error {
 	records, end, err := m.store.Newest(ctx, platform.DutiesTopic)
@@ -138,8 +142,8 @@
 	for _, r := range records {
 		decoded, err := decodeRecord(r)
 		if err != nil {
-			m.host.Logger.Warn("record of the duties cannot be decoded, skipped", "offset", r.Offset, "error", err)
-			continue
+			m.host.Logger.Warn("record of the duties cannot be decoded, its holder is unknown", "offset", r.Offset, "error", err)
+			decoded = record{Lease: policy.LeaseRecord{Incarnation: unknownHolder, Era: m.store.Era()}}
 		}
 		if decoded.Report != nil {
 			report = decoded.Report
