Callers: a server without bounds refuses no request of HTTP/2

Since heads of HTTP/2 are counted, a request whose connection had ended by the time it ran was refused. A server without bounds, such as that of the admin interface, has no function to refuse with, so the request panicked (net/http recovers and logs that) instead of running.

Servers without bounds no longer count heads. TestNoRoomToCheck panics without that.

--- a/internal/callerserver/room.go
+++ b/internal/callerserver/room.go
@@ -76,6 +76,9 @@
 	return r
 }
 
+// bounded reports whether there are any bounds.
+func (r *room) bounded() bool { return r.limits.Connections < math.MaxInt }
+
 // add adds a connection. It reports false if there is no room for it, and the connection is
 // closed.
 func (r *room) add(c *callerConn) bool {
--- a/internal/callerserver/room_test.go
+++ b/internal/callerserver/room_test.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -137,6 +138,19 @@
 	})
 }
 
+// TestNoRoomToCheck guards against a server without bounds that refuses a request because its
+// connection has ended in the meantime.
+func TestNoRoomToCheck(t *testing.T) {
+	Convey("A request of HTTP/2 runs although its connection has ended", t, func() {
+		s := New(Options{Logger: slog.New(slog.DiscardHandler), Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })})
+		r := httptest.NewRequest(http.MethodGet, "/", nil)
+		r.ProtoMajor = 2
+		w := httptest.NewRecorder()
+		s.serve(w, r.WithContext(withCallerConn(r.Context(), &callerConn{room: s.room})))
+		So(w.Code, ShouldEqual, http.StatusNoContent)
+	})
+}
+
 // TestUnreadBody guards against a response that waits without an end for the rest of a body
 // that the handler did not read.
 func TestUnreadBody(t *testing.T) {
--- a/internal/callerserver/server.go
+++ b/internal/callerserver/server.go
@@ -179,7 +179,7 @@
 		defer s.trackRequest(conn, w, r)()
 		defer conn.setHold(nil)
 	}
-	if conn != nil && r.ProtoMajor > 1 {
+	if conn != nil && r.ProtoMajor > 1 && s.room.bounded() {
 		head := headBytes(r)
 		if !s.room.addRequest(conn, head) {
 			s.options.Refuse(w, r)
