--- a/internal/callerserver/room_test.go
+++ b/internal/callerserver/room_test.go
@@ -35,6 +35,20 @@
 	return resp.StatusCode
 }
 
+// roomReturns waits until a server whose callers have left holds no room.
+func roomReturns(s *Server) bool {
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		open, held := s.Connections()
+		s.room.mu.Lock()
+		closing := s.room.closing
+		s.room.mu.Unlock()
+		if open == 0 && held == 0 && closing == 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // TestRoom guards against new callers that are kept out by connections on which nothing moves,
 // and against connections with a complete request that are closed for others.
 func TestRoom(t *testing.T) {
@@ -62,9 +76,11 @@
 					}
 				})})
 			So(s.Listen("127.0.0.1:0"), ShouldBeNil)
-			for range 3 {
+			conns := make([]net.Conn, 3)
+			for i := range conns {
 				c := dialServer(s, false)
 				defer c.Close()
+				conns[i] = c
 				_, err := io.WriteString(c, k.first)
 				So(err, ShouldBeNil)
 				if k.first == wholeRequest {
@@ -78,6 +94,10 @@
 			So(err, ShouldBeNil)
 			So(readStatus(c), ShouldEqual, 200)
 			So(<-closed, ShouldEqual, k.phase)
+			for _, c := range append(conns, c) {
+				_ = c.Close()
+			}
+			So(roomReturns(s), ShouldBeTrue)
 		})
 	}
 	Convey("A complete request in progress is not closed for others", t, func() {
@@ -135,6 +155,8 @@
 		close(proceed)
 		So(<-first, ShouldEqual, http.StatusOK)
 		So(status(200<<10), ShouldEqual, http.StatusOK)
+		client.CloseIdleConnections()
+		So(roomReturns(s), ShouldBeTrue)
 	})
 }
 
