--- a/plugins/duties/lease.go
+++ b/plugins/duties/lease.go
@@ -68,7 +68,7 @@
 		case policy.LeaseFollow:
 			err = m.follow(ctx, wait)
 		case policy.LeaseAppend:
-			err = m.appendRecord(ctx, platform.LeaseKey, nil)
+			err = m.appendRecord(ctx, true, nil)
 		}
 		switch {
 		case err == nil, errors.Is(err, platform.ErrStoreConflict), errors.Is(err, platform.ErrTrimmed):
@@ -126,6 +126,10 @@
 	return all[:min(len(all), maxCandidates)]
 }
 
+// unknownHolder is the incarnation of the holder that a record names that cannot be decoded. Its
+// lease is awaited as that of any other.
+const unknownHolder = "unknown"
+
 // list reads the newest records.
 func (m *Duties) list(ctx context.Context) error {
 	records, end, err := m.store.Newest(ctx, platform.DutiesTopic)
@@ -138,8 +142,8 @@
 	for _, r := range records {
 		decoded, err := decodeRecord(r)
 		if err != nil {
-			m.host.Logger.Warn("record of the duties cannot be decoded, skipped", "offset", r.Offset, "error", err)
-			continue
+			m.host.Logger.Warn("record of the duties cannot be decoded, its holder is unknown", "offset", r.Offset, "error", err)
+			decoded = record{Lease: policy.LeaseRecord{Incarnation: unknownHolder, Era: m.store.Era()}}
 		}
 		if decoded.Report != nil {
 			report = &decoded
@@ -208,18 +212,29 @@
 	return nil
 }
 
-// appendRecord appends the next record of this instance, an acquisition or a renewal, and with
-// it a usage report if it is not nil. The append fails unless the topic ends where this
-// instance believes, so a success confirms that it held the lease at that time.
-func (m *Duties) appendRecord(ctx context.Context, key string, report *usageReport) error {
+// errReportFixed means that the report of a window was fixed while another one was being made.
+var errReportFixed = errors.New("the report of the window is fixed already")
+
+// appendRecord appends the next record of this instance, and with it a usage report if it is
+// not nil. Unless acquire is true, it appends nothing if this instance does not hold the lease
+// or is stopping. The append fails unless the topic ends where this instance believes, so a
+// success confirms that it held the lease at that time.
+func (m *Duties) appendRecord(ctx context.Context, acquire bool, report *usageReport) error {
 	m.appends.Lock()
 	defer m.appends.Unlock()
 	m.mu.Lock()
 	next, at := m.lease.Record()
-	mine := m.lease.Mine()
+	holds := m.lease.Mine() && !m.stopped
+	fixed := report != nil && report.Window <= m.collector.Fixed()
 	m.mu.Unlock()
-	if report != nil && !mine {
+	key := platform.LeaseKey
+	switch {
+	case !acquire && !holds:
 		return kernel.ErrNotHolder
+	case fixed:
+		return errReportFixed
+	case report != nil:
+		key = platform.ReportKey
 	}
 	return m.appendNext(ctx, key, record{next, report}, at)
 }
@@ -261,7 +276,7 @@
 	if !holds {
 		return platform.DutyHolder{}, kernel.ErrNotHolder
 	}
-	if err := m.appendRecord(ctx, platform.LeaseKey, nil); err != nil {
+	if err := m.appendRecord(ctx, false, nil); err != nil {
 		return platform.DutyHolder{}, errors.Wrap(kernel.ErrNotHolder, err.Error())
 	}
 	h, ok := m.mayCall()
--- a/plugins/duties/usage.go
+++ b/plugins/duties/usage.go
@@ -58,7 +58,7 @@
 		return false
 	}
 	r := &usageReport{Window: current - 1, Skipped: true}
-	if err := m.appendRecord(ctx, platform.ReportKey, r); err != nil {
+	if err := m.appendRecord(ctx, false, r); err != nil {
 		m.host.Logger.Warn("skipped usage windows not recorded, trying again", "window", r.Window, "error", err)
 		return false
 	}
@@ -118,7 +118,7 @@
 		return true
 	}
 	r := &usageReport{Window: due.Window, Counts: due.Counts}
-	if err := m.appendRecord(ctx, platform.ReportKey, r); err != nil {
+	if err := m.appendRecord(ctx, false, r); err != nil {
 		m.host.Logger.Warn("usage report not fixed, trying again", "window", r.Window, "error", err)
 		return false
 	}
