--- a/internal/callerserver/room.go
+++ b/internal/callerserver/room.go
@@ -115,7 +115,7 @@
 	r.changed = make(chan struct{})
 }
 
-// await waits until there is room for a connection beside those that are closing, whose
+// await waits until there is room for a connection and for those that are closing, whose
 // goroutines still hold their memory, or until it is closing itself, for closingTime at most.
 func (r *room) await(c *callerConn) {
 	var expired <-chan time.Time
--- a/internal/callerserver/room_test.go
+++ b/internal/callerserver/room_test.go
@@ -80,11 +80,11 @@
 		})
 	}
 	Convey("A complete request in progress is not closed for others", t, func() {
-		proceed, begun := make(chan struct{}), make(chan struct{})
+		proceed, started := make(chan struct{}), make(chan struct{})
 		s := New(Options{Logger: slog.New(slog.DiscardHandler), Room: policy.CallerLimits{Connections: 1, ConnectionBytes: 1 << 30},
 			Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 				_, _ = io.Copy(io.Discard, r.Body)
-				close(begun)
+				close(started)
 				<-proceed
 			})})
 		So(s.Listen("127.0.0.1:0"), ShouldBeNil)
@@ -92,7 +92,7 @@
 		defer c.Close()
 		_, err := io.WriteString(c, wholeRequest)
 		So(err, ShouldBeNil)
-		<-begun
+		<-started
 		other := dialServer(s, false)
 		defer other.Close()
 		So(readStatus(other), ShouldEqual, 0)
@@ -103,12 +103,12 @@
 
 // TestRoomForMultiplexedRequests guards against heads that fill the memory on few connections.
 func TestRoomForMultiplexedRequests(t *testing.T) {
-	Convey("A request of HTTP/2 whose head does not fit beside others is refused", t, func() {
-		proceed, begun := make(chan struct{}), make(chan struct{}, 2)
+	Convey("A request of HTTP/2 whose head does not fit with those of others is refused", t, func() {
+		proceed, started := make(chan struct{}), make(chan struct{}, 2)
 		s := New(Options{Logger: slog.New(slog.DiscardHandler), TLS: testTLS(t), Room: policy.CallerLimits{Connections: 10, ConnectionBytes: 4*tlsConnBytes + 100<<10},
 			Refuse: func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) },
 			Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
-				begun <- struct{}{}
+				started <- struct{}{}
 				<-proceed
 			})})
 		So(s.Listen("127.0.0.1:0"), ShouldBeNil)
@@ -129,7 +129,7 @@
 		}
 		first := make(chan int, 1)
 		go func() { first <- status(200 << 10) }()
-		<-begun
+		<-started
 		So(status(200<<10), ShouldEqual, http.StatusServiceUnavailable)
 		close(proceed)
 		So(<-first, ShouldEqual, http.StatusOK)
