--- a/policy/inputfetch.go
+++ b/policy/inputfetch.go
@@ -28,7 +28,7 @@
 }
 
 // Time returns the time from the start of the call until the server has fetched the inputs,
-// so that their makers may drop them. It reports false if that cannot be told before the
+// so that their makers may drop them. It reports false if that is not known before the
 // call ends.
 func (f InputFetch) Time() (time.Duration, bool) {
 	if !f.Alone || f.Slowness > maxFetchSlowness || f.LinkRate <= 0 {
