Even load: a server counts as slow from four times its peers' response time

Servers that report their pace were left, with the prompts that they keep, for response times of a few requests of different sizes. Not measured yet.

--- a/policy/evenload.go
+++ b/policy/evenload.go
@@ -60,6 +60,10 @@
 	// slownessTolerance is the ratio of response times up to which servers count as
 	// equally fast: prompts differ in size.
 	slownessTolerance = 1.5
+	// A server whose slowness is at least evenSlowThreshold gets a request only if there is no
+	// other. Few requests of different sizes differ by more than engineSlowThreshold, and a
+	// server that is left loses its prompts.
+	evenSlowThreshold = 4
 	// A request leaves a server that keeps its prompt only if the work on the other is less
 	// by evenMargin requests.
 	evenMargin = 2
@@ -180,7 +184,7 @@
 	set := make([]int, 0, len(servers))
 	for _, near := range []bool{true, false} {
 		for i := range servers {
-			if (!near || servers[i].Near) && servers[i].Slowness < engineSlowThreshold && loads[i] < bound {
+			if (!near || servers[i].Near) && servers[i].Slowness < evenSlowThreshold && loads[i] < bound {
 				set = append(set, i)
 			}
 		}
