Test: a response that is not read gives way, one that is read does not

Nothing but the crowd test ran that path of the connections. The new test passes as the code is; it fails if writes do not let their request be abandoned (tried).

--- a/internal/callerserver/conn_test.go
+++ b/internal/callerserver/conn_test.go
@@ -18,6 +18,9 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/savoryfold/savoryfold/internal/membudget"
+	"github.com/savoryfold/savoryfold/policy"
 )
 
 // testTLS returns the settings of a server with a certificate of its own.
@@ -129,3 +132,39 @@
 		So(<-bodies, ShouldEqual, "2whole<nil>")
 	})
 }
+
+// TestAbandonUnread guards against responses that are not read and keep the memory of their
+// requests while others need it.
+func TestAbandonUnread(t *testing.T) {
+	Convey("A request whose caller does not read gives way, one whose caller reads does not", t, func() {
+		b := membudget.New(policy.MemoryShares{Limit: 1 << 20, GroupFactor: 100, MemberFactor: 100, StallTime: policy.StallTime}, nil)
+		ended := make(chan error, 2)
+		s := startServer(t, nil, func(w http.ResponseWriter, r *http.Request) {
+			hold := b.Open("a", "a")
+			defer hold.Close()
+			if hold.Grow(600<<10) != nil {
+				w.WriteHeader(http.StatusServiceUnavailable)
+				return
+			}
+			AbandonUnread(r, hold)
+			_, err := w.Write(make([]byte, 32<<20))
+			ended <- err
+		})
+		request := func() net.Conn {
+			c := dialServer(s, false)
+			_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: a.example\r\n\r\n")
+			So(err, ShouldBeNil)
+			return c
+		}
+		defer request().Close()
+		status := 0
+		for end := time.Now().Add(10 * time.Second); status != http.StatusOK && time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+			c := request()
+			status = readStatus(c)
+			_ = c.Close()
+		}
+		So(status, ShouldEqual, http.StatusOK)
+		first, second := <-ended, <-ended
+		So((first == nil) != (second == nil), ShouldBeTrue)
+	})
+}
