--- a/policy/evenload.go
+++ b/policy/evenload.go
@@ -307,8 +307,8 @@
 	// chance.
 	chanceDeviations = 1
 	// holderShare is the part of a server's fair share of requests that the requests with
-	// one part take at each of its servers at most.
-	holderShare = 0.75
+	// one part take at each of its first servers at most.
+	holderShare = 1.5
 )
 
 // PartCounts counts how often parts of prompts occur among the requests of this instance. As
