--- a/plugins/duties/duties_test.go
+++ b/plugins/duties/duties_test.go
@@ -340,16 +340,18 @@
 	f := newFleet(t)
 	a, kill := f.start("a")
 	f.holds(a)
-	before := f.store.Copy()
 	a.CountRun(time.Now(), "x")
 	f.eventually("usage is reported", func() bool { _, requests := f.usage(); return requests == 1 })
+	before := f.store.Copy()
+	a.CountRun(time.Now(), "x")
+	f.eventually("usage is reported", func() bool { _, requests := f.usage(); return requests == 2 })
 	token := f.platform.Calls("/usage")[0].Token
 	kill()
 	f.store.Restore(before, nil)
 	b, _ := f.start("b")
 	f.holds(b)
 	b.CountRun(time.Now(), "x")
-	f.eventually("usage is reported", func() bool { _, requests := f.usage(); return requests == 2 })
+	f.eventually("usage is reported", func() bool { _, requests := f.usage(); return requests == 3 })
 	if calls := f.platform.Calls("/usage"); calls[len(calls)-1].Token <= token {
 		t.Errorf("token %d after %d", calls[len(calls)-1].Token, token)
 	}
