Words of the change; one log line for an order of servers

An order was logged by the holder and by the caller; the line of the caller has the inputs that decided and the result, so the other one is removed.

--- a/kernel/duties.go
+++ b/kernel/duties.go
@@ -28,9 +28,9 @@
 	OrderServers(ctx context.Context, service, zone string, count int) error
 }
 
-// UsageMeter counts the requests that backend servers have begun to run, by client account.
+// UsageMeter counts the requests that backend servers have started, by client account.
 type UsageMeter interface {
-	// CountRun counts a request of an account that a server has begun to run. account is
+	// CountRun counts a request of an account that a server has started. account is
 	// empty for a request on a public route, which is not counted.
 	CountRun(now time.Time, account string)
 }
--- a/plugins/duties/usage.go
+++ b/plugins/duties/usage.go
@@ -223,10 +223,7 @@
 	if !m.active || !m.assigned.Scaling {
 		return kernel.ErrNotHolder
 	}
-	began := time.Now()
-	err := m.call(ctx, "scaling", func(h platform.DutyHolder) error {
+	return m.call(ctx, "scaling", func(h platform.DutyHolder) error {
 		return m.platform.OrderServers(ctx, h, service, zone, count)
 	})
-	m.host.Logger.Info("servers ordered", "service", service, "zone", zone, "count", count, "took", time.Since(began), "error", err)
-	return err
 }
--- a/plugins/forward/send.go
+++ b/plugins/forward/send.go
@@ -337,7 +337,7 @@
 	return f.forwardResponse(ctx, a, r, c, x, hold, answer, began)
 }
 
-// countRun counts a request that a server has begun to run. A stream counts with its first
+// countRun counts a request that a server has started. A stream counts with its first
 // event, any other response with its head.
 func (f *Forward) countRun(now time.Time, r *request) {
 	if f.host.UsageMeter != nil {
