--- a/policy/usage.go
+++ b/policy/usage.go
@@ -130,8 +130,8 @@
 	included map[int64]bool
 	// members is when instances were last members.
 	members map[string]time.Time
-	// begun is the earliest window that was the present one of a report, 0 without a report.
-	begun int64
+	// firstCurrent is the earliest window that was the present one of a report, 0 without a report.
+	firstCurrent int64
 }
 
 // usageSource is what one process has reported.
@@ -164,8 +164,8 @@
 		s = &usageSource{instance: instance, windows: make(map[int64]UsageCounts)}
 		c.sources[incarnation] = s
 	}
-	if c.begun == 0 || r.Current < c.begun {
-		c.begun = r.Current
+	if c.firstCurrent == 0 || r.Current < c.firstCurrent {
+		c.firstCurrent = r.Current
 	}
 	s.current, s.received, s.final = r.Current, now, s.final || r.Final
 	for k, counts := range r.Windows {
@@ -253,7 +253,7 @@
 			c.ended[k] = now
 		}
 	}
-	due.Missing, due.Before = c.missing(due.Window), due.Window < c.begun
+	due.Missing, due.Before = c.missing(due.Window), due.Window < c.firstCurrent
 	if len(due.Missing) > 0 && now.Sub(c.ended[due.Window]) < c.wait {
 		return UsageDue{}, false
 	}
--- a/test/passthrough/duties_test.go
+++ b/test/passthrough/duties_test.go
@@ -50,7 +50,7 @@
 		}
 		return n
 	}
-	Convey("The requests of an account that servers have begun to run are reported once", t, func() {
+	Convey("The requests of an account that servers began to run are reported once", t, func() {
 		// The windows before the first report are skipped.
 		c.Eventually("an instance holds the duties", func() bool { return holder() != nil && len(fake.Calls("/usage")) > 0 })
 		first := holder()
