--- a/internal/callerserver/conn_test.go
+++ b/internal/callerserver/conn_test.go
@@ -138,7 +138,7 @@
 func TestAbandonUnread(t *testing.T) {
 	Convey("A request whose caller does not read gives way, one whose caller reads does not", t, func() {
 		b := membudget.New(policy.MemoryShares{Limit: 1 << 20, GroupFactor: 100, MemberFactor: 100, StallTime: policy.StallTime}, nil)
-		ended := make(chan error, 2)
+		held, ended := make(chan struct{}, 2), make(chan error, 2)
 		s := startServer(t, nil, func(w http.ResponseWriter, r *http.Request) {
 			hold := b.Open("a", "a")
 			defer hold.Close()
@@ -147,6 +147,7 @@
 				return
 			}
 			AbandonUnread(r, hold)
+			held <- struct{}{}
 			_, err := w.Write(make([]byte, 32<<20))
 			ended <- err
 		})
@@ -157,6 +158,7 @@
 			return c
 		}
 		defer request().Close()
+		<-held // before another request can get the memory
 		status := 0
 		for end := time.Now().Add(10 * time.Second); status != http.StatusOK && time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 			c := request()
