--- a/internal/upstream/head.go
+++ b/internal/upstream/head.go
@@ -156,8 +156,8 @@
 	s.memory.Shrink(headBufferBytes)
 }
 
-// isHeadLine reports whether a line after the first may be part of a head. The parser rejects all others at
-// once.
+// isHeadLine reports whether a line after the first may be part of a head. The parser
+// rejects all others at once.
 func isHeadLine(text []byte) bool {
 	if text[0] == ' ' || text[0] == '\t' {
 		return true // continues the line before
