--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -21,10 +21,10 @@
 type scenario func(d *deployment, trouble bool) (held bool, err error)
 
 var scenarios = map[string]scenario{
-	"late-answer":   playLateAnswer,
-	"second-order":  playSecondOrder,
-	"under-load":    playUnderLoad,
-	"small-portion": playSmallPortion,
+	"crashing":     playCrashing,
+	"late-answer":  playLateAnswer,
+	"second-order": playSecondOrder,
+	"under-load":   playUnderLoad,
 }
 
 func main() {
--- a/review/stand2/rollouts.go
+++ b/review/stand2/rollouts.go
@@ -178,8 +178,3 @@
 func playUnderLoad(d *deployment, trouble bool) (bool, error) {
 	return playBadVersion(d, trouble, func(running int) bool { return running > 2 && rand.Float64() < 0.3 })
 }
-
-// playSmallPortion rolls out a version that fails four in a hundred of its requests.
-func playSmallPortion(d *deployment, trouble bool) (bool, error) {
-	return playBadVersion(d, trouble, func(int) bool { return rand.Float64() < 0.04 })
-}
--- a/review/stand2/servers.go
+++ b/review/stand2/servers.go
@@ -19,9 +19,9 @@
 
 // registration keeps the entry of a server in the store.
 type registration struct {
-	d     *deployment
-	once  sync.Once
-	ended chan struct{}
+	d            *deployment
+	silent, once sync.Once
+	ended        chan struct{}
 
 	mu    sync.Mutex
 	entry platformtest.Entry // guarded by mu
@@ -68,16 +68,21 @@
 	r.d.note("server %s drains", r.entry.ID)
 }
 
-// end removes the entry.
-func (r *registration) end() {
-	r.once.Do(func() {
+// silence ends the writes of the entry.
+func (r *registration) silence() {
+	r.silent.Do(func() {
 		r.mu.Lock()
+		defer r.mu.Unlock()
 		close(r.ended)
-		r.mu.Unlock()
-		r.d.store.DropServer(r.entry.ID)
 	})
 }
 
+// end removes the entry.
+func (r *registration) end() {
+	r.silence()
+	r.once.Do(func() { r.d.store.DropServer(r.entry.ID) })
+}
+
 // group is the servers of one version of a plain service.
 type group struct {
 	d       *deployment
--- a/review/stand2/traffic.go
+++ b/review/stand2/traffic.go
@@ -32,9 +32,14 @@
 	return c
 }
 
-// send sends a request at each tick until the context ends, and waits for the answers.
+// send sends requests at a rate per second, as sendEach does.
 func (c *callers) send(ctx context.Context, perSecond int, request func(n int) platformtest.Request) {
-	ticker := time.NewTicker(time.Second / time.Duration(perSecond))
+	c.sendEach(ctx, time.Second/time.Duration(perSecond), request)
+}
+
+// sendEach sends a request in each interval until the context ends, and waits for the answers.
+func (c *callers) sendEach(ctx context.Context, interval time.Duration, request func(n int) platformtest.Request) {
+	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for n := 0; ; n++ {
 		select {
