--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 # The instances are built by the command of deploy/system.toml.
 set -e
 cd "$(dirname "$0")/.."
-go build -o target/review-2/ ./review/stand2
+go build -tags review -o target/review-2/ ./review/stand2
--- a/review/stand2/crashing.go
+++ b/review/stand2/crashing.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
@@ -13,6 +15,7 @@
 )
 
 const (
+	modelService = "urn"
 	crashServers = 6
 	soundRate    = 20 // requests per second
 	// crashTime is the time of a case, and repeatInterval the time between two sends of the
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Command stand2 plays one case of the second review against real instances: it is the
 // platform, the backend servers and the callers of a small deployment. See review/REPORT-2.md.
 package main
@@ -21,10 +23,10 @@
 type scenario func(d *deployment, trouble bool) (held bool, err error)
 
 var scenarios = map[string]scenario{
-	"crashing":     playCrashing,
-	"late-answer":  playLateAnswer,
-	"second-order": playSecondOrder,
-	"under-load":   playUnderLoad,
+	"crashing":      playCrashing,
+	"one-route":     playOneRoute,
+	"small-portion": playSmallPortion,
+	"second-order":  playSecondOrder,
 }
 
 func main() {
--- a/review/stand2/rollouts.go
+++ b/review/stand2/rollouts.go
@@ -1,8 +1,12 @@
+//go:build review
+
 package main
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
+	"strings"
 	"time"
 
 	"github.com/savoryfold/savoryfold/platform/platformtest"
@@ -11,11 +15,11 @@
 // The deployment of the rollouts: a plain service whose requests may run once, as the duty
 // roster of the small site.
 const (
-	service      = "roster"
-	requestRate  = 150 // per second
-	requestWork  = 60 * time.Millisecond
-	orderSeconds = 12
-	warmUp       = 4 * time.Second
+	service     = "roster"
+	requestRate = 150 // per second
+	requestWork = 60 * time.Millisecond
+
+	warmUp = 4 * time.Second
 	// drainAfter is the time from a rollback until the new servers drain.
 	drainAfter = 6 * time.Second
 	// exposureShare, exposureSlack and rollbackTime are bounds of the deployment.
@@ -27,13 +31,16 @@
 	pollInterval = 20 * time.Millisecond
 )
 
+// orderTime is the time within which a rollout has to be completed.
+var orderTime = 12 * time.Second
+
 var zones = []string{"hobart", "launceston", "devonport"}
 
 // startRollouts starts the deployment with servers of version v1.
 func startRollouts(d *deployment) (*callers, *group, error) {
 	d.store.PutConfig(platformtest.Config{
 		Version:  1,
-		Routes:   []platformtest.Route{{Name: "assign", Host: "rota.example", Prefix: "/assign/", Kind: "non_idempotent", Service: service, TimeoutMS: 1500, GoalMS: 300, Attempts: 1, Priority: 2}},
+		Routes:   routes(),
 		Services: []platformtest.Service{{Name: service, Connections: 96}},
 		Keys:     map[string]string{"key-of-choir": "choir"},
 	})
@@ -44,15 +51,42 @@
 	return newCallers(d), old, nil
 }
 
-func assign(int) platformtest.Request {
-	return platformtest.Request{Method: "POST", Host: "rota.example", Path: "/assign/duty", APIKey: "key-of-choir", Body: `{"duty":"urn"}`, Timeout: 3 * time.Second}
+// smallRoutes is the number of routes beside the first, with few requests each.
+const smallRoutes = 40
+
+func routes() []platformtest.Route {
+	r := platformtest.Route{Name: "assign", Host: "rota.example", Prefix: "/assign/", Kind: "non_idempotent", Service: service, TimeoutMS: 1500, GoalMS: 300, Attempts: 1, Priority: 2}
+	all := []platformtest.Route{r}
+	for i := range smallRoutes {
+		r.Name, r.Prefix = fmt.Sprint("choir-", i), fmt.Sprintf("/choir%d/", i)
+		all = append(all, r)
+	}
+	return all
+}
+
+func assign(int) platformtest.Request { return assignOn("/assign/") }
+
+// assignMostly returns a request of the first route, but for smallRequests in a hundred of each
+// other one.
+func assignMostly(int) platformtest.Request {
+	if i := rand.IntN(100) / smallRequests; i < smallRoutes {
+		return assignOn(fmt.Sprintf("/choir%d/", i))
+	}
+	return assign(0)
+}
+
+// smallRequests is the percentage of the requests on each of the small routes.
+const smallRequests = 1
+
+func assignOn(prefix string) platformtest.Request {
+	return platformtest.Request{Method: "POST", Host: "rota.example", Path: prefix + "duty", APIKey: "key-of-choir", Body: `{"duty":"urn"}`, Timeout: 3 * time.Second}
 }
 
 // order writes a rollout command, and starts the servers of its version beside the others.
-func order(d *deployment, version string, fails func(running int) bool) (*group, time.Time) {
-	d.store.PutMove(service, version, orderSeconds)
+func order(d *deployment, version string, fails failure) (*group, time.Time) {
+	d.store.PutMove(service, version, orderTime.Seconds())
 	at := time.Now()
-	d.note("the operator orders version %s within %d s", version, orderSeconds)
+	d.note("the operator orders version %s within %v", version, orderTime)
 	return d.startGroup(service, version, requestWork, fails, zones...), at
 }
 
@@ -73,7 +107,7 @@
 // judgeExposure checks both parts of the rule for a bad version.
 func judgeExposure(d *deployment, c *callers, bad *group, ordered time.Time, others ...*group) (held bool) {
 	held = true
-	deadline := ordered.Add(orderSeconds * time.Second)
+	deadline := ordered.Add(orderTime)
 	within := func(g *group) (n int) {
 		for _, a := range g.arrived() {
 			if a.at.After(ordered) && a.at.Before(deadline) {
@@ -122,8 +156,8 @@
 	done := make(chan struct{})
 	go func() { c.send(ctx, requestRate, assign); close(done) }()
 	time.Sleep(warmUp)
-	bad, ordered := order(d, "v2", func(int) bool { return rand.Float64() < 0.3 })
-	if state := awaitState(d, orderSeconds*time.Second, "rolled-back"); state != "rolled-back" {
+	bad, ordered := order(d, "v2", portion(0.3))
+	if state := awaitState(d, orderTime, "rolled-back"); state != "rolled-back" {
 		d.note("the status is %s", state)
 	}
 	rolledBack := time.Now()
@@ -134,7 +168,7 @@
 	}
 	time.Sleep(time.Until(rolledBack.Add(wait)))
 	next, _ := order(d, "v3", nil)
-	if awaitState(d, (orderSeconds+3)*time.Second, "completed") == "completed" {
+	if awaitState(d, orderTime+3*time.Second, "completed") == "completed" {
 		old.stop()
 	}
 	time.Sleep(2 * time.Second)
@@ -144,9 +178,14 @@
 	return judgeExposure(d, c, bad, ordered, old, next), nil
 }
 
-// playBadVersion rolls out a version that fails some of its requests. Without the disruption
-// it fails none.
-func playBadVersion(d *deployment, trouble bool, fails func(running int) bool) (bool, error) {
+// portion returns a failure of a portion of all requests.
+func portion(p float64) failure {
+	return func(platformtest.ReceivedRequest) bool { return rand.Float64() < p }
+}
+
+// playBadVersion rolls out a version that fails some of its requests, and goes on for a time
+// after that. Without the disruption it fails none.
+func playBadVersion(d *deployment, trouble bool, fails failure, request func(int) platformtest.Request, after time.Duration) (bool, error) {
 	c, old, err := startRollouts(d)
 	if err != nil {
 		return false, err
@@ -154,27 +193,36 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	done := make(chan struct{})
-	go func() { c.send(ctx, requestRate, assign); close(done) }()
+	go func() { c.send(ctx, requestRate, request); close(done) }()
 	time.Sleep(warmUp)
 	if !trouble {
 		fails = nil
 	}
 	next, ordered := order(d, "v2", fails)
-	switch awaitState(d, (orderSeconds+3)*time.Second, "completed", "rolled-back") {
+	end := time.Now().Add(orderTime + after)
+	switch awaitState(d, time.Until(end), "completed", "rolled-back") {
 	case "completed":
 		old.stop()
 	case "rolled-back":
 		time.AfterFunc(drainAfter, next.drain)
 	}
-	time.Sleep(20 * time.Second)
+	time.Sleep(time.Until(end))
 	cancel()
 	<-done
 	d.note("%s", c.summary())
 	return judgeExposure(d, c, next, ordered, old), nil
 }
 
-// playUnderLoad rolls out a version whose servers fail three in ten of the requests that they
-// begin while they run two others or more.
-func playUnderLoad(d *deployment, trouble bool) (bool, error) {
-	return playBadVersion(d, trouble, func(running int) bool { return running > 2 && rand.Float64() < 0.3 })
+// playOneRoute rolls out a version that fails seven in ten of the requests of one small route.
+func playOneRoute(d *deployment, trouble bool) (bool, error) {
+	onRoute := func(s platformtest.ReceivedRequest) bool {
+		return strings.HasPrefix(s.URI, "/choir3/") && rand.Float64() < 0.7
+	}
+	orderTime = 6 * time.Second
+	return playBadVersion(d, trouble, onRoute, assignMostly, 75*time.Second)
+}
+
+// playSmallPortion rolls out a version that fails four in a hundred of its requests.
+func playSmallPortion(d *deployment, trouble bool) (bool, error) {
+	return playBadVersion(d, trouble, portion(0.04), assign, 20*time.Second)
 }
--- a/review/stand2/servers.go
+++ b/review/stand2/servers.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
@@ -83,13 +85,15 @@
 	r.once.Do(func() { r.d.store.DropServer(r.entry.ID) })
 }
 
+// failure reports whether a server fails a request.
+type failure func(platformtest.ReceivedRequest) bool
+
 // group is the servers of one version of a plain service.
 type group struct {
 	d       *deployment
 	version string
-	// fails reports whether a server fails a request that it begins while it runs a number of
-	// requests, that one included. It may be nil.
-	fails func(running int) bool
+	// fails reports whether a server fails a request. It may be nil.
+	fails failure
 	// work is how long a request runs.
 	work time.Duration
 
@@ -107,7 +111,7 @@
 }
 
 // startGroup starts a server of a version in each of the zones.
-func (d *deployment) startGroup(service, version string, work time.Duration, fails func(running int) bool, zones ...string) *group {
+func (d *deployment) startGroup(service, version string, work time.Duration, fails failure, zones ...string) *group {
 	g := &group{d: d, version: version, work: work, fails: fails}
 	for _, zone := range zones {
 		b := platformtest.NewBackend("i-" + version + "-" + zone)
@@ -124,13 +128,12 @@
 	g.mu.Lock()
 	g.arrivals = append(g.arrivals, arrival{s.ID, s.At})
 	g.mu.Unlock()
-	n := int(running.Add(1))
 	defer running.Add(-1)
-	if n > plainSlots+plainQueue {
+	if running.Add(1) > plainSlots+plainQueue {
 		platformtest.Refuse(w, http.StatusServiceUnavailable)
 		return
 	}
-	failed := g.fails != nil && g.fails(n)
+	failed := g.fails != nil && g.fails(s)
 	time.Sleep(g.work)
 	if !failed {
 		platformtest.Respond(w, http.StatusOK, "ok "+s.ID)
--- a/review/stand2/traffic.go
+++ b/review/stand2/traffic.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
