Tests of crowds that send up to the limits, at all addresses (red)

Cause: clients ended a process by its memory. test/crowd sends bodies of 64 KB to the address for callers of one interface and looks at the resident memory. The limit is 1 MiB, and what the operating system holds for a process, bytes received and not read and bytes sent and not accepted, takes memory as well.

Change: crowds of 1,600 callers send bodies up to the limit in one chunk, in chunks of one byte and slowly, much behind requests that are refused or wait, and read slowly; they reach the readiness, metrics, peer and administration addresses, and the own interface with HTTP/1.1 and HTTP/2 over TLS. One test plays 6,000 callers and bodies up to 4 MiB on the largest machine. All crowds, also those that were there, are now checked for the sum of the resident memory and of the bytes in the sockets' queues. The lines changed in crowd_test.go pass the machine, which was constant, and add that sum.

--- a/test/crowd/crowd_test.go
+++ b/test/crowd/crowd_test.go
@@ -62,6 +62,15 @@
 	body string
 	// key is the API key, if it is not that of one of the accounts.
 	key string
+	// address returns where the callers connect, the address for callers if it is nil.
+	address func(p *process) string
+	// protocol is the one that callers negotiate by TLS; empty means a connection without TLS.
+	protocol string
+	// large are the parts of a body that all callers share, which follow what bytes returns.
+	large []string
+	// then is what a caller does once all of this is sent, in place of nothing. It returns when
+	// ctx or the connection ends.
+	then func(ctx context.Context, conn net.Conn)
 }
 
 const chunked = "Transfer-Encoding: chunked\r\n"
@@ -150,13 +159,22 @@
 	if c.oneAccount {
 		account = 0
 	}
-	conn, err := net.DialTimeout("tcp", c.instance.listen, patience)
+	address := c.instance.listen
+	if k.address != nil {
+		address = k.address(c.instance)
+	}
+	conn, err := net.DialTimeout("tcp", address, patience)
 	if err != nil {
 		return
 	}
 	defer conn.Close()
 	defer context.AfterFunc(ctx, func() { _ = conn.Close() })()
-	if _, err := io.WriteString(conn, k.bytes(c.instance, fmt.Sprint(caller, "-", round), account)); err != nil {
+	if k.sendsMuch() {
+		// What the instance does not read keeps a caller waiting, who then has sent all it can.
+		defer time.AfterFunc(hold, sent).Stop()
+		_ = conn.(*net.TCPConn).SetWriteBuffer(callerBuffer)
+	}
+	if err := k.converse(ctx, conn, k.bytes(c.instance, fmt.Sprint(caller, "-", round), account)); err != nil {
 		return
 	}
 	sent()
@@ -182,8 +200,20 @@
 	key  func(account int) string
 	// files is the largest number of open descriptors seen.
 	files int
+	// machine is what the process may use.
+	machine machine
+	// readiness, metrics, peer and admin are other addresses that the process listens on.
+	readiness, metrics, peer, admin string
+	// client sends ordinary requests, over TLS, unless it is nil.
+	client *http.Client
 }
 
+// machine is what a process may use, and the largest body of a request.
+type machine struct{ memory, descriptors, bodyBytes int }
+
+// smallMachine is half of the smallest machine.
+var smallMachine = machine{memory: memory, descriptors: descriptors, bodyBytes: bodyBytes}
+
 // peak returns the largest resident memory so far, in bytes. The test fails if the process
 // has ended.
 func (p *process) peak(t *testing.T) int {
@@ -215,7 +245,11 @@
 func (p *process) request(id string) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
-	resp, err := platformtest.Send(ctx, platformtest.Request{
+	send := platformtest.Send
+	if p.client != nil {
+		send = p.sendTLS
+	}
+	resp, err := send(ctx, platformtest.Request{
 		Address: p.listen, Method: http.MethodPost, Host: host, Path: p.path, ID: id, APIKey: p.key(0), Timeout: 4 * time.Second, Body: ordinaryBody,
 	})
 	if err != nil {
@@ -238,11 +272,11 @@
 }
 
 // startPlatform starts a store and the servers of the instances' routes.
-func startPlatform(t *testing.T) *platformtest.Store {
+func startPlatform(t *testing.T, bodyBytes int) *platformtest.Store {
 	store := platformtest.NewStore()
 	t.Cleanup(store.Close)
-	cfg := platformtest.Config{Version: 1, Keys: make(map[string]string), Services: []platformtest.Service{
-		{Name: "app", Connections: 2000}, {Name: "large", Connections: 2000}, {Name: "llm", Engine: true, Connections: 2000},
+	cfg := platformtest.Config{Version: 1, BodyBytes: int64(bodyBytes), Keys: make(map[string]string), Services: []platformtest.Service{
+		{Name: "app", Connections: 2000}, {Name: "large", Connections: 2000}, {Name: "llm", Engine: true, Connections: 2000}, {Name: "slow", Connections: 2000},
 	}}
 	for i := range accounts {
 		cfg.Keys[keyOf(i)] = fmt.Sprint("account-", i)
@@ -251,6 +285,7 @@
 		{Name: "once", Kind: "non_idempotent", Service: "app"}, {Name: "again", Kind: "idempotent", Service: "app"},
 		{Name: "open", Kind: "idempotent", Service: "app", Public: true},
 		{Name: "long", Kind: "non_idempotent", Service: "large"}, {Name: "stream", Kind: "streaming", Service: "llm"},
+		{Name: "wait", Kind: "non_idempotent", Service: "slow"},
 	} {
 		r.Host, r.Prefix, r.TimeoutMS, r.GoalMS, r.Attempts = host, "/"+r.Name+"/", 20_000, 500, 1
 		cfg.Routes = append(cfg.Routes, r)
@@ -267,6 +302,7 @@
 		"llm": func(w http.ResponseWriter, _ *http.Request, _ platformtest.ReceivedRequest) {
 			platformtest.Stream(w, 1, 20_000)
 		},
+		"slow": func(_ http.ResponseWriter, r *http.Request, _ platformtest.ReceivedRequest) { <-r.Context().Done() },
 	} {
 		b := platformtest.NewBackend(service + "-1")
 		t.Cleanup(b.Close)
@@ -277,8 +313,11 @@
 }
 
 // startInstance starts an instance and waits until it serves.
-func startInstance(t *testing.T, program string) *process {
-	store := startPlatform(t)
+func startInstance(t *testing.T, program string) *process { return startOn(t, program, smallMachine) }
+
+// startOn starts an instance on a machine.
+func startOn(t *testing.T, program string, m machine) *process {
+	store := startPlatform(t, m.bodyBytes)
 	address := func() string {
 		a, err := loopback.FreeAddress("tcp")
 		if err != nil {
@@ -286,9 +325,10 @@
 		}
 		return a
 	}
+	metrics := address()
 	settings := platformtest.Settings{
 		ID: "e1", Zone: "z1", Store: store.Address(), Peer: address(), Listen: address(), Readiness: address(),
-		MemberTTL: time.Second, Drain: 200 * time.Millisecond, RepeatExtra: 10_000, Extra: limits,
+		MemberTTL: time.Second, Drain: 200 * time.Millisecond, RepeatExtra: 10_000, Extra: m.limits() + "metrics = " + metrics + "\n",
 	}
 	file := filepath.Join(t.TempDir(), "e1.ini")
 	if err := os.WriteFile(file, []byte(settings.Text()), 0o600); err != nil {
@@ -299,34 +339,53 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(h.Kill)
-	p := &process{Process: h, listen: settings.Listen, path: "/once/x", key: keyOf}
+	p := &process{
+		Process: h, machine: m, listen: settings.Listen, readiness: settings.Readiness, metrics: metrics, peer: settings.Peer, path: "/once/x", key: keyOf,
+	}
 	p.eventually(t, "the instance is ready", func() bool { return platformtest.Ready(settings.Readiness) })
 	p.eventually(t, "the instance serves", func() bool { return p.request("first") })
 	return p
 }
 
-// limits are the settings of the section [forward] that bound what the instance uses.
-var limits = fmt.Sprintf("memory = %d\ndescriptors = %d\n", memory, descriptors)
+// limits returns the settings of the section [forward] that bound what the instance uses.
+func (m machine) limits() string {
+	return fmt.Sprintf("memory = %d\ndescriptors = %d\n", m.memory, m.descriptors)
+}
 
 // startOwn starts an instance that serves the project's own interface, and waits until it
 // serves.
 func startOwn(t *testing.T, programs harness.Binaries) *process {
+	return startOwnWith(t, programs, ownLimits)
+}
+
+// startOwnWith starts such an instance with settings of the test.
+func startOwnWith(t *testing.T, programs harness.Binaries, settings harness.Settings) *process {
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
 	c, err := harness.Launch(ctx, harness.Spec{
 		Binaries: programs, Dir: t.TempDir(), Zones: []string{"z1"},
-		Pools:    map[string]string{"encode": "limit = 64\n"},
-		Routes:   map[string]string{"answer": "deadline = 20s\nstages = encode\nencode.pool = encode\n"},
+		Pools: map[string]string{"encode": "limit = 64\n", "slow": "limit = 1024\n"},
+		Routes: map[string]string{
+			"answer": "deadline = 20s\nstages = encode\nencode.pool = encode\n", "wait": "deadline = 20s\nstages = slow\nslow.pool = slow\n",
+		},
 		Accounts: map[string]float64{"yard": 1},
-		Backends: []harness.Backend{{FleetMember: standin.FleetMember{Name: "encode-1", WorkMS: 2}, Pool: "encode", Zone: "z1"}},
-		Settings: ownLimits,
+		Backends: []harness.Backend{
+			{FleetMember: standin.FleetMember{Name: "encode-1", WorkMS: 2}, Pool: "encode", Zone: "z1"},
+			{FleetMember: standin.FleetMember{Name: "slow-1", WorkMS: 10_000, Capacity: 1024}, Pool: "slow", Zone: "z1"},
+		},
+		Settings: settings,
 	})
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(c.Close)
 	in := c.Instances[0]
-	p := &process{Process: in.Process, listen: in.Entry, path: "/v1/routes/answer", key: func(int) string { return "yard-key" }}
+	p := &process{
+		Process: in.Process, machine: smallMachine, listen: in.Entry, admin: in.Admin, path: "/v1/routes/answer", key: func(int) string { return "yard-key" },
+	}
+	if settings["entry"]["tls_cert"] != "" {
+		p.client = clientTLS()
+	}
 	p.eventually(t, "the instance serves", func() bool { return p.request("first") })
 	return p
 }
@@ -338,6 +397,7 @@
 // requests are served.
 func play(t *testing.T, p *process, n int, c *crowd) {
 	before := p.peak(t)
+	used := p.watchMemory()
 	c.instance = p
 	ctx, leave := context.WithCancel(context.Background())
 	defer c.running.Wait()
@@ -354,11 +414,14 @@
 	c.running.Wait()
 	p.eventually(t, "an ordinary request is served afterwards", served)
 	peak := p.peak(t)
+	most := used()
 	t.Logf("memory %d MiB before, at most %d MiB; at most %d descriptors; %d ordinary requests until two were served", before>>20, peak>>20, p.files, attempts)
+	t.Logf("received and not read at most %d MiB, sent and not accepted at most %d MiB; with the resident memory at most %d MiB", most.unread>>20, most.unsent>>20, most.total>>20)
 	Convey("The instance runs and stays within its memory and its descriptors", t, func() {
 		So(p.Running(), ShouldBeTrue)
-		So(peak, ShouldBeLessThan, memory)
-		So(p.files, ShouldBeLessThan, descriptors)
+		So(peak, ShouldBeLessThan, p.machine.memory)
+		So(most.total, ShouldBeLessThan, p.machine.memory)
+		So(p.files, ShouldBeLessThan, p.machine.descriptors)
 	})
 }
 
