Callers: bound what the operating system keeps of their connections

What callers saw: a process ended, although its own memory was bounded. Cause: the operating system lets the buffers of a connection grow to megabytes, behind requests that are refused, wait or are not read on, and behind responses that callers do not read. Nothing counted them. Connections that are not accepted yet have such buffers too.

The memory of a connection includes its buffers. Not every system takes a size, so what it grants is measured. A connection that is closed for lack of room frees them at once, and only the rest is waited for.

--- a/internal/callerserver/room.go
+++ b/internal/callerserver/room.go
@@ -51,8 +51,10 @@
 
 // room bounds the number and the memory of the callers' connections.
 type room struct {
-	limits    policy.CallerLimits
+	limits policy.CallerLimits
+	// connBytes is the memory of a connection besides buffers.
 	connBytes int64
+	buffers   bufferBytes
 	logger    *slog.Logger
 	onClose   func(phase policy.CallerPhase)
 
@@ -82,9 +84,13 @@
 // add adds a connection. It reports false if there is no room for it, and the connection is
 // closed.
 func (r *room) add(c *callerConn) bool {
+	c.base = r.connBytes
+	if r.bounded() {
+		c.base += r.buffers.set(c.TCPConn)
+	}
 	r.mu.Lock()
 	r.conns[c] = struct{}{}
-	c.held = r.connBytes
+	c.held = c.base
 	r.bytes += c.held
 	victims := r.pick()
 	_, in := r.conns[c]
@@ -107,11 +113,15 @@
 	}
 	if c.closing {
 		c.closing = false
-		r.closing -= c.held
+		r.closing -= r.afterClose(c)
 		r.wake()
 	}
 }
 
+// afterClose returns the memory that a connection holds from its close until the goroutine that
+// serves it has ended: the operating system's buffers are free at once. The caller holds mu.
+func (r *room) afterClose(c *callerConn) int64 { return c.held - (c.base - r.connBytes) }
+
 // wake ends the waits of await, which then look at the state again. The caller holds mu.
 func (r *room) wake() {
 	close(r.changed)
@@ -143,7 +153,7 @@
 
 // setHead counts the memory of a head that a connection holds.
 func (r *room) setHead(c *callerConn, head int64) {
-	held := r.connBytes + max(0, head-freeHeadBytes)
+	held := c.base + max(0, head-freeHeadBytes)
 	r.mu.Lock()
 	var victims []*callerConn
 	if _, in := r.conns[c]; in {
@@ -206,7 +216,7 @@
 		delete(r.conns, c)
 		c.closing = true
 		r.bytes -= c.held
-		r.closing += c.held
+		r.closing += r.afterClose(c)
 		victims = append(victims, c)
 	}
 	if len(victims) > 0 {
@@ -242,6 +252,11 @@
 	}
 }
 
+// maxConnections returns the number of connections that fit.
+func (r *room) maxConnections() int {
+	return int(min(int64(r.limits.Connections), r.limits.ConnectionBytes/(r.connBytes+r.buffers.expected())))
+}
+
 // usage returns the number of connections and the memory that they hold.
 func (r *room) usage() (connections int, held int64) {
 	r.mu.Lock()
--- a/internal/callerserver/server.go
+++ b/internal/callerserver/server.go
@@ -101,6 +101,10 @@
 // InProgress returns the number of requests in progress.
 func (s *Server) InProgress() int64 { return s.inProgress.Load() }
 
+// MaxConnections returns the number of connections for which there is memory, besides the heads
+// of their requests.
+func (s *Server) MaxConnections() int { return s.room.maxConnections() }
+
 // Connections returns the number of connections and the memory that is counted for them.
 func (s *Server) Connections() (open int, held int64) { return s.room.usage() }
 
@@ -114,11 +118,21 @@
 
 // Listen listens on an address (host:port) and serves in the background.
 func (s *Server) Listen(address string) error {
-	listener, err := net.Listen("tcp", address)
+	var config net.ListenConfig
+	if s.room.bounded() {
+		config.Control = limitBuffers
+	}
+	listener, err := config.Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return errors.Wrap(err, "listen")
 	}
 	l := listener.(*net.TCPListener) // as the network is "tcp"
+	if s.room.bounded() {
+		if err := limitBacklog(l); err != nil {
+			_ = l.Close()
+			return errors.Wrap(err, "listen")
+		}
+	}
 	s.mu.Lock()
 	s.listener = l
 	s.startServer()
