Bodies are kept in blocks that are used again

What callers saw: the resident memory of a process of 72 MiB grew to 190 MiB and more under many bodies of 1 MiB that stopped short of their end. Cause: a body grew by copying into a buffer of twice the size. What was given up counted as free at once, while the garbage collector had yet to find it, and callers sent faster than it worked.

Change: package body keeps a body in blocks of 4 and 16 KiB from pools, counted as they are taken; the responses of servers, which had blocks of their own, use it too. A server may be sent a body after its request has ended, so blocks and their count last until the last user has ended. The own interface needs a body in one piece, and counts it beside the blocks while it is copied. Tests of upstream and of fingerprints pass bodies of the new type, with unchanged checks.

--- a/internal/upstream/early_test.go
+++ b/internal/upstream/early_test.go
@@ -124,7 +124,7 @@
 func earlyExchange(p *Pool, address string, slow bool) (policy.AnswerEnd, string, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
-	x, err := p.Do(ctx, &Request{Address: address, Method: http.MethodPost, URI: "/", Host: "h", Header: http.Header{}, Body: make([]byte, longUpload)})
+	x, err := p.Do(ctx, &Request{Address: address, Method: http.MethodPost, URI: "/", Host: "h", Header: http.Header{}, Body: make(Bytes, longUpload)})
 	if err != nil {
 		return policy.AnswerEnd{Framing: policy.FramingUnknown, Cause: EndCause(err), Place: policy.InHead}, "", err
 	}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -259,7 +259,7 @@
 	Method, URI, Host string
 	Header            http.Header
 	// Body is nil for a request without a body.
-	Body []byte
+	Body Body
 	// MaxIdleTime bounds how long a reused connection may have been idle, since the
 	// server may close it while the request is sent. 0 requires a new connection.
 	MaxIdleTime time.Duration
@@ -270,6 +270,30 @@
 	Memory *membudget.Hold
 }
 
+// Body is the body of a request.
+type Body interface {
+	io.WriterTo
+	// Size returns the number of bytes.
+	Size() int
+	// Keep keeps the memory of the body until release is called.
+	Keep() (release func())
+}
+
+// Bytes is a body in one piece.
+type Bytes []byte
+
+// WriteTo implements Body.
+func (b Bytes) WriteTo(w io.Writer) (int64, error) {
+	n, err := w.Write(b)
+	return int64(n), err
+}
+
+// Size implements Body.
+func (b Bytes) Size() int { return len(b) }
+
+// Keep implements Body.
+func (b Bytes) Keep() (release func()) { return func() {} }
+
 // get returns an idle connection or opens a new one.
 func (p *Pool) get(ctx context.Context, r *Request) (*conn, error) {
 	h := p.host(r.Address)
@@ -457,9 +481,9 @@
 	buf := buffers.Get().(*bytes.Buffer)
 	buf.Reset()
 	writeHead(buf, r)
-	inline := len(r.Body) <= maxInlineBodyBytes
-	if inline {
-		buf.Write(r.Body)
+	inline := r.Body == nil || r.Body.Size() <= maxInlineBodyBytes
+	if inline && r.Body != nil {
+		_, _ = r.Body.WriteTo(buf) // a bytes.Buffer never fails
 	}
 	n, err := x.conn.Write(buf.Bytes())
 	buffers.Put(buf)
@@ -471,8 +495,11 @@
 	}
 	if !inline {
 		x.bodyWritten = make(chan error, 1)
+		// The caller may free the body before the write has ended.
+		release := r.Body.Keep()
 		go func() {
-			_, err := x.conn.Write(r.Body)
+			defer release()
+			_, err := r.Body.WriteTo(x.conn)
 			x.bodyWritten <- err
 		}()
 	}
@@ -492,7 +519,7 @@
 	_ = r.Header.Write(buf) // a bytes.Buffer never fails
 	if r.Body != nil {
 		buf.WriteString("Content-Length: ")
-		buf.WriteString(strconv.Itoa(len(r.Body)))
+		buf.WriteString(strconv.Itoa(r.Body.Size()))
 		buf.WriteString("\r\n")
 	}
 	buf.WriteString("\r\n")
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -86,7 +86,11 @@
 func fetch(p *Pool, address string, body []byte) (string, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
-	x, err := p.Do(ctx, &Request{Address: address, Method: "GET", URI: "/a%2Fb?c=d", Host: "h.example", Header: http.Header{}, Body: body, MaxIdleTime: time.Minute})
+	var content Body
+	if body != nil {
+		content = Bytes(body)
+	}
+	x, err := p.Do(ctx, &Request{Address: address, Method: "GET", URI: "/a%2Fb?c=d", Host: "h.example", Header: http.Header{}, Body: content, MaxIdleTime: time.Minute})
 	if err != nil {
 		return "", err
 	}
--- a/plugins/entryhttp/route.go
+++ b/plugins/entryhttp/route.go
@@ -106,10 +106,10 @@
 // readBody reads a body into memory that is counted for its account.
 func (e *Entry) readBody(w http.ResponseWriter, r *http.Request, memory *membudget.Hold) ([]byte, kernel.Outcome) {
 	err := memory.Grow(e.callers.RequestBytes)
-	var body []byte
+	var content []byte
 	if err == nil {
 		callerserver.Abandonable(memory, w)
-		body, err = callerserver.ReadBody(http.MaxBytesReader(w, r.Body, e.maxBodyBytes), memory, r.ContentLength, e.maxBodyBytes)
+		content, err = callerserver.ReadWhole(http.MaxBytesReader(w, r.Body, e.maxBodyBytes), memory, r.ContentLength, e.maxBodyBytes)
 		memory.MayAbandon(nil)
 	}
 	if errors.Is(err, membudget.ErrNoMemory) {
@@ -122,10 +122,10 @@
 	if err != nil {
 		return nil, reject(kernel.ReasonBadRequest, "the body did not arrive whole in time")
 	}
-	if !json.Valid(body) {
+	if !json.Valid(content) {
 		return nil, reject(kernel.ReasonBadRequest, "the body is no JSON")
 	}
-	return body, kernel.Outcome{}
+	return content, kernel.Outcome{}
 }
 
 func reject(reason kernel.OutcomeReason, detail string) kernel.Outcome {
--- a/plugins/forward/answer.go
+++ b/plugins/forward/answer.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/savoryfold/savoryfold/catalog"
+	"github.com/savoryfold/savoryfold/internal/body"
 	"github.com/savoryfold/savoryfold/internal/eventstream"
 	"github.com/savoryfold/savoryfold/internal/membudget"
 	"github.com/savoryfold/savoryfold/internal/upstream"
@@ -93,9 +94,9 @@
 	if a.isStream(x) {
 		return f.forwardStream(ctx, a, r, c, x, hold, answer, began)
 	}
-	var b body
-	defer b.free()
-	err := b.readFrom(x, hold, maxResponseBytes)
+	b := body.New()
+	defer b.Free(nil)
+	err := b.Fill(x, hold, -1, maxResponseBytes)
 	hold.MayAbandon(nil)
 	r.logNoMemory(c, err)
 	end := x.End(err)
@@ -115,8 +116,8 @@
 	if err := a.extendWriteDeadline(); err != nil {
 		r.log.Add("could not set write deadline", "error", err)
 	}
-	a.writeHeader(x.Response, b.bytes)
-	if err := b.writeTo(a.w); err != nil {
+	a.writeHeader(x.Response, b.Size())
+	if _, err := b.WriteTo(a.w); err != nil {
 		r.log.Add("could not write response to caller", "error", err)
 		return sendDone, kernel.Outcome{Kind: kernel.Unknown, Reason: kernel.ReasonCallerGone, Detail: "the caller went away", Truncated: true}
 	}
@@ -130,9 +131,6 @@
 	return end.Success && a.request.route.Kind == catalog.Streaming && (a.started || end.Framing != policy.FramedEmpty)
 }
 
-// errResponseTooLarge means that a server sent a body that cannot be kept in memory.
-var errResponseTooLarge = errors.New("the body of the response is too large")
-
 // observeResponse records a complete response in the statistics of its server and
 // service.
 func (f *Forward) observeResponse(now time.Time, r *request, c choice, status int, took time.Duration) {
--- a/plugins/forward/crashes.go
+++ b/plugins/forward/crashes.go
@@ -39,7 +39,9 @@
 	}
 	d := xxhash.New()
 	_, _ = d.Write(append(head, '\n')) // writes to a hash do not fail
-	_, _ = d.Write(r.body)
+	if r.body != nil {
+		_, _ = r.body.WriteTo(d)
+	}
 	return d.Sum64()
 }
 
--- a/plugins/forward/crashes_test.go
+++ b/plugins/forward/crashes_test.go
@@ -1,22 +1,31 @@
 package forward
 
 import (
+	"strings"
 	"testing"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/savoryfold/savoryfold/catalog"
+	"github.com/savoryfold/savoryfold/internal/body"
 	"github.com/savoryfold/savoryfold/platform"
 )
 
+// bodyOf returns a body that is not counted.
+func bodyOf(text string) *body.Body {
+	b := body.New()
+	_ = b.Fill(strings.NewReader(text), nil, -1, int64(len(text))) // ends with io.EOF
+	return b
+}
+
 // TestFingerprint guards against repeats of a request that are not recognized, and
 // against other requests that are taken for repeats.
 func TestFingerprint(t *testing.T) {
 	newRequest := func(change func(r *request)) uint64 {
 		r := &request{
 			call:   platform.Call{ID: "a", Model: "m", Parts: []platform.PromptPart{{ID: 1, Tokens: 5}}, Pieces: []int{2, 0}, PieceKey: "k"},
-			caller: "choir", host: "rota.example", route: &catalog.Route{Name: "r"}, method: "POST", uri: "/a?b", body: []byte("body"),
+			caller: "choir", host: "rota.example", route: &catalog.Route{Name: "r"}, method: "POST", uri: "/a?b", body: bodyOf("body"),
 		}
 		change(r)
 		return fingerprint(r)
@@ -41,7 +50,7 @@
 			func(r *request) { r.host = "hall.example" },
 			func(r *request) { r.method = "PUT" },
 			func(r *request) { r.uri = "/a?c" },
-			func(r *request) { r.body = []byte("bodies") },
+			func(r *request) { r.body = bodyOf("bodies") },
 			func(r *request) { r.body = nil },
 			func(r *request) { r.call.Model = "n" },
 			func(r *request) { r.call.Model, r.call.PieceKey = "mk", "" },
--- a/plugins/forward/memory.go
+++ b/plugins/forward/memory.go
@@ -1,9 +1,6 @@
 package forward
 
 import (
-	"io"
-	"sync"
-
 	"github.com/pkg/errors"
 
 	"github.com/savoryfold/savoryfold/internal/membudget"
@@ -22,10 +19,6 @@
 	requestGroupFactor   = 3
 	responseGroupFactor  = 1
 	responseMemberFactor = 0.25
-	// bodyBlockBytes is the size of the first block of a body. Each further one is as large
-	// as all before, up to maxBodyBlockBytes.
-	bodyBlockBytes    = 4 << 10
-	maxBodyBlockBytes = 64 << 10
 )
 
 // memory bounds what this instance keeps of messages.
@@ -56,69 +49,6 @@
 	f.host.Gauge(`memory_held_bytes{kind="connections"}`).Update(held)
 }
 
-// body is a message body that is kept in blocks, so that it takes no more memory than it
-// counts.
-type body struct {
-	blocks [][]byte
-	bytes  int
-}
-
-var bodyBlocks = sync.Pool{New: func() any { return new([maxBodyBlockBytes]byte) }}
-
-// readFrom reads a body to its end into memory that is counted for it. The error is io.EOF
-// at the end.
-func (b *body) readFrom(source io.Reader, hold *membudget.Hold, limit int) error {
-	for {
-		last := len(b.blocks) - 1
-		if last < 0 || len(b.blocks[last]) == cap(b.blocks[last]) {
-			size := min(max(b.bytes, bodyBlockBytes), maxBodyBlockBytes)
-			if err := hold.Grow(int64(size)); err != nil {
-				return err
-			}
-			if size == maxBodyBlockBytes {
-				b.blocks = append(b.blocks, bodyBlocks.Get().(*[maxBodyBlockBytes]byte)[:0])
-			} else {
-				b.blocks = append(b.blocks, make([]byte, 0, size))
-			}
-			last++
-		}
-		block := b.blocks[last]
-		n, err := source.Read(block[len(block):cap(block)])
-		b.blocks[last] = block[:len(block)+n]
-		b.bytes += n
-		switch {
-		case b.bytes > limit:
-			return errResponseTooLarge
-		case err == io.EOF:
-			return err
-		case hold.Ended():
-			return membudget.ErrNoMemory
-		case err != nil:
-			return err
-		}
-	}
-}
-
-// writeTo writes the body.
-func (b *body) writeTo(w io.Writer) error {
-	for _, block := range b.blocks {
-		if _, err := w.Write(block); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// free makes the blocks available to other bodies.
-func (b *body) free() {
-	for _, block := range b.blocks {
-		if cap(block) == maxBodyBlockBytes {
-			bodyBlocks.Put((*[maxBodyBlockBytes]byte)(block[:maxBodyBlockBytes]))
-		}
-	}
-	b.blocks, b.bytes = nil, 0
-}
-
 // logNoMemory logs that a response had to end for lack of memory, if that is so.
 func (r *request) logNoMemory(c choice, err error) {
 	if errors.Is(err, membudget.ErrNoMemory) {
--- a/plugins/forward/request.go
+++ b/plugins/forward/request.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/savoryfold/savoryfold/catalog"
+	"github.com/savoryfold/savoryfold/internal/body"
 	"github.com/savoryfold/savoryfold/internal/callerserver"
 	"github.com/savoryfold/savoryfold/internal/membudget"
 	"github.com/savoryfold/savoryfold/kernel"
@@ -47,7 +48,8 @@
 	method string
 	uri    string
 	host   string
-	body   []byte
+	// body is nil for a request without a body.
+	body *body.Body
 	// memory counts the request and its body.
 	memory *membudget.Hold
 
@@ -121,7 +123,7 @@
 		call: call, log: f.host.NewRequestLog(call.ID), began: now, versionDraw: rand.Float64(), sentTo: make(map[string]bool),
 		header: hr.Header, method: hr.Method, uri: hr.RequestURI, host: hr.Host,
 	}
-	defer func() { r.memory.Close() }()
+	defer r.free()
 	outcome := f.accept(w, hr, r)
 	if outcome.Kind == "" {
 		f.retryBudgets.countRequest(now, r.service.Name)
@@ -140,6 +142,15 @@
 	f.finish(w, r, outcome)
 }
 
+// free frees the memory of a request once no server is sent its body any more.
+func (r *request) free() {
+	if r.body == nil {
+		r.memory.Close()
+		return
+	}
+	r.body.Free(r.memory.Close)
+}
+
 // accept validates a request and reads its body. The outcome is empty if the
 // request may proceed.
 func (f *Forward) accept(w http.ResponseWriter, hr *http.Request, r *request) kernel.Outcome {
@@ -277,7 +288,7 @@
 		r.log.Add("could not set read deadline", "error", err)
 	}
 	callerserver.Abandonable(r.memory, w)
-	body, err := callerserver.ReadBody(hr.Body, r.memory, hr.ContentLength, maxBytes)
+	content, err := callerserver.ReadBody(hr.Body, r.memory, hr.ContentLength, maxBytes)
 	if errors.Is(err, membudget.ErrNoMemory) {
 		r.log.Add("request body does not fit into the memory", "caller", r.caller, "held", f.memory.requests.Bytes())
 		if err := control.SetReadDeadline(time.Now().Add(skipTime)); err == nil {
@@ -286,7 +297,7 @@
 		return kernel.Outcome{Kind: kernel.NotRun, Reason: kernel.ReasonOverload, Detail: "request bodies fill the memory", RetryAfter: retryAfterBusy}
 	}
 	r.memory.MayAbandon(nil)
-	if errors.Is(err, callerserver.ErrBodyTooLarge) {
+	if errors.Is(err, body.ErrTooLarge) {
 		f.skipBody(r, hr.Body)
 		return kernel.Outcome{Kind: kernel.Rejected, Reason: kernel.ReasonTooLarge, Detail: "the body is too large"}
 	}
@@ -297,7 +308,7 @@
 	if err := control.SetReadDeadline(time.Time{}); err != nil {
 		r.log.Add("could not clear read deadline", "error", err)
 	}
-	r.body = body
+	r.body = content
 	return kernel.Outcome{}
 }
 
@@ -309,8 +320,8 @@
 const skipTime = time.Second
 
 // skipBody reads and discards the rest of a body that is not used.
-func (f *Forward) skipBody(r *request, body io.Reader) {
-	if _, err := io.CopyN(io.Discard, body, maxSkippedBytes); err != nil && err != io.EOF {
+func (f *Forward) skipBody(r *request, rest io.Reader) {
+	if _, err := io.CopyN(io.Discard, rest, maxSkippedBytes); err != nil && err != io.EOF {
 		r.log.Add("could not read rest of request body", "error", err)
 	}
 }
--- a/plugins/forward/send.go
+++ b/plugins/forward/send.go
@@ -234,8 +234,12 @@
 	if r.route.Retryable() {
 		idle = maxIdleRetryable
 	}
+	var content upstream.Body // stays nil without a body
+	if r.body != nil {
+		content = r.body
+	}
 	return &upstream.Request{
-		Address: server.Address, Method: r.method, URI: r.uri, Host: r.host, Body: r.body, MaxIdleTime: idle,
+		Address: server.Address, Method: r.method, URI: r.uri, Host: r.host, Body: content, MaxIdleTime: idle,
 		MaxConnections: f.connectionShare(r.service),
 		Header: platform.EncodeSend(r.header, platform.Send{
 			RemainingTime: r.deadline.Sub(now), Server: server.ID, Account: r.accountName(), Priority: r.priority(),
--- a/plugins/peerhttp/peerhttp.go
+++ b/plugins/peerhttp/peerhttp.go
@@ -106,7 +106,7 @@
 func (p *Peers) CallPeer(ctx context.Context, address, path string, body []byte) ([]byte, error) {
 	x, err := p.pool.Do(ctx, &upstream.Request{
 		Address: address, Method: http.MethodPost, URI: path, Host: address,
-		Header: http.Header{"Content-Type": {"application/cbor"}}, Body: body, MaxIdleTime: upstream.FleetIdleTimeout,
+		Header: http.Header{"Content-Type": {"application/cbor"}}, Body: upstream.Bytes(body), MaxIdleTime: upstream.FleetIdleTimeout,
 	})
 	if err != nil {
 		return nil, err
--- a/plugins/stages/call.go
+++ b/plugins/stages/call.go
@@ -150,7 +150,7 @@
 	began := time.Now()
 	x, err := s.pool.Do(ctx, &upstream.Request{
 		Address: server.Address, Method: http.MethodPost, URI: platform.StageRunPath, Host: server.Address,
-		Header: platform.StageHeader(server.ID), Body: body, MaxIdleTime: upstream.FleetIdleTimeout,
+		Header: platform.StageHeader(server.ID), Body: upstream.Bytes(body), MaxIdleTime: upstream.FleetIdleTimeout,
 	})
 	if err != nil {
 		return nil, err
--- a/plugins/stages/release.go
+++ b/plugins/stages/release.go
@@ -142,7 +142,7 @@
 	defer cancel()
 	x, err := s.pool.Do(ctx, &upstream.Request{
 		Address: server.Address, Method: http.MethodPost, URI: platform.StageFreePath, Host: server.Address,
-		Header: platform.StageHeader(""), Body: body, MaxIdleTime: upstream.FleetIdleTimeout,
+		Header: platform.StageHeader(""), Body: upstream.Bytes(body), MaxIdleTime: upstream.FleetIdleTimeout,
 	})
 	if err != nil {
 		return err
