Memory of messages that had to end counts until it is free

What callers saw: the resident memory of a process of 72 MiB exceeded it under many large bodies. Cause: when a body had to give way to another, its memory counted as free at once, although its reader had yet to run and free it; with one core and many callers, that takes a while, in which others took the memory again. Then the request kept its hold while up to 4 MiB of its rest were read and discarded.

Change: what a message holds counts until it is freed, and the one that needs it waits, for a second at most. A request that does not fit frees its memory before the rest of its body is discarded.

--- a/internal/callerserver/body.go
+++ b/internal/callerserver/body.go
@@ -16,7 +16,8 @@
 	if err == io.EOF {
 		return b, nil
 	}
-	b.Free(nil)
+	counted := b.Counted()
+	b.Free(func() { hold.Shrink(counted) })
 	return nil, err
 }
 
--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -33,30 +33,40 @@
 	now      func() time.Time
 
 	mu     sync.Mutex
-	total  int64             // guarded by mu
+	all    use               // guarded by mu
 	groups map[string]*group // guarded by mu
+	// freed is closed and replaced when a message that had to end frees memory; guarded by mu.
+	freed chan struct{}
 }
 
+// use is the memory that messages hold. Of it, ending is that of messages that had to end and
+// have not freed it yet.
+type use struct{ bytes, ending int64 }
+
 type group struct {
-	bytes   int64
+	use
 	members map[string]*member
 }
 
 type member struct {
-	bytes int64
+	use
 	holds map[*Hold]bool
 }
 
+// endTime bounds the wait for the memory of messages that had to end. Their readers end at once,
+// unless the process has no processor time.
+const endTime = time.Second
+
 // New returns a budget. onRefuse may be nil.
 func New(shares policy.MemoryShares, onRefuse func(policy.MemoryScope)) *Budget {
-	return &Budget{shares: shares, onRefuse: onRefuse, now: time.Now, groups: make(map[string]*group)}
+	return &Budget{shares: shares, onRefuse: onRefuse, now: time.Now, groups: make(map[string]*group), freed: make(chan struct{})}
 }
 
 // Bytes returns the memory of all messages.
 func (b *Budget) Bytes() int64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.total
+	return b.all.bytes
 }
 
 // Hold is the memory of one message. Its methods do nothing on nil.
@@ -102,7 +112,8 @@
 }
 
 // Grow adds n bytes to the memory of the message. The error is ErrNoMemory if they do not
-// fit; the message must end then.
+// fit; the message must end then. If other messages have to end for it, Grow waits until these
+// have freed their memory.
 func (h *Hold) Grow(n int64) error {
 	if h == nil || n <= 0 {
 		return nil
@@ -110,33 +121,76 @@
 	b := h.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	var expired <-chan time.Time
 	for !h.ended {
-		g, m := b.groups[h.group], (*member)(nil)
-		var inGroup, inMember int64
-		if g != nil {
-			inGroup = g.bytes
-			if m = g.members[h.label]; m != nil {
-				inMember = m.bytes
-			}
-		}
-		scope := b.shares.Check(b.total, inGroup, inMember, h.bytes, n)
+		all, inGroup, inMember := b.uses(h)
+		scope := b.shares.Check(all.bytes, inGroup.bytes, inMember.bytes, h.bytes, n)
 		if scope == policy.MemoryFits {
 			b.add(h, n)
 			return nil
 		}
-		victim := b.victim(scope, h, h.bytes+n)
-		if b.onRefuse != nil {
-			b.onRefuse(scope)
+		if b.shares.Check(all.live(), inGroup.live(), inMember.live(), h.bytes, n) != policy.MemoryFits {
+			b.end(b.victim(scope, h, h.bytes+n), scope)
+			continue
+		}
+		if expired == nil {
+			expired = time.After(endTime)
 		}
-		victim.ended = true
-		b.add(victim, -victim.bytes)
-		if victim.abandon != nil {
-			victim.abandon()
+		if !b.awaitFreed(expired) {
+			b.end(h, scope)
 		}
 	}
 	return ErrNoMemory
 }
 
+// live returns the memory without that of messages that had to end.
+func (u use) live() int64 { return u.bytes - u.ending }
+
+// uses returns the memory of all messages, and of those of the group and the member of a hold.
+// The caller holds mu.
+func (b *Budget) uses(h *Hold) (all, inGroup, inMember use) {
+	if g := b.groups[h.group]; g != nil {
+		inGroup = g.use
+		if m := g.members[h.label]; m != nil {
+			inMember = m.use
+		}
+	}
+	return b.all, inGroup, inMember
+}
+
+// end makes a message end. The caller holds mu.
+func (b *Budget) end(h *Hold, scope policy.MemoryScope) {
+	if b.onRefuse != nil {
+		b.onRefuse(scope)
+	}
+	h.ended = true
+	b.addEnding(h, h.bytes)
+	b.wake() // it may wait itself
+	if h.abandon != nil {
+		h.abandon()
+	}
+}
+
+// awaitFreed waits until a message that had to end has freed memory. It reports false if
+// expired comes first. The caller holds mu, which is not held during the wait.
+func (b *Budget) awaitFreed(expired <-chan time.Time) bool {
+	freed := b.freed
+	b.mu.Unlock()
+	defer b.mu.Lock()
+	select {
+	case <-freed:
+		return true
+	case <-expired:
+		return false
+	}
+}
+
+// wake ends the waits of awaitFreed. The caller holds mu.
+func (b *Budget) wake() {
+	close(b.freed)
+	b.freed = make(chan struct{})
+}
+
 // victim returns the hold that ends so that h may hold needed bytes, in a scope around h: the
 // largest or else the one without progress for longest that may be abandoned and yields, or h
 // itself. In all groups it is one of the group with the most bytes. The caller holds mu.
@@ -144,7 +198,7 @@
 	from := b.groups[h.group]
 	if scope == policy.MemoryOfAll {
 		for _, g := range b.groups {
-			if from == nil || g.bytes > from.bytes {
+			if from == nil || g.live() > from.live() {
 				from = g
 			}
 		}
@@ -158,7 +212,7 @@
 			continue
 		}
 		for hold := range m.holds {
-			if hold == h || hold.abandon == nil {
+			if hold == h || hold.abandon == nil || hold.ended {
 				continue
 			}
 			if !hold.stalledOnly && (largest == nil || hold.bytes > largest.bytes) {
@@ -196,7 +250,11 @@
 	h.bytes += n
 	m.bytes += n
 	g.bytes += n
-	b.total += n
+	b.all.bytes += n
+	if h.ended && n != 0 {
+		b.addEnding(h, n)
+		b.wake()
+	}
 	m.holds[h] = true
 	if h.bytes == 0 {
 		delete(m.holds, h)
@@ -209,6 +267,17 @@
 	}
 }
 
+// addEnding adds n bytes to the memory of messages that had to end. The caller holds mu.
+func (b *Budget) addEnding(h *Hold, n int64) {
+	b.all.ending += n
+	if g := b.groups[h.group]; g != nil {
+		g.ending += n
+		if m := g.members[h.label]; m != nil {
+			m.ending += n
+		}
+	}
+}
+
 // Set makes the message hold n bytes, as Grow does if these are more.
 func (h *Hold) Set(n int64) error {
 	if h == nil {
@@ -216,7 +285,7 @@
 	}
 	h.budget.mu.Lock()
 	grow := n - h.bytes
-	if grow <= 0 && !h.ended {
+	if grow <= 0 {
 		h.budget.add(h, grow)
 	}
 	h.budget.mu.Unlock()
@@ -264,6 +333,7 @@
 	h.budget.mu.Lock()
 	defer h.budget.mu.Unlock()
 	h.abandon = nil
-	h.ended = true
 	h.budget.add(h, -h.bytes)
+	h.ended = true
+	h.budget.wake() // it may wait in Grow
 }
--- a/plugins/forward/request.go
+++ b/plugins/forward/request.go
@@ -291,6 +291,7 @@
 	content, err := callerserver.ReadBody(hr.Body, r.memory, hr.ContentLength, maxBytes)
 	if errors.Is(err, membudget.ErrNoMemory) {
 		r.log.Add("request body does not fit into the memory", "caller", r.caller, "held", f.memory.requests.Bytes())
+		r.memory.Close() // what is skipped needs none
 		if err := control.SetReadDeadline(time.Now().Add(skipTime)); err == nil {
 			f.skipBody(r, hr.Body)
 		}
