Callers wait in order, and the ones that cannot wait are refused at once

What callers saw: while a crowd stayed, an ordinary request got no answer for 30 s and more, although the process was within its memory. Causes: messages that waited for memory lost it to others that grew without waiting. The goroutine that accepts connections closed others itself, where Close waits for a read that has yet to run, and waited up to a second for each.

Change: freed memory goes to messages in the order in which they wait. Connections are closed in the background, up to a quarter more memory may be closing, and a new one that would have to wait for that is closed at once if others wait behind it. Several connections may be accepted before the goroutine that serves them runs. The backlog is bounded by what its connections may hold. The soft limit of the garbage collector is 0.6 of the memory, 0.7 before, as buffers outside of the heap count in it.

--- a/internal/callerserver/buffers.go
+++ b/internal/callerserver/buffers.go
@@ -20,23 +20,31 @@
 	waitingBuffer = 2 << 10
 	// systemFactor is the factor of what Linux adds.
 	systemFactor = 2
-	// backlog is the number of connections that wait to be accepted. What their callers have
-	// sent takes memory that is not counted.
-	backlog = 512
+	// backlogDivisor is the part of the memory of connections that those may take besides which
+	// wait to be accepted.
+	backlogDivisor = 3
 )
 
-// limitBacklog bounds the connections that wait to be accepted. Package net takes the largest
-// number that the system permits.
-func limitBacklog(l *net.TCPListener) error {
+// limitBacklog bounds the connections that wait to be accepted, whose callers may have sent
+// something, to a number of bytes. Package net takes the largest number that the system permits.
+func limitBacklog(l *net.TCPListener, bytes int64) error {
+	size, err := receiveBufferOf(l)
+	if err != nil {
+		return err
+	}
 	raw, err := l.SyscallConn()
 	if err != nil {
 		return err
 	}
+	waiting := min(bytes/int64(max(size, 1)), maxBacklog)
 	var listenErr error
-	err = raw.Control(func(fd uintptr) { listenErr = unix.Listen(int(fd), backlog) })
+	err = raw.Control(func(fd uintptr) { listenErr = unix.Listen(int(fd), int(waiting)) })
 	return cmp.Or(err, listenErr)
 }
 
+// maxBacklog is the number of waiting connections that Linux permits by default.
+const maxBacklog = 4096
+
 // limitBuffers sets the sizes of the buffers of a listener's connections until they are accepted.
 // It is a function for net.ListenConfig.
 func limitBuffers(_, _ string, c syscall.RawConn) error {
@@ -72,7 +80,7 @@
 }
 
 // receiveBufferOf returns the size of the operating system's buffer of what a connection
-// receives.
+// receives, or the connections of a listener.
 func receiveBufferOf(c syscall.Conn) (int, error) {
 	raw, err := c.SyscallConn()
 	if err != nil {
--- a/internal/callerserver/conn.go
+++ b/internal/callerserver/conn.go
@@ -220,39 +220,48 @@
 	}
 }
 
+// acceptedConns is the number of connections that may be accepted before the goroutine that starts
+// to serve them runs. With one core and many callers, it runs rarely.
+const acceptedConns = 64
+
 // chanListener is a listener for connections that another listener has
 // accepted.
 type chanListener struct {
 	address net.Addr
 	conns   chan net.Conn
-	closed  chan struct{}
-	once    sync.Once
+
+	mu     sync.RWMutex
+	closed bool // guarded by mu; nothing is sent to conns from then on
 }
 
 // deliver passes a connection to Accept, and reports false if the listener is
 // closed.
 func (l *chanListener) deliver(c net.Conn) bool {
-	select {
-	case l.conns <- c:
-		return true
-	case <-l.closed:
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	if l.closed {
 		return false
 	}
+	l.conns <- c
+	return true
 }
 
-// Accept implements net.Listener.
+// Accept implements net.Listener. Connections that were delivered before Close are accepted.
 func (l *chanListener) Accept() (net.Conn, error) {
-	select {
-	case c := <-l.conns:
+	if c, open := <-l.conns; open {
 		return c, nil
-	case <-l.closed:
-		return nil, net.ErrClosed
 	}
+	return nil, net.ErrClosed
 }
 
 // Close implements net.Listener.
 func (l *chanListener) Close() error {
-	l.once.Do(func() { close(l.closed) })
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.closed {
+		l.closed = true
+		close(l.conns)
+	}
 	return nil
 }
 
--- a/internal/callerserver/room.go
+++ b/internal/callerserver/room.go
@@ -32,6 +32,9 @@
 	unreadTime = time.Second
 	// closingTime bounds the wait for connections that are being closed.
 	closingTime = time.Second
+	// closingDivisor is the part of the memory of connections that those which are being closed may
+	// take besides, so that not every new connection waits for the end of another.
+	closingDivisor = 4
 	// roomLogInterval is the least time between two lines on closed connections.
 	roomLogInterval = time.Second
 )
@@ -82,12 +85,17 @@
 func (r *room) bounded() bool { return r.limits.Connections < math.MaxInt }
 
 // add adds a connection. It reports false if there is no room for it, and the connection is
-// closed.
-func (r *room) add(c *callerConn) bool {
+// closed. If it would have to wait for connections that are being closed, and crowded reports
+// that others wait to be accepted, it is closed as well, so that these are not kept waiting.
+func (r *room) add(c *callerConn, crowded func() bool) bool {
 	c.base = r.connBytes
 	if r.bounded() {
 		c.base += r.buffers.set(c.TCPConn)
 	}
+	if r.mustWait(c.base) && crowded() {
+		r.refuse(c)
+		return false
+	}
 	r.mu.Lock()
 	r.conns[c] = struct{}{}
 	c.held = c.base
@@ -99,7 +107,9 @@
 	if !in {
 		r.remove(c) // it has no goroutine yet
 	}
-	r.await(c)
+	if !crowded() {
+		r.await(c)
+	}
 	return in
 }
 
@@ -135,7 +145,7 @@
 	for {
 		r.mu.Lock()
 		_, in := r.conns[c]
-		changed, wait := r.changed, in && r.closing > 0 && r.bytes+r.closing > r.limits.ConnectionBytes
+		changed, wait := r.changed, in && r.waits(0)
 		r.mu.Unlock()
 		if !wait {
 			return
@@ -151,6 +161,28 @@
 	}
 }
 
+// refuse closes a connection that was not added.
+func (r *room) refuse(c *callerConn) {
+	r.log(1)
+	_ = c.Close()
+	if r.onClose != nil {
+		r.onClose(policy.CallerIncomplete)
+	}
+}
+
+// waits reports whether a connection for which bytes are not counted yet has to wait for those
+// that are being closed. The caller holds mu.
+func (r *room) waits(bytes int64) bool {
+	return r.closing > 0 && r.bytes+r.closing+bytes > r.limits.ConnectionBytes+r.limits.ConnectionBytes/closingDivisor
+}
+
+// mustWait is waits for those who do not hold mu.
+func (r *room) mustWait(bytes int64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.waits(bytes)
+}
+
 // setHead counts the memory of a head that a connection holds.
 func (r *room) setHead(c *callerConn, head int64) {
 	held := c.base + max(0, head-freeHeadBytes)
@@ -233,7 +265,9 @@
 	r.log(len(victims))
 	for _, c := range victims {
 		phase := c.state(0).Phase
-		_ = c.Close() // the end of the goroutine that serves it follows
+		// Close waits for a read of the goroutine that serves the connection, which then ends. The
+		// caller of close must not: with one core and many callers, that takes a while.
+		go c.Close()
 		if r.onClose != nil {
 			r.onClose(phase)
 		}
--- a/internal/callerserver/server.go
+++ b/internal/callerserver/server.go
@@ -128,7 +128,7 @@
 	}
 	l := listener.(*net.TCPListener) // as the network is "tcp"
 	if s.room.bounded() {
-		if err := limitBacklog(l); err != nil {
+		if err := limitBacklog(l, s.options.Room.ConnectionBytes/backlogDivisor); err != nil {
 			_ = l.Close()
 			return errors.Wrap(err, "listen")
 		}
@@ -159,13 +159,22 @@
 	}
 }
 
+// crowded reports whether connections wait to be accepted.
+func (s *Server) crowded() bool {
+	s.mu.Lock()
+	l := s.listener
+	s.mu.Unlock()
+	waiting, err := hasBacklog(l)
+	return err == nil && waiting
+}
+
 // handOff passes a connection to the current server. If the listener of that
 // server has closed in the meantime, another server has replaced it.
 func (s *Server) handOff(c *net.TCPConn) {
 	conn := &callerConn{TCPConn: c, room: s.room, secure: s.options.TLS != nil, reading: true}
 	conn.abandonWrite = func() { _ = c.SetWriteDeadline(past) }
 	conn.setPhase(policy.CallerIncomplete, time.Now())
-	if !s.room.add(conn) {
+	if !s.room.add(conn, s.crowded) {
 		return
 	}
 	s.open.Add(1)
@@ -241,7 +250,7 @@
 		ConnContext: withCallerConn,
 	}
 	old := s.current
-	s.current = &chanListener{address: s.listener.Addr(), conns: make(chan net.Conn), closed: make(chan struct{})}
+	s.current = &chanListener{address: s.listener.Addr(), conns: make(chan net.Conn, acceptedConns)}
 	s.servers = append(s.servers, server)
 	go func(l net.Listener) {
 		serve := server.Serve
--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -5,6 +5,7 @@
 
 import (
 	"runtime/debug"
+	"slices"
 	"sync"
 	"time"
 
@@ -18,7 +19,7 @@
 
 // limitFraction is the fraction of the process's memory that is the soft limit of the garbage
 // collector.
-const limitFraction = 0.7
+const limitFraction = 0.6
 
 // LimitProcess sets the soft limit of the garbage collector for a process with a number of
 // bytes of memory.
@@ -35,10 +36,14 @@
 	mu     sync.Mutex
 	all    use               // guarded by mu
 	groups map[string]*group // guarded by mu
-	// freed is closed and replaced when a message that had to end frees memory; guarded by mu.
-	freed chan struct{}
+	// queue holds those that wait for memory that is freed, in the order in which they get it.
+	// Without an order, messages that grow without waiting would take it first; guarded by mu.
+	queue []*waiter
 }
 
+// waiter is a message that waits. wake receives a value when it is the first or has to end.
+type waiter struct{ wake chan struct{} }
+
 // use is the memory that messages hold. Of it, ending is that of messages that had to end and
 // have not freed it yet.
 type use struct{ bytes, ending int64 }
@@ -59,7 +64,7 @@
 
 // New returns a budget. onRefuse may be nil.
 func New(shares policy.MemoryShares, onRefuse func(policy.MemoryScope)) *Budget {
-	return &Budget{shares: shares, onRefuse: onRefuse, now: time.Now, groups: make(map[string]*group), freed: make(chan struct{})}
+	return &Budget{shares: shares, onRefuse: onRefuse, now: time.Now, groups: make(map[string]*group)}
 }
 
 // Bytes returns the memory of all messages.
@@ -82,6 +87,8 @@
 	stalledOnly bool
 	// progress is when the message last grew or Progress was called.
 	progress time.Time
+	// waiting is not nil while Grow waits.
+	waiting *waiter
 }
 
 // Open returns an empty hold for a message of a member of a group. Close must be called.
@@ -122,22 +129,25 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var expired <-chan time.Time
+	defer b.leave(h)
 	for !h.ended {
-		all, inGroup, inMember := b.uses(h)
-		scope := b.shares.Check(all.bytes, inGroup.bytes, inMember.bytes, h.bytes, n)
-		if scope == policy.MemoryFits {
-			b.add(h, n)
-			return nil
-		}
-		if b.shares.Check(all.live(), inGroup.live(), inMember.live(), h.bytes, n) != policy.MemoryFits {
-			b.end(b.victim(scope, h, h.bytes+n), scope)
-			continue
+		if b.isNext(h) {
+			all, inGroup, inMember := b.uses(h)
+			scope := b.shares.Check(all.bytes, inGroup.bytes, inMember.bytes, h.bytes, n)
+			if scope == policy.MemoryFits {
+				b.add(h, n)
+				return nil
+			}
+			if b.shares.Check(all.live(), inGroup.live(), inMember.live(), h.bytes, n) != policy.MemoryFits {
+				b.end(b.victim(scope, h, h.bytes+n), scope)
+				continue
+			}
 		}
 		if expired == nil {
 			expired = time.After(endTime)
 		}
-		if !b.awaitFreed(expired) {
-			b.end(h, scope)
+		if !b.await(h, expired) {
+			b.end(h, policy.MemoryOfAll)
 		}
 	}
 	return ErrNoMemory
@@ -165,30 +175,60 @@
 	}
 	h.ended = true
 	b.addEnding(h, h.bytes)
-	b.wake() // it may wait itself
+	h.waiting.signal()
 	if h.abandon != nil {
 		h.abandon()
 	}
 }
 
-// awaitFreed waits until a message that had to end has freed memory. It reports false if
-// expired comes first. The caller holds mu, which is not held during the wait.
-func (b *Budget) awaitFreed(expired <-chan time.Time) bool {
-	freed := b.freed
+// isNext reports whether no other message waits before h. The caller holds mu.
+func (b *Budget) isNext(h *Hold) bool {
+	return len(b.queue) == 0 || b.queue[0] == h.waiting
+}
+
+// await waits until h may be able to grow or has to end. It reports false if expired comes first.
+// The caller holds mu, which is not held during the wait.
+func (b *Budget) await(h *Hold, expired <-chan time.Time) bool {
+	if h.waiting == nil {
+		h.waiting = &waiter{wake: make(chan struct{}, 1)}
+		b.queue = append(b.queue, h.waiting)
+	}
+	w := h.waiting
 	b.mu.Unlock()
 	defer b.mu.Lock()
 	select {
-	case <-freed:
+	case <-w.wake:
 		return true
 	case <-expired:
 		return false
 	}
 }
 
-// wake ends the waits of awaitFreed. The caller holds mu.
-func (b *Budget) wake() {
-	close(b.freed)
-	b.freed = make(chan struct{})
+// leave ends the wait of a hold. The caller holds mu.
+func (b *Budget) leave(h *Hold) {
+	if h.waiting != nil {
+		b.queue = slices.DeleteFunc(b.queue, func(w *waiter) bool { return w == h.waiting })
+		h.waiting = nil
+		b.wakeNext()
+	}
+}
+
+// wakeNext wakes the message that waits first. The caller holds mu.
+func (b *Budget) wakeNext() {
+	if len(b.queue) > 0 {
+		b.queue[0].signal()
+	}
+}
+
+// signal wakes a message that waits. It does nothing on nil.
+func (w *waiter) signal() {
+	if w == nil {
+		return
+	}
+	select {
+	case w.wake <- struct{}{}:
+	default: // it has not looked since the last signal
+	}
 }
 
 // victim returns the hold that ends so that h may hold needed bytes, in a scope around h: the
@@ -253,7 +293,9 @@
 	b.all.bytes += n
 	if h.ended && n != 0 {
 		b.addEnding(h, n)
-		b.wake()
+	}
+	if n < 0 {
+		b.wakeNext()
 	}
 	m.holds[h] = true
 	if h.bytes == 0 {
@@ -335,5 +377,5 @@
 	h.abandon = nil
 	h.budget.add(h, -h.bytes)
 	h.ended = true
-	h.budget.wake() // it may wait in Grow
+	h.waiting.signal()
 }
