Readiness, metrics, peer and administration addresses are bounded

What callers saw: connections to the readiness, metrics or peer address of an instance took up to 1,269 MiB of a process of 72 MiB, and all of its descriptors. Cause: these addresses had servers of net/http without bounds: heads of 1 MiB, any number of connections, and bodies of 1 MiB at peers, read without a count. The administration API had no bounds either.

Change: they are served as callers are, with constant limits (policy.OperatorLimits, policy.PeerLimits) and heads of 8 KiB (administration: 16 KiB).

--- a/internal/callerserver/server.go
+++ b/internal/callerserver/server.go
@@ -266,6 +266,23 @@
 	}
 }
 
+// Close closes the listener and all connections at once. Requests in progress get no response.
+func (s *Server) Close() error {
+	s.mu.Lock()
+	s.stopped = true
+	l, servers := s.listener, s.servers
+	s.mu.Unlock()
+	var err error
+	if l != nil {
+		err = l.Close()
+		s.accepting.Wait()
+	}
+	for _, server := range servers {
+		err = cmp.Or(err, server.Close())
+	}
+	return err
+}
+
 // Stop accepts what has reached the listener, closes it and idle connections, and waits
 // for requests in progress. When the context ends, it aborts those that remain.
 func (s *Server) Stop(ctx context.Context) error {
--- a/plugins/admin/admin.go
+++ b/plugins/admin/admin.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/pkg/errors"
@@ -13,10 +14,14 @@
 	"github.com/savoryfold/savoryfold/internal/callerserver"
 	"github.com/savoryfold/savoryfold/internal/httpapi"
 	"github.com/savoryfold/savoryfold/kernel"
+	"github.com/savoryfold/savoryfold/policy"
 )
 
 const section = "admin"
 
+// maxHeaderBytes bounds the headers of a request.
+const maxHeaderBytes = 16 << 10
+
 func init() {
 	kernel.Register(kernel.ModuleInfo{
 		ID:    "admin",
@@ -51,7 +56,11 @@
 	}
 	a.server = callerserver.New(callerserver.Options{
 		Logger: h.Logger, Handler: a.routes(), TLS: tlsConfig, ReadTimeout: 10 * time.Second, WriteTimeout: 30 * time.Second,
-		Limits: callerserver.Limits{HeaderTimeout: 5 * time.Second, IdleTimeout: time.Minute},
+		Limits: callerserver.Limits{HeaderBytes: maxHeaderBytes, HeaderTimeout: 5 * time.Second, IdleTimeout: time.Minute},
+		Room:   policy.OperatorLimits,
+		Refuse: func(w http.ResponseWriter, _ *http.Request) {
+			httpapi.WriteProblem(w, httpapi.Problem{Status: http.StatusServiceUnavailable, Detail: "too many requests in progress"})
+		},
 	})
 	return nil
 }
--- a/plugins/forward/forward.go
+++ b/plugins/forward/forward.go
@@ -70,8 +70,8 @@
 	even         evenLoad
 
 	entry     *callerserver.Server
-	readiness *http.Server
-	metrics   *http.Server
+	readiness *callerserver.Server
+	metrics   *callerserver.Server
 	leaving   atomic.Bool
 	// stop decides which requests are still taken on during a stop. The project's own
 	// interface stops by another time (kernel.Host.StopBudget).
@@ -205,7 +205,7 @@
 	if err != nil {
 		f.host.Logger.Warn("requests aborted at the end of the grace period", "in_progress", f.entry.InProgress(), "error", err)
 	}
-	for _, s := range []*http.Server{f.readiness, f.metrics} {
+	for _, s := range []*callerserver.Server{f.readiness, f.metrics} {
 		if s != nil {
 			_ = s.Close() // its requests need no response
 		}
--- a/plugins/forward/listener.go
+++ b/plugins/forward/listener.go
@@ -2,16 +2,14 @@
 
 import (
 	"log/slog"
-	"net"
 	"net/http"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/savoryfold/savoryfold/catalog"
 	"github.com/savoryfold/savoryfold/internal/callerserver"
 	"github.com/savoryfold/savoryfold/kernel"
 	"github.com/savoryfold/savoryfold/platform"
+	"github.com/savoryfold/savoryfold/policy"
 )
 
 // Limits before the first configuration, and where it does not set them. They are those of
@@ -22,6 +20,8 @@
 	defaultIdleTimeout   = time.Minute
 	// internalTimeout bounds requests for readiness and metrics.
 	internalTimeout = 5 * time.Second
+	// internalHeaderBytes bounds the headers of these requests.
+	internalHeaderBytes = 8 << 10
 )
 
 // connLimits returns the limits of connections in a configuration.
@@ -39,26 +39,17 @@
 	return limits
 }
 
-// serveInternal serves a handler on an address of its own. It does nothing if
-// the address is empty.
-func serveInternal(logger *slog.Logger, address string, h http.Handler) (*http.Server, error) {
+// serveInternal serves a handler for the platform on an address of its own, which callers may
+// reach too. It does nothing if the address is empty.
+func serveInternal(logger *slog.Logger, address string, h http.Handler) (*callerserver.Server, error) {
 	if address == "" {
 		return nil, nil
 	}
-	l, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, errors.Wrap(err, "listen")
-	}
-	server := &http.Server{
-		Handler: h, ReadHeaderTimeout: internalTimeout, ReadTimeout: internalTimeout, WriteTimeout: internalTimeout, IdleTimeout: defaultIdleTimeout,
-		ErrorLog: slog.NewLogLogger(logger.Handler(), slog.LevelDebug),
-	}
-	go func() {
-		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			logger.Error("server for readiness or metrics failed", "address", address, "error", err)
-		}
-	}()
-	return server, nil
+	server := callerserver.New(callerserver.Options{
+		Logger: logger, Handler: h, ReadTimeout: internalTimeout, WriteTimeout: internalTimeout, Room: policy.OperatorLimits,
+		Limits: callerserver.Limits{HeaderBytes: internalHeaderBytes, HeaderTimeout: internalTimeout, IdleTimeout: defaultIdleTimeout},
+	})
+	return server, server.Listen(address)
 }
 
 // readinessHandler reports to the platform whether the instance takes
--- a/plugins/peerhttp/peerhttp.go
+++ b/plugins/peerhttp/peerhttp.go
@@ -4,25 +4,36 @@
 package peerhttp
 
 import (
+	"bytes"
 	"context"
-	"log/slog"
-	"net"
+	"io"
 	"net/http"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/savoryfold/savoryfold/config"
+	"github.com/savoryfold/savoryfold/internal/callerserver"
+	"github.com/savoryfold/savoryfold/internal/membudget"
 	"github.com/savoryfold/savoryfold/internal/periodic"
 	"github.com/savoryfold/savoryfold/internal/upstream"
 	"github.com/savoryfold/savoryfold/kernel"
+	"github.com/savoryfold/savoryfold/policy"
 )
 
 const section = "peer"
 
 const (
-	// headerTimeout is the time limit for reading the header of a call.
-	headerTimeout = 5 * time.Second
+	// headerTimeout is the time limit for reading the header of a call, callTimeout that for
+	// reading all of it, and responseTimeout that for its response.
+	headerTimeout   = 5 * time.Second
+	callTimeout     = 5 * time.Second
+	responseTimeout = 30 * time.Second
+	// maxHeaderBytes bounds the header of a call, maxCallBytes its body.
+	maxHeaderBytes = 8 << 10
+	maxCallBytes   = 1 << 20
+	// shareFactor leaves the memory for bodies to whom needs it: instances trust each other.
+	shareFactor = 1000
 	// maxResponseBytes is the maximum size of the response to a call.
 	maxResponseBytes = 8 << 20
 	// trimInterval is the time between two checks for idle connections.
@@ -45,7 +56,9 @@
 	host   *kernel.Host
 	mux    *http.ServeMux
 	pool   *upstream.Pool
-	server *http.Server
+	server *callerserver.Server
+	// bodies bounds the memory of the calls' bodies.
+	bodies *membudget.Budget
 	cancel context.CancelFunc
 }
 
@@ -53,6 +66,9 @@
 func (p *Peers) Provision(h *kernel.Host) error {
 	p.host = h
 	p.pool = upstream.New(upstream.FleetOptions())
+	p.bodies = membudget.New(policy.MemoryShares{
+		Limit: policy.PeerLimits.RequestMemory, GroupFactor: shareFactor, MemberFactor: shareFactor, StallTime: policy.StallTime,
+	}, func(policy.MemoryScope) { h.Counter("peer_calls_without_memory").Inc(1) })
 	return nil
 }
 
@@ -62,21 +78,15 @@
 	if address == "" {
 		return nil
 	}
-	l, err := net.Listen("tcp", address)
-	if err != nil {
-		return errors.Wrap(err, "peers")
-	}
-	p.server = &http.Server{
+	p.server = callerserver.New(callerserver.Options{
+		Logger: p.host.Logger, Handler: p.mux, ReadTimeout: callTimeout, WriteTimeout: responseTimeout, Room: policy.PeerLimits,
 		// The idle timeout is longer than that of the callers, so that this side
 		// does not close a connection that a caller is about to use.
-		Handler: p.mux, ReadHeaderTimeout: headerTimeout, IdleTimeout: 2 * upstream.FleetIdleTimeout,
-		ErrorLog: slog.NewLogLogger(p.host.Logger.Handler(), slog.LevelDebug),
+		Limits: callerserver.Limits{HeaderBytes: maxHeaderBytes, HeaderTimeout: headerTimeout, IdleTimeout: 2 * upstream.FleetIdleTimeout},
+	})
+	if err := p.server.Listen(address); err != nil {
+		return errors.Wrap(err, "peers")
 	}
-	go func() {
-		if err := p.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			p.host.Logger.Error("listener for calls of other instances failed", "error", err)
-		}
-	}()
 	ctx, p.cancel = context.WithCancel(ctx)
 	go p.trim(ctx)
 	return nil
@@ -100,7 +110,24 @@
 }
 
 // HandlePeer implements kernel.PeerCalls.
-func (p *Peers) HandlePeer(path string, h http.HandlerFunc) { p.mux.HandleFunc("POST "+path, h) }
+func (p *Peers) HandlePeer(path string, h http.HandlerFunc) {
+	p.mux.HandleFunc("POST "+path, func(w http.ResponseWriter, r *http.Request) {
+		memory := p.bodies.Open(path, r.RemoteAddr)
+		defer memory.Close()
+		callerserver.Abandonable(memory, w)
+		content, err := callerserver.ReadWhole(r.Body, memory, r.ContentLength, maxCallBytes)
+		memory.MayAbandon(nil)
+		switch {
+		case errors.Is(err, membudget.ErrNoMemory):
+			http.Error(w, "calls of other instances fill the memory", http.StatusServiceUnavailable)
+		case err != nil:
+			http.Error(w, "the call did not arrive whole", http.StatusBadRequest)
+		default:
+			r.Body = io.NopCloser(bytes.NewReader(content))
+			h(w, r)
+		}
+	})
+}
 
 // CallPeer implements kernel.PeerCalls.
 func (p *Peers) CallPeer(ctx context.Context, address, path string, body []byte) ([]byte, error) {
