HTTP/2: count streams and bound what the library buffers

Cause: the library keeps up to 1 MiB of bodies that are not read for each connection of HTTP/2 and serves 250 requests on each, of which only the heads counted. A connection with any request was taken for busy, so that connections with bodies that had stopped were never closed for others.

Change: 64 KiB of bodies and 100 requests a connection, both counted. A connection is busy while a request that has arrived is in progress, incomplete while one is arriving.

--- a/internal/callerserver/buffers.go
+++ b/internal/callerserver/buffers.go
@@ -7,6 +7,8 @@
 	"syscall"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/savoryfold/savoryfold/internal/sockets"
 )
 
 const (
@@ -18,8 +20,6 @@
 	sendBuffer    = 8 << 10
 	// waitingBuffer is that of what a connection receives before it is accepted.
 	waitingBuffer = 2 << 10
-	// systemFactor is the factor of what Linux adds.
-	systemFactor = 2
 	// backlogDivisor is the part of the memory of connections that those may take besides which
 	// wait to be accepted.
 	backlogDivisor = 3
@@ -28,7 +28,7 @@
 // limitBacklog bounds the connections that wait to be accepted, whose callers may have sent
 // something, to a number of bytes. Package net takes the largest number that the system permits.
 func limitBacklog(l *net.TCPListener, bytes int64) error {
-	size, err := receiveBufferOf(l)
+	size, err := sockets.ReceiveBuffer(l)
 	if err != nil {
 		return err
 	}
@@ -48,13 +48,7 @@
 // limitBuffers sets the sizes of the buffers of a listener's connections until they are accepted.
 // It is a function for net.ListenConfig.
 func limitBuffers(_, _ string, c syscall.RawConn) error {
-	var err error
-	controlErr := c.Control(func(fd uintptr) {
-		if err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, waitingBuffer); err == nil {
-			err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, sendBuffer)
-		}
-	})
-	return cmp.Or(controlErr, err)
+	return sockets.SetBuffers(c, waitingBuffer, sendBuffer)
 }
 
 // bufferBytes is the memory of the operating system's buffers of one connection, 0 until it is
@@ -68,26 +62,13 @@
 	if bytes := b.bytes.Load(); bytes > 0 {
 		return bytes
 	}
-	if received, err := receiveBufferOf(c); err == nil {
-		b.bytes.Store(int64(received) + systemFactor*sendBuffer)
+	if received, err := sockets.ReceiveBuffer(c); err == nil {
+		b.bytes.Store(int64(received) + sockets.SystemFactor*sendBuffer)
 	}
 	return b.expected()
 }
 
 // expected returns the memory as far as it is known.
 func (b *bufferBytes) expected() int64 {
-	return cmp.Or(b.bytes.Load(), systemFactor*(receiveBuffer+sendBuffer))
-}
-
-// receiveBufferOf returns the size of the operating system's buffer of what a connection
-// receives, or the connections of a listener.
-func receiveBufferOf(c syscall.Conn) (int, error) {
-	raw, err := c.SyscallConn()
-	if err != nil {
-		return 0, err
-	}
-	var size int
-	var sizeErr error
-	err = raw.Control(func(fd uintptr) { size, sizeErr = unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF) })
-	return size, cmp.Or(err, sizeErr)
+	return cmp.Or(b.bytes.Load(), sockets.SystemFactor*(receiveBuffer+sendBuffer))
 }
--- a/internal/callerserver/conn.go
+++ b/internal/callerserver/conn.go
@@ -42,6 +42,9 @@
 	head    int64
 	// large is true from a head that was counted until the next idle time; guarded by mu.
 	large bool
+	// streams and completeStreams are the numbers of requests of a connection of HTTP/2, and of
+	// those that have arrived; guarded by mu.
+	streams, completeStreams int
 	// hold is the memory of a complete request in progress, nil without one; guarded by mu.
 	hold *membudget.Hold
 	// abandonWrite ends a write that waits for the caller.
@@ -194,16 +197,12 @@
 		conn.sentBytes = true
 		s.silent.Add(-1)
 		if t, ok := c.(*tls.Conn); ok && t.ConnectionState().NegotiatedProtocol == "h2" {
-			conn.multiplexed.Store(true)
 			s.multiplexed.Add(1)
-			s.room.setHead(conn, 0) // what was counted is the handshake; requests are counted one by one
+			s.room.setMultiplexed(conn)
 		}
 	}
-	if state == http.StateActive && conn.multiplexed.Load() {
-		conn.setComplete()
-	}
 	conn.setIdle(state == http.StateIdle)
-	if state == http.StateIdle && conn.awaitRequest() && !conn.multiplexed.Load() {
+	if state == http.StateIdle && !conn.multiplexed.Load() && conn.awaitRequest() {
 		s.room.setHead(conn, 0)
 	}
 	if state == http.StateIdle && !conn.multiplexed.Load() {
--- a/internal/callerserver/room.go
+++ b/internal/callerserver/room.go
@@ -20,6 +20,11 @@
 	// tlsConnBytes is that of one with TLS.
 	connBytes    = 20 << 10
 	tlsConnBytes = 64 << 10
+	// multiplexedBytes is what a connection of HTTP/2 takes besides: the library's buffers, and
+	// what of bodies has arrived and is not read. streamBytes is the memory of one of its
+	// requests.
+	multiplexedBytes = 32 << 10
+	streamBytes      = 12 << 10
 	// headLineBytes is the memory of a parsed header besides its name and value.
 	headLineBytes = 128
 	// tlsHeadFactor is the memory of a head by the bytes that were received of it, while the
@@ -314,6 +319,7 @@
 // is part of what each connection may hold. The caller holds mu.
 func (c *callerConn) countHead(p []byte) int64 {
 	if c.multiplexed.Load() {
+		c.progress = c.receivedAt
 		return 0
 	}
 	if c.phase == policy.CallerIdle {
@@ -379,6 +385,56 @@
 	c.setPhase(policy.CallerBusy, time.Now())
 }
 
+// setMultiplexed records that the connection is one of HTTP/2.
+func (r *room) setMultiplexed(c *callerConn) {
+	c.multiplexed.Store(true)
+	if r.bounded() {
+		r.mu.Lock()
+		c.base += multiplexedBytes
+		r.mu.Unlock()
+	}
+	// What was counted of a head is the handshake. Requests are counted one by one.
+	r.setHead(c, 0)
+}
+
+// trackStream follows a request of HTTP/2 until it has arrived. The function that it returns must
+// be called after the handler.
+func (c *callerConn) trackStream(r *http.Request) func() {
+	if r.ContentLength == 0 {
+		c.countStreams(1, 1)
+		return func() { c.countStreams(-1, -1) }
+	}
+	c.countStreams(1, 0)
+	body := &trackedBody{ReadCloser: r.Body, done: func() { c.countStreams(0, 1) }, left: r.ContentLength}
+	r.Body = body
+	return func() {
+		if body.complete {
+			c.countStreams(-1, -1)
+		} else {
+			c.countStreams(-1, 0)
+		}
+	}
+}
+
+// countStreams adds to the numbers of requests and of complete ones of a connection of HTTP/2,
+// which is busy while one is complete.
+func (c *callerConn) countStreams(requests, complete int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.streams += requests
+	c.completeStreams += complete
+	phase := policy.CallerIdle
+	switch {
+	case c.completeStreams > 0:
+		phase = policy.CallerBusy
+	case c.streams > 0:
+		phase = policy.CallerIncomplete
+	}
+	if phase != c.phase {
+		c.setPhase(phase, time.Now())
+	}
+}
+
 // trackRequest follows a request of HTTP/1 until it has arrived. The function that it returns
 // must be called after the handler.
 func (s *Server) trackRequest(conn *callerConn, w http.ResponseWriter, r *http.Request) func() {
@@ -389,7 +445,7 @@
 	if complete {
 		return func() {}
 	}
-	body := &trackedBody{ReadCloser: r.Body, conn: conn, left: r.ContentLength}
+	body := &trackedBody{ReadCloser: r.Body, done: conn.setComplete, left: r.ContentLength}
 	r.Body = body
 	return func() {
 		if !body.complete {
@@ -402,7 +458,8 @@
 // trackedBody is the body of a request. It records when it has arrived.
 type trackedBody struct {
 	io.ReadCloser
-	conn *callerConn
+	// done is called when it has arrived.
+	done func()
 	// left is what has not been read yet, negative if the length is unknown.
 	left     int64
 	complete bool
@@ -416,7 +473,7 @@
 	}
 	if !b.complete && (err == io.EOF || b.left == 0) {
 		b.complete = true
-		b.conn.setComplete()
+		b.done()
 	}
 	return n, err
 }
--- a/internal/callerserver/server.go
+++ b/internal/callerserver/server.go
@@ -37,6 +37,11 @@
 	// bytes of it have arrived.
 	headTime           = time.Second
 	closeCheckInterval = 2 * time.Millisecond
+	// maxStreams is the number of requests in progress on one connection of HTTP/2. streamBuffer
+	// is what of the bodies on a connection may arrive before they are read; the library takes
+	// no less.
+	maxStreams   = 100
+	streamBuffer = 64 << 10
 )
 
 // Limits bound the connections of callers.
@@ -203,12 +208,13 @@
 		defer conn.setHold(nil)
 	}
 	if conn != nil && r.ProtoMajor > 1 && s.room.bounded() {
-		head := headBytes(r)
+		head := headBytes(r) + streamBytes
 		if !s.room.addRequest(conn, head) {
 			s.options.Refuse(w, r)
 			return
 		}
 		defer s.room.endRequest(conn, head)
+		defer conn.trackStream(r)()
 	}
 	if conn == nil || r.ProtoAtLeast(1, 1) {
 		s.options.Handler.ServeHTTP(w, r)
@@ -249,6 +255,11 @@
 		ConnState:   s.trackState,
 		ConnContext: withCallerConn,
 	}
+	if s.room.bounded() {
+		server.HTTP2 = &http.HTTP2Config{
+			MaxConcurrentStreams: maxStreams, MaxReceiveBufferPerConnection: streamBuffer, MaxReceiveBufferPerStream: streamBuffer,
+		}
+	}
 	old := s.current
 	s.current = &chanListener{address: s.listener.Addr(), conns: make(chan net.Conn, acceptedConns)}
 	s.servers = append(s.servers, server)
