Requests in progress leave connections to others, and count servers' buffers

What callers saw: while all connections had a request that waited, no other caller got one for the time of their deadlines. Streams that callers did not read held 17 MiB of servers' bytes in the operating system's buffers of a process of 72 MiB.

Change: requests in progress take so much of their memory that they keep to three quarters of the connections (policy.CallerLimits.BytesPerRequest). Connections to servers have buffers of 16 KiB each way; a request counts what the system grants.

--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -8,6 +8,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"io"
 	"net"
@@ -24,6 +25,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/savoryfold/savoryfold/internal/membudget"
+	"github.com/savoryfold/savoryfold/internal/sockets"
 )
 
 // Errors of requests.
@@ -65,6 +67,9 @@
 	// IdleTimeout is how long an idle connection is kept, unless the server announces
 	// a shorter time.
 	IdleTimeout time.Duration
+	// Buffer is the size in bytes of the operating system's buffers of a connection for what is
+	// received and sent, without what the system adds. 0 means that it decides.
+	Buffer int
 	// MaxOpen is the number of connections from which an idle one is closed for each that is
 	// opened. 0 means no limit.
 	MaxOpen int
@@ -106,6 +111,8 @@
 	mu      sync.Mutex
 	hosts   map[string]*host // guarded by mu
 	dials   atomic.Int64
+	// receiveBuffer is what was measured of the first connection, 0 before.
+	receiveBuffer atomic.Int64
 	// open counts the connections in use, idle or being opened.
 	open atomic.Int64
 }
@@ -125,11 +132,22 @@
 	p.dial = DialContext(&net.Dialer{
 		Timeout:         o.DialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probe, Interval: probe, Count: 2},
-		Control:         UserTimeout(o.UserTimeout),
+		Control:         control(o),
 	})
 	return p
 }
 
+// control returns a net.Dialer Control function for options.
+func control(o Options) func(string, string, syscall.RawConn) error {
+	userTimeout := UserTimeout(o.UserTimeout)
+	return func(network, address string, c syscall.RawConn) error {
+		if err := userTimeout(network, address, c); err != nil || o.Buffer == 0 {
+			return err
+		}
+		return sockets.SetBuffers(c, o.Buffer, o.Buffer)
+	}
+}
+
 // UserTimeout returns a net.Dialer Control function that sets TCP_USER_TIMEOUT:
 // the time for which sent bytes may stay unacknowledged.
 func UserTimeout(d time.Duration) func(string, string, syscall.RawConn) error {
@@ -144,6 +162,12 @@
 	}
 }
 
+// ReceiveBuffer returns the size of the operating system's buffer of what a connection receives, as
+// far as it is known: not every system takes the size that is set.
+func (p *Pool) ReceiveBuffer() int64 {
+	return cmp.Or(p.receiveBuffer.Load(), sockets.SystemFactor*int64(p.options.Buffer))
+}
+
 // Dials returns the number of attempts to open a connection.
 func (p *Pool) Dials() int64 { return p.dials.Load() }
 
@@ -323,6 +347,13 @@
 		h.mu.Unlock()
 		return nil, errors.Wrap(ErrNotSent, err.Error())
 	}
+	if p.receiveBuffer.Load() == 0 {
+		if tcp, ok := raw.(syscall.Conn); ok {
+			if size, err := sockets.ReceiveBuffer(tcp); err == nil {
+				p.receiveBuffer.Store(int64(size))
+			}
+		}
+	}
 	source := &headSource{conn: raw, limit: unlimited}
 	return &conn{Conn: raw, host: h, source: source, br: bufio.NewReaderSize(source, readBufferBytes)}, nil
 }
--- a/plugins/entryhttp/route.go
+++ b/plugins/entryhttp/route.go
@@ -105,7 +105,7 @@
 
 // readBody reads a body into memory that is counted for its account.
 func (e *Entry) readBody(w http.ResponseWriter, r *http.Request, memory *membudget.Hold) ([]byte, kernel.Outcome) {
-	err := memory.Grow(e.callers.RequestBytes)
+	err := memory.Grow(e.callers.BytesPerRequest(e.server.MaxConnections(), 0))
 	var content []byte
 	if err == nil {
 		callerserver.Abandonable(memory, w)
--- a/plugins/forward/forward.go
+++ b/plugins/forward/forward.go
@@ -56,6 +56,9 @@
 const (
 	// trimInterval is the time between checks for idle connections.
 	trimInterval = time.Second
+	// serverBuffer is the size in bytes of the operating system's buffers of a connection to a
+	// server, which fill while a caller does not read a stream.
+	serverBuffer = 16 << 10
 )
 
 // Forward accepts the requests of callers and forwards them to backend servers.
@@ -117,6 +120,7 @@
 		UserTimeout: s.Duration(section, "silence"),
 		IdleTimeout: s.Duration(section, "idle_timeout"),
 		MaxOpen:     f.callers.ServerConnections,
+		Buffer:      serverBuffer,
 	})
 	f.requestsCtx, f.cancelRequests = context.WithCancel(context.Background())
 	f.entry = callerserver.New(callerserver.Options{
--- a/plugins/forward/request.go
+++ b/plugins/forward/request.go
@@ -183,7 +183,7 @@
 		return out
 	}
 	r.memory = f.memory.requests.Open(r.caller, r.route.Name)
-	if err := r.memory.Grow(f.callers.RequestBytes); err != nil {
+	if err := r.memory.Grow(f.callers.BytesPerRequest(f.entry.MaxConnections(), f.pool.ReceiveBuffer())); err != nil {
 		r.log.Add("request does not fit into the memory", "caller", r.caller, "held", f.memory.requests.Bytes())
 		return kernel.Outcome{Kind: kernel.NotRun, Reason: kernel.ReasonOverload, Detail: "requests in progress fill the memory", RetryAfter: retryAfterBusy}
 	}
--- a/policy/callerconns.go
+++ b/policy/callerconns.go
@@ -53,6 +53,18 @@
 	return l
 }
 
+// requestShare is the part of the connections that may have a request in progress. These are not
+// closed, so that others need a part of their own.
+const requestShare = 0.75
+
+// BytesPerRequest returns the memory that a request in progress takes besides its body, given the
+// number of connections for which there is memory and the bytes that the operating system may keep
+// of what a server sends. With it, requests keep within their part of the connections.
+func (l CallerLimits) BytesPerRequest(connections int, serverBuffer int64) int64 {
+	requests := max(int64(requestShare*float64(connections)), 1)
+	return max(l.RequestBytes+serverBuffer, (l.RequestMemory+requests-1)/requests)
+}
+
 // CallerPhase is what a caller's connection is used for.
 type CallerPhase int
 
--- a/policy/callerconns_test.go
+++ b/policy/callerconns_test.go
@@ -32,6 +32,26 @@
 	})
 }
 
+// TestBytesPerRequest guards against requests in progress on all connections, of which none may be
+// closed for another caller, and against servers' bytes that are not counted.
+func TestBytesPerRequest(t *testing.T) {
+	for _, k := range []struct {
+		name         string
+		connections  int
+		serverBuffer int64
+		want         int64
+	}{
+		{"as many requests as the limit allows", 1000, 0, 10},
+		{"few connections", 100, 0, 14}, // 1000 bytes for 75 requests
+		{"large buffers of servers", 1000, 64, 74},
+		{"no connections", 0, 0, 1000},
+	} {
+		Convey("Memory of a request: "+k.name, t, func() {
+			So(CallerLimits{RequestMemory: 1000, RequestBytes: 10}.BytesPerRequest(k.connections, k.serverBuffer), ShouldEqual, k.want)
+		})
+	}
+}
+
 // TestCloseConnections answers the load of many callers that stop in the middle of a request
 // and stay connected, while others use their connections as they should.
 func TestCloseConnections(t *testing.T) {
