--- a/internal/callerserver/room.go
+++ b/internal/callerserver/room.go
@@ -61,10 +61,11 @@
 type room struct {
 	limits policy.CallerLimits
 	// connBytes is the memory of a connection besides buffers.
-	connBytes int64
-	buffers   bufferBytes
-	logger    *slog.Logger
-	onClose   func(phase policy.CallerPhase)
+	connBytes     int64
+	buffers       bufferBytes
+	countsBuffers bool
+	logger        *slog.Logger
+	onClose       func(phase policy.CallerPhase)
 
 	mu       sync.Mutex
 	conns    map[*callerConn]struct{} // guarded by mu
@@ -76,7 +77,7 @@
 }
 
 func newRoom(o Options) *room {
-	r := &room{limits: o.Room, connBytes: connBytes, logger: o.Logger, onClose: o.OnClose, conns: make(map[*callerConn]struct{}), changed: make(chan struct{})}
+	r := &room{limits: o.Room, connBytes: connBytes, countsBuffers: !o.UncountedBuffers, logger: o.Logger, onClose: o.OnClose, conns: make(map[*callerConn]struct{}), changed: make(chan struct{})}
 	if o.TLS != nil {
 		r.connBytes = tlsConnBytes
 	}
@@ -95,7 +96,10 @@
 func (r *room) add(c *callerConn, crowded func() bool) bool {
 	c.base = r.connBytes
 	if r.bounded() {
-		c.base += r.buffers.set(c.TCPConn)
+		buffers := r.buffers.set(c.TCPConn)
+		if r.countsBuffers {
+			c.base += buffers
+		}
 	}
 	if r.mustWait(c.base) && crowded() {
 		r.refuse(c)
--- a/internal/callerserver/server.go
+++ b/internal/callerserver/server.go
@@ -67,6 +67,9 @@
 	Limits Limits
 	// Room bounds the connections and their memory. The zero value means no bounds.
 	Room policy.CallerLimits
+	// UncountedBuffers leaves the operating system's buffers out of the memory of Room, whose
+	// number of connections bounds them: for callers that hardly fill them.
+	UncountedBuffers bool
 	// Refuse responds to a request that shares its connection with others and for which there
 	// is no room. It is required with TLS and Room.
 	Refuse http.HandlerFunc
--- a/plugins/peerhttp/peerhttp.go
+++ b/plugins/peerhttp/peerhttp.go
@@ -79,7 +79,7 @@
 		return nil
 	}
 	p.server = callerserver.New(callerserver.Options{
-		Logger: p.host.Logger, Handler: p.mux, ReadTimeout: callTimeout, WriteTimeout: responseTimeout, Room: policy.PeerLimits,
+		Logger: p.host.Logger, Handler: p.mux, ReadTimeout: callTimeout, WriteTimeout: responseTimeout, Room: policy.PeerLimits, UncountedBuffers: true,
 		// The idle timeout is longer than that of the callers, so that this side
 		// does not close a connection that a caller is about to use.
 		Limits: callerserver.Limits{HeaderBytes: maxHeaderBytes, HeaderTimeout: headerTimeout, IdleTimeout: 2 * upstream.FleetIdleTimeout},
