HTTP/2: requests of closed connections count until they end, refusals do not wait

Cause: requests that were in progress on a connection of HTTP/2 no longer counted once it was closed for others, and a refusal with a body waited for callers that do not read. Change: such requests count as closing, a request takes 64 KiB, a refusal has no body and 100 ms.

--- a/internal/callerserver/conn.go
+++ b/internal/callerserver/conn.go
@@ -24,8 +24,9 @@
 	// sentBytes is used by the goroutine that serves the connection.
 	sentBytes   bool
 	multiplexed atomic.Bool
-	// base is the memory of the connection without the head of a request.
-	base int64
+	// base is the memory of the connection without the head of a request, requests that of its
+	// requests of HTTP/2; guarded by the mutex of room.
+	base, requests int64
 	// held is the memory that the connection holds, closing is true from the decision to close
 	// it until it has ended; guarded by the mutex of room.
 	held    int64
--- a/internal/callerserver/room.go
+++ b/internal/callerserver/room.go
@@ -24,7 +24,7 @@
 	// what of bodies has arrived and is not read. streamBytes is the memory of one of its
 	// requests.
 	multiplexedBytes = 32 << 10
-	streamBytes      = 12 << 10
+	streamBytes      = 64 << 10
 	// headLineBytes is the memory of a parsed header besides its name and value.
 	headLineBytes = 128
 	// tlsHeadFactor is the memory of a head by the bytes that were received of it, while the
@@ -122,19 +122,21 @@
 	return in
 }
 
-// remove removes a connection that has ended.
+// remove removes a connection that has ended. Requests of HTTP/2 may still be in progress on it,
+// whose memory counts as closing until they end.
 func (r *room) remove(c *callerConn) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if _, in := r.conns[c]; in {
 		delete(r.conns, c)
 		r.bytes -= c.held
+		r.closing += c.requests
+	} else if c.closing {
+		r.closing -= r.afterClose(c) - c.requests
 	}
-	if c.closing {
-		c.closing = false
-		r.closing -= r.afterClose(c)
-		r.wake()
-	}
+	c.closing = false
+	c.held = c.requests
+	r.wake()
 }
 
 // afterClose returns the memory that a connection holds from its close until the goroutine that
@@ -192,7 +194,8 @@
 	return r.waits(bytes)
 }
 
-// setHead counts the memory of a head that a connection holds.
+// setHead counts the memory of a head that a connection of HTTP/1 holds, or none on one that
+// becomes one of HTTP/2.
 func (r *room) setHead(c *callerConn, head int64) {
 	held := c.base + max(0, head-freeHeadBytes)
 	r.mu.Lock()
@@ -219,8 +222,9 @@
 	}
 	r.bytes += head
 	c.held += head
+	c.requests += head
 	victims := r.pick()
-	fits := r.bytes <= r.limits.ConnectionBytes
+	fits := r.bytes <= r.limits.ConnectionBytes && !r.waits(0)
 	r.mu.Unlock()
 	r.close(victims)
 	if !fits {
@@ -233,9 +237,13 @@
 func (r *room) endRequest(c *callerConn, head int64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	c.held -= head
+	c.requests -= head
 	if _, in := r.conns[c]; in {
 		r.bytes -= head
-		c.held -= head
+	} else {
+		r.closing -= head
+		r.wake()
 	}
 }
 
--- a/internal/callerserver/server.go
+++ b/internal/callerserver/server.go
@@ -37,6 +37,8 @@
 	// bytes of it have arrived.
 	headTime           = time.Second
 	closeCheckInterval = 2 * time.Millisecond
+	// refuseTime bounds the time to write that there is no room for a request.
+	refuseTime = 100 * time.Millisecond
 	// maxStreams is the number of requests in progress on one connection of HTTP/2. streamBuffer
 	// is what of the bodies on a connection may arrive before they are read; the library takes
 	// no less.
@@ -213,6 +215,8 @@
 	if conn != nil && r.ProtoMajor > 1 && s.room.bounded() {
 		head := headBytes(r) + streamBytes
 		if !s.room.addRequest(conn, head) {
+			// What is refused is not counted, so it must not wait for a caller that does not read.
+			_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(refuseTime))
 			s.options.Refuse(w, r)
 			return
 		}
--- a/plugins/admin/admin.go
+++ b/plugins/admin/admin.go
@@ -58,9 +58,7 @@
 		Logger: h.Logger, Handler: a.routes(), TLS: tlsConfig, ReadTimeout: 10 * time.Second, WriteTimeout: 30 * time.Second,
 		Limits: callerserver.Limits{HeaderBytes: maxHeaderBytes, HeaderTimeout: 5 * time.Second, IdleTimeout: time.Minute},
 		Room:   policy.OperatorLimits,
-		Refuse: func(w http.ResponseWriter, _ *http.Request) {
-			httpapi.WriteProblem(w, httpapi.Problem{Status: http.StatusServiceUnavailable, Detail: "too many requests in progress"})
-		},
+		Refuse: func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) },
 	})
 	return nil
 }
--- a/plugins/entryhttp/entryhttp.go
+++ b/plugins/entryhttp/entryhttp.go
@@ -98,7 +98,7 @@
 			h.Counter(`memory_refused{kind="requests",scope="` + scope.String() + `"}`).Inc(1)
 		})
 	e.server = callerserver.New(callerserver.Options{
-		Room: e.callers, Refuse: func(w http.ResponseWriter, _ *http.Request) { writeOutcome(w, noMemory) },
+		Room: e.callers, Refuse: refuse,
 		OnClose: func(p policy.CallerPhase) { h.Counter(`caller_connections_closed{phase="` + p.String() + `"}`).Inc(1) },
 		Logger:  h.Logger, Handler: e.withWriteDeadline(mux), TLS: tlsConfig, ReadTimeout: s.Duration(section, "body_timeout"),
 		Limits: callerserver.Limits{HeaderBytes: maxHeaderBytes, HeaderTimeout: s.Duration(section, "header_timeout"), IdleTimeout: s.Duration(section, "idle_timeout")},
@@ -106,6 +106,13 @@
 	return nil
 }
 
+// refuse responds that there is no memory for a request. A body would wait for a caller that does
+// not read.
+func refuse(w http.ResponseWriter, _ *http.Request) {
+	setOutcomeHeaders(w.Header(), noMemory)
+	w.WriteHeader(httpStatus(noMemory))
+}
+
 // Validate implements kernel.Validator.
 func (e *Entry) Validate() error {
 	if e.host.Settings.String(section, "listen") == "" {
--- a/policy/callerconns.go
+++ b/policy/callerconns.go
@@ -145,7 +145,6 @@
 // OperatorLimits bound the connections to an address that operators and the platform use.
 var OperatorLimits = CallerLimits{Connections: 32, ConnectionBytes: 4 << 20}
 
-// PeerLimits bound the connections to an address for calls of other instances, besides the operating
-// system's buffers, and the memory of
-// the calls' bodies.
+// PeerLimits bound the connections to an address for calls of other instances, without the
+// operating system's buffers, and the memory of the calls' bodies.
 var PeerLimits = CallerLimits{Connections: 512, ConnectionBytes: 12 << 20, RequestMemory: 4 << 20}
