Peers: connections by the size of the process

Change: new settings [peer] memory and descriptors; a quarter of the descriptors, at least 512 connections.

--- a/plugins/peerhttp/peerhttp.go
+++ b/plugins/peerhttp/peerhttp.go
@@ -46,6 +46,8 @@
 		Phase: kernel.PhaseMembership,
 		Settings: []config.Key{
 			{Section: section, Name: "listen", Kind: config.Address, Doc: "address to listen on for calls of other instances; empty means none"},
+			{Section: section, Name: "memory", Kind: config.Size, Default: "0", Doc: "memory available to the process, of which calls of other instances take a part. 0 means that of a small process"},
+			{Section: section, Name: "descriptors", Kind: config.Int, Default: "0", Doc: "file descriptors available to the process, of which a quarter are for connections of other instances, at least 512. 0 means 512 connections"},
 		},
 		New: func() kernel.Module { return &Peers{mux: http.NewServeMux()} },
 	})
@@ -57,6 +59,7 @@
 	mux    *http.ServeMux
 	pool   *upstream.Pool
 	server *callerserver.Server
+	limits policy.CallerLimits
 	// bodies bounds the memory of the calls' bodies.
 	bodies *membudget.Budget
 	cancel context.CancelFunc
@@ -66,8 +69,9 @@
 func (p *Peers) Provision(h *kernel.Host) error {
 	p.host = h
 	p.pool = upstream.New(upstream.FleetOptions())
+	p.limits = policy.NewPeerLimits(h.Settings.Bytes(section, "memory"), h.Settings.Int(section, "descriptors"))
 	p.bodies = membudget.New(policy.MemoryShares{
-		Limit: policy.PeerLimits.RequestMemory, GroupFactor: shareFactor, MemberFactor: shareFactor, StallTime: policy.StallTime,
+		Limit: p.limits.RequestMemory, GroupFactor: shareFactor, MemberFactor: shareFactor, StallTime: policy.StallTime,
 	}, func(policy.MemoryScope) { h.Counter("peer_calls_without_memory").Inc(1) })
 	return nil
 }
@@ -79,7 +83,7 @@
 		return nil
 	}
 	p.server = callerserver.New(callerserver.Options{
-		Logger: p.host.Logger, Handler: p.mux, ReadTimeout: callTimeout, WriteTimeout: responseTimeout, Room: policy.PeerLimits, UncountedBuffers: true,
+		Logger: p.host.Logger, Handler: p.mux, ReadTimeout: callTimeout, WriteTimeout: responseTimeout, Room: p.limits, UncountedBuffers: true,
 		// The idle timeout is longer than that of the callers, so that this side
 		// does not close a connection that a caller is about to use.
 		Limits: callerserver.Limits{HeaderBytes: maxHeaderBytes, HeaderTimeout: headerTimeout, IdleTimeout: 2 * upstream.FleetIdleTimeout},
--- a/policy/callerconns.go
+++ b/policy/callerconns.go
@@ -145,6 +145,25 @@
 // OperatorLimits bound the connections to an address that operators and the platform use.
 var OperatorLimits = CallerLimits{Connections: 32, ConnectionBytes: 4 << 20}
 
-// PeerLimits bound the connections to an address for calls of other instances, without the
-// operating system's buffers, and the memory of the calls' bodies.
-var PeerLimits = CallerLimits{Connections: 512, ConnectionBytes: 12 << 20, RequestMemory: 4 << 20}
+const (
+	// minPeerConnections, minPeerBytes and minPeerBodies are the limits of the smallest processes
+	// for calls of other instances. The divisors are the parts of the descriptors and of the
+	// memory on larger ones, which run the stages of others.
+	minPeerConnections    = 512
+	minPeerBytes          = 12 << 20
+	minPeerBodies         = 4 << 20
+	peerDescriptorDivisor = 4
+	peerMemoryDivisor     = 8
+	peerBodyDivisor       = 32
+)
+
+// NewPeerLimits returns the limits of connections to the address for calls of other instances,
+// without the operating system's buffers, and of the memory for the calls' bodies. 0 stands for the
+// smallest process.
+func NewPeerLimits(memory int64, descriptors int) CallerLimits {
+	return CallerLimits{
+		Connections:     max(minPeerConnections, descriptors/peerDescriptorDivisor),
+		ConnectionBytes: max(minPeerBytes, memory/peerMemoryDivisor),
+		RequestMemory:   max(minPeerBodies, memory/peerBodyDivisor),
+	}
+}
--- a/policy/callerconns_test.go
+++ b/policy/callerconns_test.go
@@ -52,6 +52,15 @@
 	}
 }
 
+// TestPeerLimits guards against instances that close each other's connections.
+func TestPeerLimits(t *testing.T) {
+	Convey("Limits for calls of other instances grow with the process", t, func() {
+		So(NewPeerLimits(0, 0), ShouldResemble, CallerLimits{Connections: 512, ConnectionBytes: 12 << 20, RequestMemory: 4 << 20})
+		So(NewPeerLimits(144<<20, 3075), ShouldResemble, CallerLimits{Connections: 768, ConnectionBytes: 18 << 20, RequestMemory: 9 << 19})
+		So(NewPeerLimits(424<<20, 10250).Connections, ShouldEqual, 2562)
+	})
+}
+
 // TestCloseConnections answers the load of many callers that stop in the middle of a request
 // and stay connected, while others use their connections as they should.
 func TestCloseConnections(t *testing.T) {
