Crowds: a caller does not copy what all callers send

Cause: writing a string to a connection copies all of it, so that 6,000 callers with parts of up to 24 MiB took 22 GiB in the test's process, which was killed. What is sent, the number of callers and the bounds are as they were.

--- a/test/crowd/callers_test.go
+++ b/test/crowd/callers_test.go
@@ -46,7 +46,7 @@
 		return err
 	}
 	for _, part := range k.large {
-		if _, err := io.WriteString(conn, part); err != nil {
+		if err := sendPart(conn, part); err != nil {
 			return err
 		}
 	}
@@ -56,6 +56,13 @@
 	return nil
 }
 
+// sendPart sends a part that callers share, without a copy of all of it for each.
+func sendPart(conn net.Conn, part string) error {
+	reader, writer := struct{ io.Reader }{strings.NewReader(part)}, struct{ io.Writer }{conn}
+	_, err := io.CopyBuffer(writer, reader, make([]byte, callerBuffer))
+	return err
+}
+
 // every calls do in every stepInterval until it fails or ctx ends.
 func every(ctx context.Context, do func() error) {
 	for ctx.Err() == nil && do() == nil {
@@ -80,9 +87,9 @@
 
 // sendOn goes on sending without an end.
 func sendOn(ctx context.Context, conn net.Conn) {
-	part := strings.Repeat("x", callerBuffer)
+	part := bytes.Repeat([]byte("x"), callerBuffer)
 	for ctx.Err() == nil {
-		if _, err := io.WriteString(conn, part); err != nil {
+		if _, err := conn.Write(part); err != nil {
 			return
 		}
 	}
