HTTP/2: a handshake that ends after its connection was closed counts nothing

Cause: a connection that was picked while its handshake was in progress got the memory of a connection of HTTP/2 afterwards, which was then subtracted from that of connections being closed, so that their count grew and stayed. Change: only connections that are open get it; a new connection asks for waiting ones only if it would have to wait. Found by reading the change.

Measured: tests of callerserver and entryhttp with -race; no run showed the fault.

--- a/internal/callerserver/room.go
+++ b/internal/callerserver/room.go
@@ -116,7 +116,7 @@
 	if !in {
 		r.remove(c) // it has no goroutine yet
 	}
-	if !crowded() {
+	if r.mustWait(0) && !crowded() {
 		r.await(c)
 	}
 	return in
@@ -400,11 +400,11 @@
 // setMultiplexed records that the connection is one of HTTP/2.
 func (r *room) setMultiplexed(c *callerConn) {
 	c.multiplexed.Store(true)
-	if r.bounded() {
-		r.mu.Lock()
+	r.mu.Lock()
+	if _, in := r.conns[c]; in { // else what it holds is being freed
 		c.base += multiplexedBytes
-		r.mu.Unlock()
 	}
+	r.mu.Unlock()
 	// What was counted of a head is the handshake. Requests are counted one by one.
 	r.setHead(c, 0)
 }
--- a/policy/callerconns.go
+++ b/policy/callerconns.go
@@ -158,7 +158,7 @@
 )
 
 // NewPeerLimits returns the limits of connections to the address for calls of other instances,
-// without the operating system's buffers, and of the memory for the calls' bodies. 0 stands for the
+// without the operating system's buffers, and of the memory for the calls' bodies. 0 means the
 // smallest process.
 func NewPeerLimits(memory int64, descriptors int) CallerLimits {
 	return CallerLimits{
