--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -41,8 +41,14 @@
 	queue []*waiter
 }
 
-// waiter is a message that waits. wake receives a value when it is the first or has to end.
-type waiter struct{ wake chan struct{} }
+// waiter is a message that waits. It comes before later ones of its group, and before all others
+// if it waits for the memory of all. wake receives a value when it may be able to grow, or has to
+// end.
+type waiter struct {
+	group string
+	scope policy.MemoryScope
+	wake  chan struct{}
+}
 
 // use is the memory that messages hold. Of it, ending is that of messages that had to end and
 // have not freed it yet.
@@ -120,7 +126,7 @@
 
 // Grow adds n bytes to the memory of the message. The error is ErrNoMemory if they do not
 // fit; the message must end then. If other messages have to end for it, Grow waits until these
-// have freed their memory.
+// have freed their memory, for endTime at most.
 func (h *Hold) Grow(n int64) error {
 	if h == nil || n <= 0 {
 		return nil
@@ -129,26 +135,26 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var expired <-chan time.Time
+	late := false // it has waited for endTime, and waits no longer
 	defer b.leave(h)
 	for !h.ended {
-		if b.isNext(h) {
-			all, inGroup, inMember := b.uses(h)
-			scope := b.shares.Check(all.bytes, inGroup.bytes, inMember.bytes, h.bytes, n)
-			if scope == policy.MemoryFits {
+		all, inGroup, inMember := b.uses(h)
+		scope := b.shares.Check(all.bytes, inGroup.bytes, inMember.bytes, h.bytes, n)
+		if late || b.isNext(h) {
+			later := b.shares.Check(all.live(), inGroup.live(), inMember.live(), h.bytes, n)
+			if scope == policy.MemoryFits || late && later == policy.MemoryFits {
 				b.add(h, n)
 				return nil
 			}
-			if b.shares.Check(all.live(), inGroup.live(), inMember.live(), h.bytes, n) != policy.MemoryFits {
-				b.end(b.victim(scope, h, h.bytes+n), scope)
+			if later != policy.MemoryFits {
+				b.end(b.victim(later, h, h.bytes+n), later)
 				continue
 			}
 		}
 		if expired == nil {
 			expired = time.After(endTime)
 		}
-		if !b.await(h, expired) {
-			b.end(h, policy.MemoryOfAll)
-		}
+		late = !b.await(h, scope, expired)
 	}
 	return ErrNoMemory
 }
@@ -181,18 +187,27 @@
 	}
 }
 
-// isNext reports whether no other message waits before h. The caller holds mu.
+// isNext reports whether no message that waits comes before h. The caller holds mu.
 func (b *Budget) isNext(h *Hold) bool {
-	return len(b.queue) == 0 || b.queue[0] == h.waiting
+	for _, w := range b.queue {
+		if w == h.waiting {
+			return true
+		}
+		if w.group == h.group || w.scope == policy.MemoryOfAll {
+			return false
+		}
+	}
+	return true
 }
 
-// await waits until h may be able to grow or has to end. It reports false if expired comes first.
-// The caller holds mu, which is not held during the wait.
-func (b *Budget) await(h *Hold, expired <-chan time.Time) bool {
+// await waits until h may be able to grow or has to end, for want of memory in a scope. It reports
+// false if expired comes first. The caller holds mu, which is not held during the wait.
+func (b *Budget) await(h *Hold, scope policy.MemoryScope, expired <-chan time.Time) bool {
 	if h.waiting == nil {
-		h.waiting = &waiter{wake: make(chan struct{}, 1)}
+		h.waiting = &waiter{group: h.group, wake: make(chan struct{}, 1)}
 		b.queue = append(b.queue, h.waiting)
 	}
+	h.waiting.scope = scope
 	w := h.waiting
 	b.mu.Unlock()
 	defer b.mu.Lock()
@@ -213,10 +228,17 @@
 	}
 }
 
-// wakeNext wakes the message that waits first. The caller holds mu.
+// wakeNext wakes the messages that no other one comes before. The caller holds mu.
 func (b *Budget) wakeNext() {
-	if len(b.queue) > 0 {
-		b.queue[0].signal()
+	var groups []string
+	for _, w := range b.queue {
+		if !slices.Contains(groups, w.group) {
+			w.signal()
+			groups = append(groups, w.group)
+		}
+		if w.scope == policy.MemoryOfAll {
+			return
+		}
 	}
 }
 
