--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -141,6 +141,7 @@
 		all, inGroup, inMember := b.uses(h)
 		scope := b.shares.Check(all.bytes, inGroup.bytes, inMember.bytes, h.bytes, n)
 		if late || b.isNext(h) {
+			// The scope once the messages that had to end have freed their memory.
 			later := b.shares.Check(all.live(), inGroup.live(), inMember.live(), h.bytes, n)
 			if scope == policy.MemoryFits || late && later == policy.MemoryFits {
 				b.add(h, n)
--- a/internal/membudget/membudget_test.go
+++ b/internal/membudget/membudget_test.go
@@ -16,6 +16,19 @@
 		var refused []policy.MemoryScope
 		return New(policy.MemoryShares{Limit: 1000 * kib, GroupFactor: 1, MemberFactor: 0.25}, func(s policy.MemoryScope) { refused = append(refused, s) }), &refused
 	}
+	// waitForMemory returns a large message of a group that had to end and has not freed its memory,
+	// and one that waits for it, whose result it sends to grown.
+	waitForMemory := func(group string) (b *Budget, large, waiting *Hold, grown chan error) {
+		b, _ = newBudget()
+		large, waiting = b.Open(group, "a"), b.Open(group, "a")
+		abandoned := make(chan struct{})
+		large.MayAbandon(func() { close(abandoned) })
+		So(large.Grow(180*kib), ShouldBeNil)
+		grown = make(chan error, 1)
+		go func() { grown <- waiting.Grow(150 * kib) }()
+		<-abandoned
+		return b, large, waiting, grown
+	}
 	Convey("Messages without end of all servers of a service leave room for another service", t, func() {
 		b, _ := newBudget()
 		ended := 0
@@ -101,14 +114,7 @@
 		So((*refused)[0], ShouldEqual, policy.MemoryOfAll)
 	})
 	Convey("The memory of a message that had to end counts until its reader has freed it", t, func() {
-		b, _ := newBudget()
-		large, small := b.Open("s", "a"), b.Open("s", "a")
-		abandoned := make(chan struct{})
-		large.MayAbandon(func() { close(abandoned) })
-		So(large.Grow(180*kib), ShouldBeNil)
-		grown := make(chan error, 1)
-		go func() { grown <- small.Grow(150 * kib) }()
-		<-abandoned
+		b, large, _, grown := waitForMemory("s")
 		So(b.Bytes(), ShouldEqual, 180*kib)
 		So(grown, ShouldBeEmpty)
 		large.Close()
@@ -127,26 +133,13 @@
 		So(b.Bytes(), ShouldEqual, 0)
 	})
 	Convey("A message that waits for another one may have to end itself", t, func() {
-		b, _ := newBudget()
-		large, waiting := b.Open("s", "a"), b.Open("s", "a")
-		abandoned := make(chan struct{})
-		large.MayAbandon(func() { close(abandoned) })
-		So(large.Grow(180*kib), ShouldBeNil)
-		grown := make(chan error, 1)
-		go func() { grown <- waiting.Grow(150 * kib) }()
-		<-abandoned
+		_, large, waiting, grown := waitForMemory("s")
+		defer large.Close()
 		waiting.Close()
 		So(<-grown, ShouldEqual, ErrNoMemory)
 	})
 	Convey("A message that fits does not wait for those of another group", t, func() {
-		b, _ := newBudget()
-		large, waiting := b.Open("faulty", "a"), b.Open("faulty", "a")
-		abandoned := make(chan struct{})
-		large.MayAbandon(func() { close(abandoned) })
-		So(large.Grow(180*kib), ShouldBeNil)
-		grown := make(chan error, 1)
-		go func() { grown <- waiting.Grow(150 * kib) }()
-		<-abandoned
+		b, large, _, grown := waitForMemory("faulty")
 		So(b.Open("sound", "b").Grow(100*kib), ShouldBeNil)
 		So(grown, ShouldBeEmpty)
 		large.Close()
