callerserver: connections of HTTP/2 are freed when they close

Cause: when a connection of HTTP/2 ends with requests in progress, http.Server stops its idle timer, then ends the requests, and with the last one starts the timer again. The timer keeps the connection, its buffers and the TLS state in memory until the idle timeout of a minute. A heap profile of the crowd showed about 9,000 such connections, with 31 in service. A write deadline that a handler sets while its stream ends does the same until the deadline.

Change: servers with TLS time idle connections themselves. One of HTTP/2 gets GOAWAY first. The write timeout of streams is never zero, as a stream without one accepts a deadline after its end.

--- a/internal/callerserver/conn.go
+++ b/internal/callerserver/conn.go
@@ -59,6 +59,8 @@
 	receivedAt time.Time
 	// ending is true if the connection ends unless a byte is read first; guarded by mu.
 	ending bool
+	// idleTimer is nil until a connection with TLS is idle first; guarded by mu.
+	idleTimer *time.Timer
 }
 
 // Read implements net.Conn.
@@ -148,7 +150,7 @@
 // endIfIdle makes the connection end if it waits for a request of which nothing was read. The
 // goroutine that serves it then closes it. Bytes that have arrived and may be a part of the
 // request have headTime to become one.
-func (c *callerConn) endIfIdle(now time.Time) {
+func (c *callerConn) endIfIdle(now time.Time, headTime time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.idle || c.ending || now.Sub(c.receivedAt) < headTime {
@@ -203,6 +205,9 @@
 		}
 	}
 	conn.setIdle(state == http.StateIdle)
+	if t, ok := c.(*tls.Conn); ok {
+		s.limitIdle(t, conn, state)
+	}
 	if state == http.StateIdle && !conn.multiplexed.Load() && conn.awaitRequest() {
 		s.room.setHead(conn, 0)
 	}
--- a/internal/callerserver/server.go
+++ b/internal/callerserver/server.go
@@ -262,6 +262,9 @@
 		ConnState:   s.trackState,
 		ConnContext: withCallerConn,
 	}
+	if s.options.TLS != nil {
+		server.IdleTimeout, server.WriteTimeout = noIdleTimeout, cmp.Or(s.options.WriteTimeout, longWriteTimeout)
+	}
 	if s.room.bounded() {
 		server.HTTP2 = &http.HTTP2Config{
 			MaxConcurrentStreams: maxStreams, MaxReceiveBufferPerConnection: streamBuffer, MaxReceiveBufferPerStream: streamBuffer,
@@ -337,7 +340,7 @@
 	for {
 		now := time.Now()
 		s.idle.Range(func(conn, _ any) bool {
-			conn.(*callerConn).endIfIdle(now)
+			conn.(*callerConn).endIfIdle(now, headTime)
 			return true
 		})
 		open := s.open.Load() - s.multiplexed.Load()
