entryhttp: requests over HTTP/2 may run longer than a write

What callers saw: a request over HTTP/2 that ran longer than [entry] write_timeout (5 s) was reset with INTERNAL_ERROR, although it was within its deadline.

Cause: the handler sets the write deadline before it runs and moves it before it writes. With HTTP/1 a deadline that has passed matters to a write alone; with HTTP/2 it ends the stream.

Change: the deadline applies to writes, and is far ahead between them, also between the events of a stream.

Result: TestLongRequestsOverHTTP2 fails before, both cases with a stream error, and passes now with the package's other tests, with -race.

--- a/plugins/entryhttp/entryhttp.go
+++ b/plugins/entryhttp/entryhttp.go
@@ -150,8 +150,8 @@
 	return errors.Wrap(e.server.Stop(ctx), "entry")
 }
 
-// withWriteDeadline sets a write deadline before h runs. A handler that runs
-// longer must call extendWriteDeadline before it writes.
+// withWriteDeadline sets a write deadline before h runs. A handler that runs longer must call
+// suspendWriteDeadline, and extendWriteDeadline before it writes.
 func (e *Entry) withWriteDeadline(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		e.extendWriteDeadline(w)
@@ -165,6 +165,13 @@
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(e.writeTimeout))
 }
 
+// suspendWriteDeadline sets a write deadline beyond all requests. With HTTP/2, a deadline that
+// passes ends the request even if nothing is being written.
+func (e *Entry) suspendWriteDeadline(w http.ResponseWriter) {
+	// The error is ignored: connections of http.Server support write deadlines.
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(suspendTime))
+}
+
 func (e *Entry) serveHealth(w http.ResponseWriter, _ *http.Request) {
 	httpapi.WriteJSON(w, http.StatusOK, map[string]string{"state": e.host.Instance.State().String()})
 }
--- a/plugins/entryhttp/entryhttp_test.go
+++ b/plugins/entryhttp/entryhttp_test.go
@@ -3,13 +3,18 @@
 import (
 	"bufio"
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"encoding/json"
+	"encoding/pem"
 	"fmt"
 	"io"
 	"log/slog"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -41,6 +46,12 @@
 }
 
 func startInstance(t *testing.T, backend http.HandlerFunc) *testInstance {
+	t.Helper()
+	return startInstanceWith(t, backend, "")
+}
+
+// startInstanceWith starts an instance with further settings of the section [entry].
+func startInstanceWith(t *testing.T, backend http.HandlerFunc, entry string) *testInstance {
 	t.Helper()
 	r := &testInstance{done: make(chan error, 1)}
 	r.backend = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
@@ -58,7 +69,7 @@
 body_timeout = 300ms
 write_timeout = 300ms
 drain = 1ms
-[policy]
+`+entry+`[policy]
 admission = baseline
 placement = baseline
 limits = baseline
@@ -370,3 +381,60 @@
 		So(resp.Header.Get("Trailer"), ShouldBeEmpty)
 	})
 }
+
+// TestLongRequestsOverHTTP2 guards against a request over HTTP/2 that is reset because it runs
+// longer than one write to its caller may take.
+func TestLongRequestsOverHTTP2(t *testing.T) {
+	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+	long := func(w http.ResponseWriter, req *http.Request) {
+		time.Sleep(900 * time.Millisecond) // three times write_timeout
+		if strings.Contains(req.Header.Get("Accept"), "text/event-stream") {
+			w.Header().Set("Content-Type", "text/event-stream")
+			fmt.Fprint(w, "id: 1\ndata: first\n\n")
+			w.(http.Flusher).Flush()
+			time.Sleep(900 * time.Millisecond)
+			fmt.Fprint(w, "id: 2\ndata: second\n\nevent: done\ndata: {}\n\n")
+			return
+		}
+		fmt.Fprint(w, `{}`)
+	}
+	r := startInstanceWith(t, long, tlsSettings(t))
+	defer r.stop()
+	client := &http.Client{Transport: &http.Transport{ForceAttemptHTTP2: true, TLSClientConfig: &tls.Config{InsecureSkipVerify: true}}} // #nosec: the test's own server
+	defer client.CloseIdleConnections()
+	for _, accept := range []string{"application/json", "text/event-stream"} {
+		Convey("A request that accepts "+accept+" gets its response after a long time", t, func() {
+			req, err := http.NewRequest(http.MethodPost, "https://"+r.address+"/v1/routes/answer", strings.NewReader("{}"))
+			So(err, ShouldBeNil)
+			req.Header.Set("Authorization", "Bearer "+apiKey)
+			req.Header.Set("Accept", accept)
+			resp, err := client.Do(req)
+			So(err, ShouldBeNil)
+			defer resp.Body.Close()
+			body, err := io.ReadAll(resp.Body)
+			So(err, ShouldBeNil)
+			So(resp.ProtoMajor, ShouldEqual, 2)
+			So(resp.StatusCode, ShouldEqual, http.StatusOK)
+			So(string(body), ShouldNotContainSubstring, "event: error")
+		})
+	}
+}
+
+// tlsSettings returns settings of the section [entry] with a certificate of the test.
+func tlsSettings(t *testing.T) string {
+	server := httptest.NewTLSServer(nil)
+	defer server.Close()
+	certificate := server.TLS.Certificates[0]
+	key, err := x509.MarshalPKCS8PrivateKey(certificate.PrivateKey)
+	if err != nil {
+		t.Fatal(err)
+	}
+	dir := t.TempDir()
+	files := map[string]*pem.Block{"cert": {Type: "CERTIFICATE", Bytes: certificate.Certificate[0]}, "key": {Type: "PRIVATE KEY", Bytes: key}}
+	for name, block := range files {
+		if err := os.WriteFile(filepath.Join(dir, name), pem.EncodeToMemory(block), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return "tls_cert = " + filepath.Join(dir, "cert") + "\ntls_key = " + filepath.Join(dir, "key") + "\n"
+}
--- a/plugins/entryhttp/route.go
+++ b/plugins/entryhttp/route.go
@@ -21,6 +21,8 @@
 	minDeadline            = time.Millisecond
 	maxDeadline            = 10 * time.Minute
 	maxIdempotencyKeyBytes = 128
+	// suspendTime is longer than any request.
+	suspendTime = time.Hour
 )
 
 // noMemory is the outcome of a request for which there is no memory.
@@ -43,9 +45,10 @@
 	}
 	memory := e.requests.Open(httpapi.HashToken(httpapi.Bearer(r.Header)), r.PathValue("route"))
 	defer memory.Close()
+	e.suspendWriteDeadline(w)
 	req, out := e.readRequest(w, r, start, memory)
-	e.extendWriteDeadline(w)
 	if out.Kind != "" {
+		e.extendWriteDeadline(w)
 		e.host.Counter(`entry_refused{reason="` + string(out.Reason) + `"}`).Inc(1)
 		writeOutcome(w, out)
 		return
--- a/plugins/entryhttp/stream.go
+++ b/plugins/entryhttp/stream.go
@@ -93,6 +93,7 @@
 
 func (s *stream) writeEvent(kind, id, data string) error {
 	s.entry.extendWriteDeadline(s.w)
+	defer s.entry.suspendWriteDeadline(s.w)
 	if !s.started {
 		h := s.w.Header()
 		h.Set("Content-Type", "text/event-stream")
