callerserver: frames of HTTP/2 of at most 16 KiB

What callers saw: nothing; a caller could make each connection of HTTP/2 take a buffer of 1 MiB, which nothing counts.

Cause: the library permits frames of 1 MiB and keeps a buffer for the largest one that arrived.

Change: frames of at most 16 KiB, the least that HTTP/2 allows, for addresses whose connections are bounded.

Result: TestLargestFrame saw 1048576 before and sees 16384 now.

--- a/internal/callerserver/idle_test.go
+++ b/internal/callerserver/idle_test.go
@@ -86,6 +86,20 @@
 	return false
 }
 
+// TestLargestFrame guards against a buffer of 1 MiB for the frames of each connection.
+func TestLargestFrame(t *testing.T) {
+	s := startIdle(t, time.Minute, func(http.ResponseWriter, *http.Request) {})
+	Convey("A caller learns that frames of 16 KiB are the largest ones", t, func() {
+		c, framer := dialHTTP2(s, 0)
+		defer c.Close()
+		frame, err := framer.ReadFrame()
+		So(err, ShouldBeNil)
+		So(frame, ShouldHaveSameTypeAs, &http2.SettingsFrame{})
+		size, _ := frame.(*http2.SettingsFrame).Value(http2.SettingMaxFrameSize)
+		So(size, ShouldEqual, 16<<10)
+	})
+}
+
 // TestIdleTimeout guards against connections with TLS that stay open without a request, or are
 // closed during one.
 func TestIdleTimeout(t *testing.T) {
--- a/internal/callerserver/server.go
+++ b/internal/callerserver/server.go
@@ -40,10 +40,11 @@
 	// refuseTime bounds the time to write that there is no room for a request.
 	refuseTime = 100 * time.Millisecond
 	// maxStreams is the number of requests in progress on one connection of HTTP/2. streamBuffer
-	// is what of the bodies on a connection may arrive before they are read; the library takes
-	// no less.
+	// is what of the bodies on a connection may arrive before they are read, and maxFrame the
+	// largest frame, for which a connection has a buffer; the library takes no less.
 	maxStreams   = 100
 	streamBuffer = 64 << 10
+	maxFrame     = 16 << 10
 )
 
 // Limits bound the connections of callers.
@@ -267,7 +268,7 @@
 	}
 	if s.room.bounded() {
 		server.HTTP2 = &http.HTTP2Config{
-			MaxConcurrentStreams: maxStreams, MaxReceiveBufferPerConnection: streamBuffer, MaxReceiveBufferPerStream: streamBuffer,
+			MaxConcurrentStreams: maxStreams, MaxReceiveBufferPerConnection: streamBuffer, MaxReceiveBufferPerStream: streamBuffer, MaxReadFrameSize: maxFrame,
 		}
 	}
 	old := s.current
