callerserver: responses of HTTP/2 that are not read give way

What callers saw: with many callers of HTTP/2 that send complete requests and do not read, or whose requests wait, no ordinary request was served for 30 s.

Cause: a connection of HTTP/2 with one request takes twice the memory of one of HTTP/1, but the number of requests in progress was that for the latter, so that requests, which are not closed for others, took all of the connections. A response that its caller does not read kept its memory for the write timeout; its last part was written after the handler, when neither the room nor the budget counted it.

A response of HTTP/2 that makes no progress gives way as one of HTTP/1 does, and is written as a whole while the request is counted.

--- a/internal/callerserver/body.go
+++ b/internal/callerserver/body.go
@@ -42,3 +42,18 @@
 	// The error is ignored: connections of http.Server support read deadlines.
 	hold.MayAbandon(func() { _ = control.SetReadDeadline(past) })
 }
+
+// BeginResponse lets a complete request of HTTP/2 end for lack of memory while its caller does not
+// read the response, until the function that it returns is called, which writes what is buffered.
+// With HTTP/1, AbandonUnread does this.
+func BeginResponse(w http.ResponseWriter, r *http.Request, hold *membudget.Hold) (end func()) {
+	if r.ProtoMajor == 1 {
+		return func() {}
+	}
+	control := http.NewResponseController(w)
+	hold.MayAbandonStalled(func() { _ = control.SetWriteDeadline(past) })
+	return func() {
+		_ = control.Flush() // a caller that has disconnected needs no response
+		hold.MayAbandon(nil)
+	}
+}
--- a/internal/callerserver/idle_test.go
+++ b/internal/callerserver/http2_test.go
@@ -17,18 +17,19 @@
 	"golang.org/x/net/http2"
 	"golang.org/x/net/http2/hpack"
 
+	"github.com/savoryfold/savoryfold/internal/membudget"
 	"github.com/savoryfold/savoryfold/policy"
 )
 
 // dialHTTP2 connects to a server with HTTP/2, sends the start of a connection and the heads of a
 // number of requests without a body.
-func dialHTTP2(s *Server, requests int) (*tls.Conn, *http2.Framer) {
+func dialHTTP2(s *Server, requests int, settings ...http2.Setting) (*tls.Conn, *http2.Framer) {
 	c, err := tls.Dial("tcp", s.Address().String(), &tls.Config{InsecureSkipVerify: true, NextProtos: []string{http2.NextProtoTLS}}) // #nosec: the test's own server
 	So(err, ShouldBeNil)
 	_, err = io.WriteString(c, http2.ClientPreface)
 	So(err, ShouldBeNil)
 	framer := http2.NewFramer(c, c)
-	So(framer.WriteSettings(), ShouldBeNil)
+	So(framer.WriteSettings(settings...), ShouldBeNil)
 	for i := range requests {
 		var block bytes.Buffer
 		encoder := hpack.NewEncoder(&block)
@@ -149,3 +150,41 @@
 		}
 	})
 }
+
+// TestUnreadResponsesOverHTTP2 guards against responses of HTTP/2 that are not read and keep the
+// memory of their requests while others need it.
+func TestUnreadResponsesOverHTTP2(t *testing.T) {
+	for _, size := range []int{100, 1 << 20} {
+		b := membudget.New(policy.MemoryShares{Limit: 1 << 20, GroupFactor: 100, MemberFactor: 100, StallTime: policy.StallTime}, nil)
+		served := make(chan struct{}, 1)
+		s := startIdle(t, time.Minute, func(w http.ResponseWriter, r *http.Request) {
+			hold := b.Open("a", "a")
+			defer hold.Close()
+			if hold.Grow(600<<10) != nil {
+				w.WriteHeader(http.StatusServiceUnavailable)
+				return
+			}
+			served <- struct{}{}
+			defer BeginResponse(w, r, hold)()
+			_, _ = w.Write(make([]byte, size))
+		})
+		Convey(fmt.Sprint("A request whose caller does not read gives way, bytes: ", size), t, func() {
+			c, _ := dialHTTP2(s, 1, http2.Setting{ID: http2.SettingInitialWindowSize, Val: 0})
+			defer c.Close()
+			<-served                                                                                                                            // before another request can get the memory
+			client := &http.Client{Transport: &http.Transport{ForceAttemptHTTP2: true, TLSClientConfig: &tls.Config{InsecureSkipVerify: true}}} // #nosec: the test's own server
+			defer client.CloseIdleConnections()
+			var statuses []int
+			So(eventually(func() bool {
+				resp, err := client.Get("https://" + s.Address().String())
+				if err != nil {
+					return false
+				}
+				defer resp.Body.Close()
+				statuses = append(statuses, resp.StatusCode)
+				return resp.StatusCode == http.StatusOK
+			}), ShouldBeTrue)
+			So(statuses[0], ShouldEqual, http.StatusServiceUnavailable)
+		})
+	}
+}
--- a/internal/callerserver/room.go
+++ b/internal/callerserver/room.go
@@ -60,6 +60,8 @@
 // room bounds the number and the memory of the callers' connections.
 type room struct {
 	limits policy.CallerLimits
+	// secure is true if callers use TLS, and may use HTTP/2.
+	secure bool
 	// connBytes is the memory of a connection besides buffers.
 	connBytes     int64
 	buffers       bufferBytes
@@ -79,7 +81,7 @@
 func newRoom(o Options) *room {
 	r := &room{limits: o.Room, connBytes: connBytes, countsBuffers: !o.UncountedBuffers, logger: o.Logger, onClose: o.OnClose, conns: make(map[*callerConn]struct{}), changed: make(chan struct{})}
 	if o.TLS != nil {
-		r.connBytes = tlsConnBytes
+		r.secure, r.connBytes = true, tlsConnBytes
 	}
 	if o.Room == (policy.CallerLimits{}) {
 		r.limits = policy.CallerLimits{Connections: math.MaxInt, ConnectionBytes: math.MaxInt64}
@@ -303,9 +305,14 @@
 	}
 }
 
-// maxConnections returns the number of connections that fit.
+// maxConnections returns the number of connections that fit, with one request of HTTP/2 on each if
+// callers may use it.
 func (r *room) maxConnections() int {
-	return int(min(int64(r.limits.Connections), r.limits.ConnectionBytes/(r.connBytes+r.buffers.expected())))
+	each := r.connBytes + r.buffers.expected()
+	if r.secure {
+		each += multiplexedBytes + streamBytes
+	}
+	return int(min(int64(r.limits.Connections), r.limits.ConnectionBytes/each))
 }
 
 // usage returns the number of connections and the memory that they hold.
--- a/internal/callerserver/server.go
+++ b/internal/callerserver/server.go
@@ -223,6 +223,8 @@
 		}
 		defer s.room.endRequest(conn, head)
 		defer conn.trackStream(r)()
+		// The library writes the rest of a response after the handler, when nothing counts it.
+		defer func() { _ = http.NewResponseController(w).Flush() }()
 	}
 	if conn == nil || r.ProtoAtLeast(1, 1) {
 		s.options.Handler.ServeHTTP(w, r)
--- a/plugins/entryhttp/entryhttp_test.go
+++ b/plugins/entryhttp/entryhttp_test.go
@@ -416,6 +416,9 @@
 			So(resp.ProtoMajor, ShouldEqual, 2)
 			So(resp.StatusCode, ShouldEqual, http.StatusOK)
 			So(string(body), ShouldNotContainSubstring, "event: error")
+			if accept == "application/json" {
+				So(resp.Trailer.Get(httpapi.HeaderCost), ShouldNotBeEmpty)
+			}
 		})
 	}
 }
--- a/plugins/entryhttp/route.go
+++ b/plugins/entryhttp/route.go
@@ -56,11 +56,12 @@
 	callerserver.AbandonUnread(r, memory)
 	req.ID = id
 	if strings.Contains(r.Header.Get("Accept"), "text/event-stream") {
-		e.serveStream(w, r, req)
+		e.serveStream(w, r, req, memory)
 		return
 	}
 	result := e.host.Serve(r.Context(), req)
 	e.extendWriteDeadline(w)
+	defer callerserver.BeginResponse(w, r, memory)()
 	writeResult(w, r, result)
 }
 
--- a/plugins/entryhttp/stream.go
+++ b/plugins/entryhttp/stream.go
@@ -7,6 +7,8 @@
 	"github.com/pkg/errors"
 	"github.com/tmaxmax/go-sse"
 
+	"github.com/savoryfold/savoryfold/internal/callerserver"
+	"github.com/savoryfold/savoryfold/internal/membudget"
 	"github.com/savoryfold/savoryfold/kernel"
 )
 
@@ -34,17 +36,18 @@
 	w       http.ResponseWriter
 	r       *http.Request
 	flusher http.Flusher
+	memory  *membudget.Hold
 	started bool
 }
 
 // serveStream runs a request and streams its response.
-func (e *Entry) serveStream(w http.ResponseWriter, r *http.Request, req *kernel.Request) {
+func (e *Entry) serveStream(w http.ResponseWriter, r *http.Request, req *kernel.Request, memory *membudget.Hold) {
 	flusher, ok := w.(http.Flusher)
 	if !ok {
 		writeOutcome(w, reject(kernel.ReasonBadRequest, "this connection cannot stream"))
 		return
 	}
-	s := &stream{entry: e, w: w, r: r, flusher: flusher}
+	s := &stream{entry: e, w: w, r: r, flusher: flusher, memory: memory}
 	req.Events = s
 	result := e.host.Serve(r.Context(), req)
 	if result.Outcome.Kind != kernel.Served {
@@ -77,6 +80,7 @@
 func (s *stream) fail(result kernel.Result) {
 	if !s.started {
 		s.entry.extendWriteDeadline(s.w)
+		defer callerserver.BeginResponse(s.w, s.r, s.memory)()
 		writeResult(s.w, s.r, result)
 		return
 	}
@@ -94,6 +98,7 @@
 func (s *stream) writeEvent(kind, id, data string) error {
 	s.entry.extendWriteDeadline(s.w)
 	defer s.entry.suspendWriteDeadline(s.w)
+	defer callerserver.BeginResponse(s.w, s.r, s.memory)()
 	if !s.started {
 		h := s.w.Header()
 		h.Set("Content-Type", "text/event-stream")
