Requests of one service that waits leave room for others

What callers saw: with 1,600 callers that send small complete requests to a service that does not respond, no ordinary request to another one was served for 30 s: each got 503.

Cause: complete requests in progress are not ended for others, and a small one fits while there is any memory for requests. Those of the service that waits took all of it.

Change: the complete requests of one service (own interface: of one route) take seven eighths of the memory for requests at most; further ones are refused at once. With the own interface one route takes two thirds of the memory of its account.

--- a/plugins/entryhttp/entryhttp.go
+++ b/plugins/entryhttp/entryhttp.go
@@ -29,9 +29,13 @@
 	maxHeaderBytes = 16 << 10
 	// defaultMemory is the memory of the process if the memory setting is 0.
 	defaultMemory = 1 << 30
-	// accountFactor is the multiple of the free memory that the requests of a client account
-	// may hold.
-	accountFactor = 3
+	// accountFactor is the multiple of the free memory that the requests of a client account may
+	// hold, accountRouteFactor that of those of one route.
+	accountFactor      = 3
+	accountRouteFactor = 2
+	// routeFactor lets the complete requests of one route take seven eighths of the memory for
+	// requests.
+	routeFactor = 7
 )
 
 func init() {
@@ -63,9 +67,11 @@
 	maxBodyBytes int64
 	inFlight     atomic.Int64
 	maxRequests  int64
-	// callers bounds the connections and requests of callers, requests what the latter hold.
+	// callers bounds the connections and requests of callers, requests what the latter hold, and
+	// complete the complete ones of each route.
 	callers  policy.CallerLimits
 	requests *membudget.Budget
+	complete *membudget.Bulkhead
 	drain    time.Duration
 	// writeTimeout bounds each write. Without it, a caller that does not read
 	// would occupy a call slot and delay a graceful stop.
@@ -93,10 +99,11 @@
 		membudget.LimitProcess(bytes)
 	}
 	e.callers = policy.NewCallerLimits(cmp.Or(bytes, defaultMemory), callerserver.Descriptors(s.Int(section, "descriptors")))
-	e.requests = membudget.New(policy.MemoryShares{Limit: e.callers.RequestMemory, GroupFactor: accountFactor, MemberFactor: accountFactor, StallTime: policy.StallTime},
+	e.requests = membudget.New(policy.MemoryShares{Limit: e.callers.RequestMemory, GroupFactor: accountFactor, MemberFactor: accountRouteFactor, StallTime: policy.StallTime},
 		func(scope policy.MemoryScope) {
 			h.Counter(`memory_refused{kind="requests",scope="` + scope.String() + `"}`).Inc(1)
 		})
+	e.complete = membudget.NewBulkhead(policy.Bulkhead{Limit: e.callers.RequestMemory, Factor: routeFactor})
 	e.server = callerserver.New(callerserver.Options{
 		Room: e.callers, Refuse: refuse,
 		OnClose: func(p policy.CallerPhase) { h.Counter(`caller_connections_closed{phase="` + p.String() + `"}`).Inc(1) },
--- a/plugins/entryhttp/route.go
+++ b/plugins/entryhttp/route.go
@@ -53,6 +53,14 @@
 		writeOutcome(w, out)
 		return
 	}
+	leave, fits := e.complete.Enter(req.Route, e.bytesPerRequest())
+	if !fits {
+		e.host.Counter(`memory_refused{kind="requests",scope="route"}`).Inc(1)
+		e.extendWriteDeadline(w)
+		writeOutcome(w, noMemory)
+		return
+	}
+	defer leave()
 	callerserver.AbandonUnread(r, memory)
 	req.ID = id
 	if strings.Contains(r.Header.Get("Accept"), "text/event-stream") {
@@ -107,9 +115,14 @@
 	return account.Name, kernel.Outcome{}
 }
 
+// bytesPerRequest returns the memory that a request takes besides its body.
+func (e *Entry) bytesPerRequest() int64 {
+	return e.callers.BytesPerRequest(e.server.MaxConnections(), 0)
+}
+
 // readBody reads a body into memory that is counted for its account.
 func (e *Entry) readBody(w http.ResponseWriter, r *http.Request, memory *membudget.Hold) ([]byte, kernel.Outcome) {
-	err := memory.Grow(e.callers.BytesPerRequest(e.server.MaxConnections(), 0))
+	err := memory.Grow(e.bytesPerRequest())
 	var content []byte
 	if err == nil {
 		callerserver.Abandonable(memory, w)
--- a/plugins/forward/memory.go
+++ b/plugins/forward/memory.go
@@ -19,11 +19,16 @@
 	requestGroupFactor   = 3
 	responseGroupFactor  = 1
 	responseMemberFactor = 0.25
+	// serviceFactor lets the complete requests of one service take seven eighths of the memory for
+	// requests.
+	serviceFactor = 7
 )
 
 // memory bounds what this instance keeps of messages.
 type memory struct {
 	requests, responses *membudget.Budget
+	// complete bounds the complete requests of each service.
+	complete *membudget.Bulkhead
 }
 
 // newMemory returns the budgets for a process with a number of bytes of memory, of which
@@ -37,6 +42,7 @@
 	return memory{
 		requests:  membudget.New(policy.MemoryShares{Limit: callers.RequestMemory, GroupFactor: requestGroupFactor, MemberFactor: requestGroupFactor, StallTime: policy.StallTime}, refused("requests")),
 		responses: membudget.New(policy.MemoryShares{Limit: bytes / responseMemoryDivisor, GroupFactor: responseGroupFactor, MemberFactor: responseMemberFactor}, refused("responses")),
+		complete:  membudget.NewBulkhead(policy.Bulkhead{Limit: callers.RequestMemory, Factor: serviceFactor}),
 	}
 }
 
--- a/plugins/forward/request.go
+++ b/plugins/forward/request.go
@@ -52,6 +52,8 @@
 	body *body.Body
 	// memory counts the request and its body.
 	memory *membudget.Hold
+	// leaveService ends the request among those of its service; nil before it has begun.
+	leaveService func()
 
 	began    time.Time
 	goal     time.Time
@@ -144,6 +146,9 @@
 
 // free frees the memory of a request once no server is sent its body any more.
 func (r *request) free() {
+	if r.leaveService != nil {
+		r.leaveService()
+	}
 	if r.body == nil {
 		r.memory.Close()
 		return
@@ -183,13 +188,20 @@
 		return out
 	}
 	r.memory = f.memory.requests.Open(r.caller, r.route.Name)
-	if err := r.memory.Grow(f.callers.BytesPerRequest(f.entry.MaxConnections(), f.pool.ReceiveBuffer())); err != nil {
+	bytes := f.callers.BytesPerRequest(f.entry.MaxConnections(), f.pool.ReceiveBuffer())
+	if err := r.memory.Grow(bytes); err != nil {
 		r.log.Add("request does not fit into the memory", "caller", r.caller, "held", f.memory.requests.Bytes())
 		return kernel.Outcome{Kind: kernel.NotRun, Reason: kernel.ReasonOverload, Detail: "requests in progress fill the memory", RetryAfter: retryAfterBusy}
 	}
 	if out := f.readBody(w, hr, r); out.Kind != "" {
 		return out
 	}
+	var fits bool
+	if r.leaveService, fits = f.memory.complete.Enter(r.service.Name, bytes); !fits {
+		r.log.Add("requests of the service fill the memory", "service", r.service.Name)
+		f.host.Counter(`memory_refused{kind="requests",scope="service"}`).Inc(1)
+		return kernel.Outcome{Kind: kernel.NotRun, Reason: kernel.ReasonOverload, Detail: "requests in progress of the service fill the memory", RetryAfter: retryAfterBusy}
+	}
 	callerserver.AbandonUnread(hr, r.memory)
 	r.fingerprint = fingerprint(r)
 	r.parts = append(r.parts, r.fingerprint)
