callerserver: what is left of a refused body is not parsed

What callers saw: beside 1,600 callers that send 1 MiB in large and very small chunks, an ordinary request was served after 30 to 40 attempts or not within 30 s; most attempts were reset.

Cause: the processor. A profile of one core shows 78% in http.Server.finishRequest: before and after the response to a request whose body the handler did not read, the library parses up to 256 KiB of it each, one chunk of a byte after the other. The handler parsed further ones for a second.

Change: after the handler, at most 64 KiB of the connection are read as a body. The response is then written, the sending side closed, and what still arrives is discarded unparsed, 4 MiB or a second at most, so that a caller that is still sending reads the response. Handlers no longer skip bodies themselves.

--- a/internal/callerserver/conn.go
+++ b/internal/callerserver/conn.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -59,12 +60,19 @@
 	receivedAt time.Time
 	// ending is true if the connection ends unless a byte is read first; guarded by mu.
 	ending bool
+	// unread is true from the end of a handler that did not read the whole body until the next
+	// request, unreadLeft what may be read of the rest meanwhile; guarded by mu.
+	unread     bool
+	unreadLeft int
 	// idleTimer is nil until a connection with TLS is idle first; guarded by mu.
 	idleTimer *time.Timer
 }
 
 // Read implements net.Conn.
 func (c *callerConn) Read(p []byte) (int, error) {
+	if c.skippedTooMuch() {
+		return 0, os.ErrDeadlineExceeded // http.Server then responds and closes the connection
+	}
 	n, err := c.TCPConn.Read(p)
 	if n > 0 {
 		if head := c.received(p[:n]); head > 0 {
@@ -80,6 +88,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.receivedAt = time.Now()
+	c.unreadLeft -= len(p)
 	if c.ending {
 		c.ending = false
 		_ = c.TCPConn.SetReadDeadline(time.Time{}) // http.Server sets its own next
@@ -87,6 +96,34 @@
 	return c.countHead(p)
 }
 
+// setUnread records that a handler has ended and did not read the whole body, or that the next
+// request is awaited.
+func (c *callerConn) setUnread(unread bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unread, c.unreadLeft = unread, maxUnreadBytes
+}
+
+// skippedTooMuch reports whether no more of the rest of a body may be read.
+func (c *callerConn) skippedTooMuch() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.unread && c.unreadLeft <= 0
+}
+
+// Close implements net.Conn. If the caller may still be sending a body, it gets time to read the
+// response: bytes that arrive after the connection is closed would make its system discard it.
+func (c *callerConn) Close() error {
+	c.mu.Lock()
+	unread := c.unread
+	c.unread = false // the next call closes at once
+	c.mu.Unlock()
+	if unread && c.CloseWrite() == nil && c.TCPConn.SetReadDeadline(time.Now().Add(lingerTime)) == nil {
+		_, _ = io.CopyN(io.Discard, struct{ io.Reader }{c.TCPConn}, lingerBytes) // the caller may have left
+	}
+	return c.TCPConn.Close()
+}
+
 // Write implements net.Conn.
 func (c *callerConn) Write(p []byte) (int, error) {
 	hold := c.beginWrite()
@@ -163,7 +200,7 @@
 // reset closes the connection with a reset, and before TLS could announce its end.
 func (c *callerConn) reset(logger *slog.Logger) {
 	err := c.SetLinger(0)
-	if err = cmp.Or(err, c.Close()); err != nil {
+	if err = cmp.Or(err, c.TCPConn.Close()); err != nil {
 		logger.Info("could not reset a caller's connection", "error", err)
 	}
 }
@@ -205,6 +242,9 @@
 		}
 	}
 	conn.setIdle(state == http.StateIdle)
+	if state == http.StateIdle {
+		conn.setUnread(false)
+	}
 	if t, ok := c.(*tls.Conn); ok {
 		s.limitIdle(t, conn, state)
 	}
--- a/internal/callerserver/room.go
+++ b/internal/callerserver/room.go
@@ -35,6 +35,12 @@
 	// unreadTime bounds the reading of the rest of a body that a handler did not read, which
 	// http.Server does before it responds.
 	unreadTime = time.Second
+	// maxUnreadBytes bounds what http.Server reads of it: chunks of one byte take much processor
+	// time. lingerBytes and lingerTime bound what is discarded of it then, once the response is
+	// written.
+	maxUnreadBytes = 64 << 10
+	lingerBytes    = 4 << 20
+	lingerTime     = time.Second
 	// closingTime bounds the wait for connections that are being closed.
 	closingTime = time.Second
 	// closingDivisor is the part of the memory of connections that those which are being closed may
@@ -177,7 +183,7 @@
 // refuse closes a connection that was not added.
 func (r *room) refuse(c *callerConn) {
 	r.log(1)
-	_ = c.Close()
+	_ = c.TCPConn.Close()
 	if r.onClose != nil {
 		r.onClose(policy.CallerIncomplete)
 	}
@@ -286,7 +292,7 @@
 		phase := c.state(0).Phase
 		// Close waits for a read of the goroutine that serves the connection, which then ends. The
 		// caller of close must not: with one core and many callers, that takes a while.
-		go c.Close()
+		go c.TCPConn.Close()
 		if r.onClose != nil {
 			r.onClose(phase)
 		}
@@ -468,6 +474,7 @@
 	r.Body = body
 	return func() {
 		if !body.complete {
+			conn.setUnread(true)
 			// The error is ignored: connections of http.Server support read deadlines.
 			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(unreadTime))
 		}
--- a/internal/callerserver/room_test.go
+++ b/internal/callerserver/room_test.go
@@ -187,3 +187,43 @@
 		})
 	}
 }
+
+// TestRefusedWhileSending guards against a caller that sends its whole body before it reads and
+// finds the connection reset, without the response that refuses the request.
+func TestRefusedWhileSending(t *testing.T) {
+	const size = 3 << 20
+	for _, k := range []struct{ name, header, body string }{
+		{"a length", fmt.Sprintf("Content-Length: %d\r\n", size), strings.Repeat("x", size)},
+		{"one chunk", "Transfer-Encoding: chunked\r\n", fmt.Sprintf("%x\r\n", size) + strings.Repeat("x", size) + "\r\n0\r\n\r\n"},
+		{"chunks of one byte", "Transfer-Encoding: chunked\r\n", strings.Repeat("1\r\nx\r\n", size/6) + "0\r\n\r\n"},
+	} {
+		for _, secure := range []bool{false, true} {
+			Convey(fmt.Sprintf("A request that is refused gets a response, with %s, TLS: %t", k.name, secure), t, func() {
+				config := testTLS(t)
+				if !secure {
+					config = nil
+				}
+				s := startServer(t, config, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusUnauthorized) })
+				c := dialServer(s, secure)
+				defer c.Close()
+				_, err := io.WriteString(c, "POST / HTTP/1.1\r\nHost: a.example\r\n"+k.header+"\r\n"+k.body)
+				So(err, ShouldBeNil)
+				So(readStatus(c), ShouldEqual, http.StatusUnauthorized)
+			})
+		}
+	}
+	Convey("A connection stays open after a small body that the handler did not read", t, func() {
+		s := startServer(t, nil, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusUnauthorized) })
+		c := dialServer(s, false)
+		defer c.Close()
+		reader := bufio.NewReader(c)
+		for range 20 {
+			_, err := io.WriteString(c, "POST / HTTP/1.1\r\nHost: a.example\r\nContent-Length: 20000\r\n\r\n"+strings.Repeat("x", 20000))
+			So(err, ShouldBeNil)
+			resp, err := http.ReadResponse(reader, nil)
+			So(err, ShouldBeNil)
+			So(resp.Close, ShouldBeFalse)
+			So(resp.Body.Close(), ShouldBeNil)
+		}
+	})
+}
--- a/plugins/forward/request.go
+++ b/plugins/forward/request.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -289,7 +288,6 @@
 	}
 	maxBytes := r.view.Config.Limits.BodyBytes
 	if maxBytes > 0 && hr.ContentLength > maxBytes {
-		f.skipBody(r, hr.Body)
 		return kernel.Outcome{Kind: kernel.Rejected, Reason: kernel.ReasonTooLarge, Detail: "the body is too large"}
 	}
 	if maxBytes <= 0 {
@@ -303,15 +301,10 @@
 	content, err := callerserver.ReadBody(hr.Body, r.memory, hr.ContentLength, maxBytes)
 	if errors.Is(err, membudget.ErrNoMemory) {
 		r.log.Add("request body does not fit into the memory", "caller", r.caller, "held", f.memory.requests.Bytes())
-		r.memory.Close() // what is skipped needs none
-		if err := control.SetReadDeadline(time.Now().Add(skipTime)); err == nil {
-			f.skipBody(r, hr.Body)
-		}
 		return kernel.Outcome{Kind: kernel.NotRun, Reason: kernel.ReasonOverload, Detail: "request bodies fill the memory", RetryAfter: retryAfterBusy}
 	}
 	r.memory.MayAbandon(nil)
 	if errors.Is(err, body.ErrTooLarge) {
-		f.skipBody(r, hr.Body)
 		return kernel.Outcome{Kind: kernel.Rejected, Reason: kernel.ReasonTooLarge, Detail: "the body is too large"}
 	}
 	if err != nil {
@@ -325,20 +318,6 @@
 	return kernel.Outcome{}
 }
 
-// maxSkippedBytes bounds what is read of a body that is too large. A caller
-// that is still sending when its connection is closed may not see the response.
-const maxSkippedBytes = 4 << 20
-
-// skipTime bounds the reading of the rest of a body for which there is no memory.
-const skipTime = time.Second
-
-// skipBody reads and discards the rest of a body that is not used.
-func (f *Forward) skipBody(r *request, rest io.Reader) {
-	if _, err := io.CopyN(io.Discard, rest, maxSkippedBytes); err != nil && err != io.EOF {
-		r.log.Add("could not read rest of request body", "error", err)
-	}
-}
-
 // run runs the stages of an accepted request and sends it to a server. If the
 // inputs are gone before the request has run, the stages are run once more.
 func (f *Forward) run(ctx context.Context, w http.ResponseWriter, r *request) kernel.Outcome {
