upstream: a timeout that is noticed late does not count against the server

What callers saw: beside a crowd, 6 of 25 ordinary requests that had got a connection and memory were refused with "no connection to the server" or "no server of the service can take the request".

Cause: with the processor busy, the goroutine that opens a connection runs again after the timeout of 300 ms, and a connection that the system had established at once counts as timed out.

Change: an attempt whose timeout is noticed more than a quarter of it too late is repeated, with at most three attempts.

--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -339,8 +339,7 @@
 	if p.options.MaxOpen > 0 && p.open.Load() > int64(p.options.MaxOpen) {
 		p.closeOldest()
 	}
-	p.dials.Add(1)
-	raw, err := p.dial(ctx, "tcp", r.Address)
+	raw, err := p.connect(ctx, r.Address)
 	if err != nil {
 		h.mu.Lock()
 		h.count(-1)
@@ -358,6 +357,24 @@
 	return &conn{Conn: raw, host: h, source: source, br: bufio.NewReaderSize(source, readBufferBytes)}, nil
 }
 
+// connect opens a connection. If the process notices a timeout late, its processor was busy, and the
+// timeout says nothing about the server: the attempt is repeated, at most maxConnects in all.
+func (p *Pool) connect(ctx context.Context, address string) (net.Conn, error) {
+	for attempt := 1; ; attempt++ {
+		p.dials.Add(1)
+		began := time.Now()
+		c, err := p.dial(ctx, "tcp", address)
+		var timeout net.Error
+		late := time.Since(began) > p.options.DialTimeout+p.options.DialTimeout/4
+		if err == nil || !late || !errors.As(err, &timeout) || !timeout.Timeout() || ctx.Err() != nil || attempt == maxConnects {
+			return c, err
+		}
+	}
+}
+
+// maxConnects is the number of attempts to open a connection while the processor is busy.
+const maxConnects = 3
+
 // takeIdle removes and returns the most recently used idle connection, or nil if
 // that one was idle for longer than maxIdle. All others were idle for longer.
 func (h *host) takeIdle(now time.Time, maxIdle time.Duration) *conn {
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -468,3 +469,35 @@
 		})
 	}
 }
+
+// TestLateTimeouts guards against servers that count as unreachable since the processor was busy
+// while a connection was being opened.
+func TestLateTimeouts(t *testing.T) {
+	const timeout = 20 * time.Millisecond
+	for _, k := range []struct {
+		name     string
+		late     time.Duration
+		failures int
+		want     int64
+		opened   bool
+	}{
+		{"a timeout in time is final", 0, 1, 1, false},
+		{"a timeout that was noticed late is not", timeout, 2, 3, true},
+		{"the number of attempts is bounded", timeout, 10, 3, false},
+	} {
+		Convey("Connections: "+k.name, t, func() {
+			p := New(Options{DialTimeout: timeout})
+			p.dial = func(context.Context, string, string) (net.Conn, error) {
+				if p.Dials() > int64(k.failures) {
+					client, _ := net.Pipe()
+					return client, nil
+				}
+				time.Sleep(k.late + k.late/2)
+				return nil, os.ErrDeadlineExceeded
+			}
+			_, err := p.connect(context.Background(), "a:1")
+			So(err == nil, ShouldEqual, k.opened)
+			So(p.Dials(), ShouldEqual, k.want)
+		})
+	}
+}
