callerserver: less of a refused body is read while others wait

What callers saw: as before, no ordinary request served beside 6,000 callers that send bodies behind refused requests.

Cause: a third of one core goes into reading up to 64 KiB of each refused body.

Change: 16 KiB while connections wait to be accepted.

--- a/internal/callerserver/conn.go
+++ b/internal/callerserver/conn.go
@@ -109,8 +109,9 @@
 // skippedTooMuch reports whether no more of the rest of a body may be read.
 func (c *callerConn) skippedTooMuch() bool {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.unread && c.unreadLeft <= 0
+	unread, left := c.unread, c.unreadLeft
+	c.mu.Unlock()
+	return unread && (left <= 0 || left <= maxUnreadBytes-crowdedUnreadBytes && c.crowded())
 }
 
 // Close implements net.Conn. If the caller may still be sending a body, it gets time to read the
--- a/internal/callerserver/room.go
+++ b/internal/callerserver/room.go
@@ -36,12 +36,13 @@
 	// http.Server does before it responds.
 	unreadTime = time.Second
 	// maxUnreadBytes bounds what http.Server reads of it: chunks of one byte take much processor
-	// time. lingerBytes and lingerTime bound what is discarded of it then, once the response is
-	// written.
-	maxUnreadBytes = 64 << 10
-	lingerBytes    = 4 << 20
-	lingerStep     = 128 << 10
-	lingerTime     = time.Second
+	// time. crowdedUnreadBytes is the bound while connections wait to be accepted. lingerBytes and
+	// lingerTime bound what is discarded of it then, once the response is written.
+	maxUnreadBytes     = 64 << 10
+	crowdedUnreadBytes = 16 << 10
+	lingerBytes        = 4 << 20
+	lingerStep         = 128 << 10
+	lingerTime         = time.Second
 	// closingTime bounds the wait for connections that are being closed.
 	closingTime = time.Second
 	// closingDivisor is the part of the memory of connections that those which are being closed may
