A busy instance does not eject servers it could not reach in time

What callers saw: after a crowd had left, an idle instance refused every ordinary request for more than 30 s: "no server of the service can take the request".

Cause: while the crowd kept the processor busy, attempts to connect were noticed after their timeout. Each counted as an unresponsive server, which is ejected at once, for twice as long each time, up to a minute.

Change: if all attempts were noticed late, the error says that the processor is busy. It neither ejects the server nor counts as a failure of its zone.

Slow readers still fail.

--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -10,6 +10,7 @@
 	"bytes"
 	"cmp"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -35,6 +36,9 @@
 	// ErrConnectionLimit means that all permitted connections to the server are in
 	// use. Nothing was sent.
 	ErrConnectionLimit = errors.New("connection limit of the server reached")
+	// ErrBusy means that this process noticed too late whether the server accepts a connection,
+	// since its processor was busy. It comes with ErrNotSent.
+	ErrBusy = errors.New("the processor is busy")
 	// ErrUnsolicited means that the server sent bytes that belong to no request.
 	ErrUnsolicited = errors.New("unsolicited bytes after a complete response")
 	// ErrHeadTooLarge means that what the server sent is no head of a response within
@@ -344,7 +348,7 @@
 		h.mu.Lock()
 		h.count(-1)
 		h.mu.Unlock()
-		return nil, errors.Wrap(ErrNotSent, err.Error())
+		return nil, err
 	}
 	if p.receiveBuffer.Load() == 0 {
 		if tcp, ok := raw.(syscall.Conn); ok {
@@ -358,7 +362,8 @@
 }
 
 // connect opens a connection. If the process notices a timeout late, its processor was busy, and the
-// timeout says nothing about the server: the attempt is repeated, at most maxConnects in all.
+// timeout says nothing about the server: the attempt is repeated, and the error of the last one is
+// ErrBusy. All errors are ErrNotSent.
 func (p *Pool) connect(ctx context.Context, address string) (net.Conn, error) {
 	for attempt := 1; ; attempt++ {
 		p.dials.Add(1)
@@ -366,8 +371,13 @@
 		c, err := p.dial(ctx, "tcp", address)
 		var timeout net.Error
 		late := time.Since(began) > p.options.DialTimeout+p.options.DialTimeout/4
-		if err == nil || !late || !errors.As(err, &timeout) || !timeout.Timeout() || ctx.Err() != nil || attempt == maxConnects {
-			return c, err
+		switch {
+		case err == nil:
+			return c, nil
+		case !late || !errors.As(err, &timeout) || !timeout.Timeout() || ctx.Err() != nil:
+			return nil, errors.Wrap(ErrNotSent, err.Error())
+		case attempt == maxConnects:
+			return nil, fmt.Errorf("%w, %w: %v", ErrNotSent, ErrBusy, err)
 		}
 	}
 }
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -480,10 +480,11 @@
 		failures int
 		want     int64
 		opened   bool
+		busy     bool
 	}{
-		{"a timeout in time is final", 0, 1, 1, false},
-		{"a timeout that was noticed late is not", timeout, 2, 3, true},
-		{"the number of attempts is bounded", timeout, 10, 3, false},
+		{"a timeout in time is final", 0, 1, 1, false, false},
+		{"a timeout that was noticed late is not", timeout, 2, 3, true, false},
+		{"the number of attempts is bounded", timeout, 10, 3, false, true},
 	} {
 		Convey("Connections: "+k.name, t, func() {
 			p := New(Options{DialTimeout: timeout})
@@ -497,6 +498,8 @@
 			}
 			_, err := p.connect(context.Background(), "a:1")
 			So(err == nil, ShouldEqual, k.opened)
+			So(errors.Is(err, ErrBusy), ShouldEqual, k.busy)
+			So(MaybeSent(err), ShouldEqual, k.opened)
 			So(p.Dials(), ShouldEqual, k.want)
 		})
 	}
--- a/plugins/forward/send.go
+++ b/plugins/forward/send.go
@@ -275,6 +275,10 @@
 		}
 		return sendNotSent, out
 	}
+	if errors.Is(err, upstream.ErrBusy) {
+		// It says nothing about the server, which must not be ejected for it.
+		return sendNotSent, kernel.Outcome{Kind: kernel.NotRun, Reason: kernel.ReasonOverload, Detail: "the instance is too busy to connect to the server", RetryAfter: retryAfterBusy}
+	}
 	if !upstream.MaybeSent(err) {
 		f.zoneFailed(now, c.server)
 	}
